--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -277,6 +277,18 @@
 		Versions map[int]part.Stamp
 		Member   string
 		Want     bool
+		Sent     time.Duration
+	}
+	// Fresh says which parts the answering process speaks for, up to where, and
+	// how old its knowledge is. It lets a node know that it has missed nothing.
+	Fresh struct {
+		Sent  time.Duration
+		Parts map[int]Known
+	}
+	// Known is what is known of one part.
+	Known struct {
+		Upto part.Stamp
+		Age  time.Duration
 	}
 	// News answers it, a part at a time.
 	News struct {
@@ -299,7 +311,7 @@
 	message.Register(JoinMember{}, RenewMember{}, LeaveMember{}, Termed{}, OpenUser{}, ChargeUser{}, UserDay{},
 		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, DrawBreaker{}, Shared{},
 		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReportReplica{}, ReadEntries{}, Entries{},
-		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Topology{},
+		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Fresh{}, Topology{},
 		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{})
 }
 
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -50,6 +50,7 @@
 
 	topology core.Topology
 	versions map[int]part.Stamp
+	fresh    map[int]time.Duration
 	entries  map[int]map[string]part.Entry
 	sources  []string
 	pullAt   time.Duration
@@ -120,7 +121,7 @@
 func New(o Options) *Machine {
 	m := &Machine{params: identity{Params: o.Params, ID: o.ID, Zone: o.Zone, Address: o.Address, HTTP: o.HTTP, Seeds: o.Seeds},
 		random: o.Random, incarnation: o.Incarnation, now: o.Now,
-		versions: map[int]part.Stamp{}, entries: map[int]map[string]part.Entry{},
+		versions: map[int]part.Stamp{}, fresh: map[int]time.Duration{}, entries: map[int]map[string]part.Entry{},
 		members: map[string]core.Member{}, replicas: map[string]map[string]core.Replica{}, cores: map[string]core.Core{},
 		conditions: map[string]*condition{}, waiting: map[uint64]slab.Ticket{}, live: map[slab.Ticket]*shot{},
 		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, breakerState: breaker.Closed}
@@ -196,7 +197,7 @@
 		versions[n] = v
 	}
 	m.pulls++
-	ask := core.Pull{Versions: versions, Member: m.params.ID, Want: m.pulls%8 == 1 || len(m.topology.Owners) == 0}
+	ask := core.Pull{Sent: now, Versions: versions, Member: m.params.ID, Want: m.pulls%8 == 1 || len(m.topology.Owners) == 0}
 	targets := m.coreAddresses()
 	if len(targets) == 0 {
 		targets = m.params.Seeds
@@ -322,7 +323,9 @@
 	case core.News:
 		m.onNews(now, b)
 	case core.Pull:
-		m.onPull(from, b)
+		m.onPull(now, from, b)
+	case core.Fresh:
+		m.onFresh(b)
 	case Forward:
 		m.onForward(now, from, b)
 	case Withdraw:
@@ -367,7 +370,24 @@
 	}
 }
 
-func (m *Machine) onPull(from string, b core.Pull) {
+// onFresh notes which parts this node has missed nothing of, and as of when.
+func (m *Machine) onFresh(b core.Fresh) {
+	for n, known := range b.Parts {
+		if !m.versions[n].Less(known.Upto) {
+			if at, ok := m.fresh[n]; !ok || b.Sent-known.Age > at {
+				m.fresh[n] = b.Sent - known.Age
+			}
+		}
+	}
+}
+
+// current reports whether news of a part is recent enough to act on.
+func (m *Machine) current(now time.Duration, n int) bool {
+	at, ok := m.fresh[n]
+	return ok && now < at+m.params.Newest
+}
+
+func (m *Machine) onPull(now time.Duration, from string, b core.Pull) {
 	if b.Want && m.topology.Fleet != "" {
 		m.send(from, m.topology)
 	}
@@ -376,8 +396,12 @@
 		parts = append(parts, n)
 	}
 	sort.Ints(parts)
+	fresh := core.Fresh{Sent: b.Sent, Parts: map[int]core.Known{}}
 	for _, n := range parts {
 		after, upto := b.Versions[n], m.versions[n]
+		if at, ok := m.fresh[n]; ok {
+			fresh.Parts[n] = core.Known{Upto: upto, Age: now - at}
+		}
 		if !after.Less(upto) {
 			continue
 		}
@@ -388,6 +412,9 @@
 		sort.Slice(news.Entries, func(i, j int) bool { return news.Entries[i].Key < news.Entries[j].Key })
 		m.send(from, news)
 	}
+	if len(fresh.Parts) > 0 {
+		m.send(from, fresh)
+	}
 }
 
 func (m *Machine) onNews(now time.Duration, b core.News) {
@@ -486,16 +513,29 @@
 	}
 }
 
-// Announce takes a replica's word about itself and passes it on.
-func (m *Machine) Announce(now time.Duration, r core.Replica) Output {
+// Announce takes a replica's word about itself and passes it on. The ticket's
+// return says whether it was heard; that a replica leaves counts as heard only
+// when it is durable, so that every node knows it in time.
+func (m *Machine) Announce(now time.Duration, ticket uint64, r core.Replica) Output {
 	m.step(now)
 	if r.Leaving {
 		if known, ok := m.replicas[r.Service][r.ID]; ok {
 			known.Leaving = true
 			m.replicas[r.Service][r.ID] = known
 		}
+	} else {
+		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Piece: Piece{Kind: PieceBody, Status: 200}})
 	}
-	m.caller.Call(now, core.ReportReplica{Replica: r}, now+m.params.Core.MemberTerm, func(time.Duration, core.Outcome) {})
+	m.caller.Call(now, core.ReportReplica{Replica: r}, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
+		if !r.Leaving {
+			return
+		}
+		p := Piece{Kind: PieceBody, Status: 200}
+		if _, ok := o.Answer.(core.Done); !ok {
+			p = Piece{Kind: PieceVerdict, Status: 503, Verdict: unsure("the leaving could not be made known; tell another node")}
+		}
+		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Piece: p})
+	})
 	return *m.out
 }
 
--- a/peer/replica/announce.go
+++ b/peer/replica/announce.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net"
@@ -11,7 +12,7 @@
 )
 
 // Announcements takes what replicas say of themselves.
-func Announcements(key string, announce func(r core.Replica) bool) http.Handler {
+func Announcements(key string, announce func(ctx context.Context, r core.Replica) bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		refuse := func(status int, code, reason string) {
@@ -37,8 +38,8 @@
 			refuse(400, "malformed", "address must be an IP number and a port")
 		case told.Ended:
 			refuse(400, "malformed", "ended is not a replica's to say")
-		case !announce(told):
-			refuse(503, "come_back", "this node is too busy")
+		case !announce(r.Context(), told):
+			refuse(503, "come_back", "it could not be made known; tell another node")
 		default:
 			json.NewEncoder(w).Encode(map[string]bool{"heard": true})
 		}
--- /dev/null
+++ b/rehearsalkit/fleet/backend.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"saffronfall/rehearsalkit/judge"
+)
+
+// backend is a stand-in for a model or an application.
+type backend struct {
+	fleet   *Fleet
+	service string
+	id      string
+	zone    string
+	address string
+	key     string
+	life    context.Context
+	stop    context.CancelFunc
+	leave   chan struct{}
+	loses   float64
+}
+
+func (b *backend) run(ctx context.Context) {
+	b.life, b.stop = context.WithCancel(ctx)
+	b.leave = make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/turns", b.turn)
+	mux.HandleFunc("POST /v1/calls", b.call)
+	server := &http.Server{Addr: b.address, Handler: mux}
+	context.AfterFunc(b.life, func() { server.Close() })
+	go server.ListenAndServe()
+	go b.announce()
+}
+
+func (b *backend) announce() {
+	leaving := false
+	for {
+		b.tell(leaving)
+		select {
+		case <-b.life.Done():
+			return
+		case <-b.leave:
+			leaving = true
+			b.leave = nil
+		case <-time.After(time.Duration(400+rand.IntN(200)) * time.Millisecond):
+		}
+	}
+}
+
+func (b *backend) tell(leaving bool) {
+	at := b.fleet.nodes[rand.IntN(len(b.fleet.nodes))]
+	body, _ := json.Marshal(map[string]any{"service": b.service, "id": b.id, "address": b.address, "zone": b.zone, "leaving": leaving})
+	ctx, cancel := context.WithTimeout(b.life, 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+at.requester+"/v1/replicas", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Header.Set("Authorization", "Bearer "+replicaKey)
+	got, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, got.Body)
+	got.Body.Close()
+	if leaving && got.StatusCode == 200 {
+		b.fleet.note(func(r *judge.Record) {
+			for _, l := range r.Leaving {
+				if l.Replica == b.id {
+					return
+				}
+			}
+			r.Leaving = append(r.Leaving, judge.Leaving{At: b.fleet.now(), Replica: b.id})
+		})
+	}
+}
+
+func (b *backend) turn(w http.ResponseWriter, r *http.Request) {
+	var p struct {
+		Shot, Tenant, Program, Line, Say string
+		MaxTokens                        int64 `json:"max_tokens"`
+		History                          []judge.Turn
+	}
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		w.WriteHeader(400)
+		return
+	}
+	seen := judge.Shot{At: b.fleet.now(), Service: b.service, Replica: b.id, Tenant: p.Tenant, Program: p.Program, Line: p.Line, Mark: p.Say, History: p.History, Most: p.MaxTokens}
+	var text strings.Builder
+	pieces := 3 + rand.IntN(4)
+	lost := -1
+	if rand.Float64() < b.loses {
+		lost = rand.IntN(pieces)
+	}
+	encoder := json.NewEncoder(w)
+	var list []string
+	var counts []int64
+	for i := 0; i < pieces; i++ {
+		tokens := min(1+rand.Int64N(60), p.MaxTokens-seen.Tokens)
+		if i == lost || tokens <= 0 {
+			break
+		}
+		piece := fmt.Sprintf("[%s %s %d]", b.id, p.Say, i)
+		text.WriteString(piece)
+		seen.Tokens += tokens
+		list, counts = append(list, piece), append(counts, tokens)
+	}
+	seen.Text = text.String()
+	b.fleet.note(func(r *judge.Record) { r.Shots = append(r.Shots, seen) })
+	for i := range list {
+		encoder.Encode(map[string]any{"text": list[i], "tokens": counts[i]})
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(time.Duration(10+rand.IntN(60)) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if lost >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	encoder.Encode(map[string]any{"done": true, "total": seen.Tokens})
+}
+
+func (b *backend) call(w http.ResponseWriter, r *http.Request) {
+	var p struct{ Mark string }
+	json.NewDecoder(r.Body).Decode(&p)
+	seen := judge.Shot{At: b.fleet.now(), Service: b.service, Replica: b.id, Tenant: r.Header.Get("Saffronfall-Tenant"), Program: r.Header.Get("Saffronfall-Program"),
+		Mark: p.Mark, Once: r.Header.Get("Once-Key"), Tool: r.Header.Get("Once-Key") == ""}
+	b.fleet.note(func(r *judge.Record) { r.Shots = append(r.Shots, seen) })
+	time.Sleep(time.Duration(2+rand.IntN(20)) * time.Millisecond)
+	if rand.Float64() < b.loses {
+		panic(http.ErrAbortHandler)
+	}
+	json.NewEncoder(w).Encode(map[string]string{"done": p.Mark})
+}
--- /dev/null
+++ b/rehearsalkit/fleet/fleet.go
@@ -0,0 +1,319 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/operator"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/configuration"
+)
+
+const (
+	fleetSecret = "rehearsal-secret-of-no-worth"
+	operatorKey = "rehearsal-operator"
+	replicaKey  = "rehearsal-replica"
+)
+
+// Layout is what a fleet is made of.
+type Layout struct {
+	Name     string
+	Cores    int
+	Nodes    int
+	Zones    int
+	Models   int
+	Alerts   int
+	Tenants  int
+	Users    int
+	Parts    int
+	Rate     float64
+	Burst    int64
+	Binary   string
+	Folder   string
+	Settings map[string]any
+}
+
+// Layouts are the fleets that can be rehearsed. The two deployments have the
+// sizes of the brief: nodes stand on the machines that cores do not fill, and
+// beside the cores.
+var Layouts = map[string]Layout{
+	"small": {Name: "small", Cores: 3, Nodes: 3, Zones: 3, Models: 3, Alerts: 1, Tenants: 3, Users: 12, Parts: 8, Rate: 40, Burst: 64},
+	"aire":  {Name: "aire", Cores: 6, Nodes: 13, Zones: 3, Models: 11, Alerts: 5, Tenants: 8, Users: 60, Parts: 16, Rate: 60, Burst: 96},
+	"mahoe": {Name: "mahoe", Cores: 8, Nodes: 15, Zones: 4, Models: 9, Alerts: 4, Tenants: 8, Users: 50, Parts: 16, Rate: 60, Burst: 96},
+}
+
+// Machine is one process of the fleet.
+type Machine struct {
+	Name, Zone, Role string
+	ip, settings     string
+	requester        string
+	operator         string
+	folder           string
+	command          *exec.Cmd
+	ended            chan struct{}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Layout   Layout
+	cores    []*Machine
+	nodes    []*Machine
+	backends []*backend
+	links    *links
+	client   *http.Client
+	start    time.Time
+	notes    chan func(r *judge.Record)
+	record   *judge.Record
+	ctx      context.Context
+}
+
+func (f *Fleet) now() time.Duration { return time.Since(f.start) }
+
+func (f *Fleet) note(what func(r *judge.Record)) {
+	done := make(chan struct{})
+	select {
+	case f.notes <- func(r *judge.Record) { what(r); close(done) }:
+		<-done
+	case <-f.ctx.Done():
+	}
+}
+
+func (f *Fleet) anyNode() *Machine { return f.nodes[rand.IntN(len(f.nodes))] }
+
+// New lays a fleet out and writes its settings files.
+func New(ctx context.Context, l Layout) (*Fleet, error) {
+	f := &Fleet{Layout: l, links: newLinks(ctx), start: time.Now(), notes: make(chan func(*judge.Record), 64), ctx: ctx, record: &judge.Record{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	f.record.Limits = judge.Limits{ProgramTokens: 50_000, TurnTokens: 1000, Keep: time.Hour, Late: 2 * time.Second, Rate: map[string]float64{}, Burst: map[string]float64{}}
+	go func() {
+		for {
+			select {
+			case what := <-f.notes:
+				what(f.record)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var seeds []string
+	for i := 0; i < l.Cores+l.Nodes; i++ {
+		m := &Machine{Role: "node", ip: fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200), Zone: fmt.Sprintf("zone-%d", i%l.Zones+1)}
+		if i < l.Cores {
+			m.Role, m.Name = "core", fmt.Sprintf("core%d", i+1)
+			f.cores = append(f.cores, m)
+		} else {
+			m.Name = fmt.Sprintf("node%d", i-l.Cores+1)
+			f.nodes = append(f.nodes, m)
+		}
+		m.requester, m.operator, m.folder = m.ip+":7002", m.ip+":7001", filepath.Join(l.Folder, m.Name, "data")
+		if len(seeds) < 3 {
+			seeds = append(seeds, m.ip+":7000")
+		}
+		settings := map[string]any{"id": m.Name, "zone": m.Zone, "folder": m.folder, "seeds": seeds, "fleet_secret": fleetSecret, "operator_key": operatorKey,
+			"replica_key": replicaKey, "peer_listen": m.ip + ":7100", "peer_advertise": m.ip + ":7000", "operator_listen": m.operator, "requester_listen": m.requester}
+		for k, v := range l.Settings {
+			settings[k] = v
+		}
+		if err := os.MkdirAll(m.folder, 0o755); err != nil {
+			return nil, errors.Wrap(err, "folder")
+		}
+		text, _ := json.MarshalIndent(settings, "", "  ")
+		m.settings = filepath.Join(l.Folder, m.Name, "settings.json")
+		if err := os.WriteFile(m.settings, text, 0o600); err != nil {
+			return nil, errors.Wrap(err, "settings")
+		}
+		if err := f.links.relay(ctx, m.ip+":7000", m.ip+":7100"); err != nil {
+			return nil, errors.Wrap(err, "relay")
+		}
+	}
+	for i := 0; i < l.Models; i++ {
+		f.backends = append(f.backends, &backend{fleet: f, service: "model", id: fmt.Sprintf("model%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", i+1)})
+	}
+	for i := 0; i < l.Alerts; i++ {
+		f.backends = append(f.backends, &backend{fleet: f, service: "alert", id: fmt.Sprintf("alert%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", 100+i)})
+	}
+	f.backends = append(f.backends, &backend{fleet: f, service: "search", id: "search1", zone: "zone-1", address: "127.0.9.200:7900"})
+	for i := 1; i <= l.Tenants; i++ {
+		name := fmt.Sprintf("t%d", i)
+		f.record.Limits.Rate[name], f.record.Limits.Burst[name] = l.Rate, float64(l.Burst)
+	}
+	return f, nil
+}
+
+// Start starts one process.
+func (f *Fleet) Start(m *Machine) error {
+	out, err := os.OpenFile(filepath.Join(f.Layout.Folder, m.Name, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer out.Close()
+	m.command = exec.Command(f.Layout.Binary, m.Role, m.settings)
+	m.command.Stdout, m.command.Stderr = out, out
+	m.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := m.command.Start(); err != nil {
+		return errors.Wrap(err, m.Name)
+	}
+	m.ended = make(chan struct{})
+	go func(c *exec.Cmd, ended chan struct{}) {
+		c.Wait()
+		close(ended)
+	}(m.command, m.ended)
+	return nil
+}
+
+// Signal sends a signal to a process.
+func (f *Fleet) Signal(m *Machine, s syscall.Signal) {
+	if m.command != nil && m.command.Process != nil {
+		m.command.Process.Signal(s)
+	}
+}
+
+// Kill kills a process and waits for its end.
+func (f *Fleet) Kill(m *Machine) {
+	f.Signal(m, syscall.SIGKILL)
+	<-m.ended
+}
+
+// Stop ends every process.
+func (f *Fleet) Stop() {
+	for _, m := range append(append([]*Machine(nil), f.nodes...), f.cores...) {
+		if m.command != nil {
+			f.Signal(m, syscall.SIGCONT)
+			f.Kill(m)
+		}
+	}
+}
+
+// Caller calls the fleet as an operator.
+func (f *Fleet) Caller() operator.Caller { return operator.Caller{Key: operatorKey} }
+
+// Describe is a description for the layout. The mark makes a key of the
+// version's own.
+func (f *Fleet) Describe(mark string) []byte {
+	tenants := map[string]any{}
+	for i := 1; i <= f.Layout.Tenants; i++ {
+		name := fmt.Sprintf("t%d", i)
+		tenants[name] = map[string]any{"keys": []any{map[string]any{"sha256": configuration.Sum("key-" + name), "role": "analyst"}},
+			"inquiries_per_second": f.Layout.Rate, "burst": f.Layout.Burst}
+	}
+	tenants["probe"] = map[string]any{"keys": []any{map[string]any{"sha256": configuration.Sum(mark), "role": "viewer"}}}
+	text, _ := json.Marshal(map[string]any{
+		"roles": map[string]any{"viewer": map[string]any{}, "analyst": map[string]any{"sessions_per_minute": 600, "sessions_per_hour": 6000, "sessions_per_day": 60000,
+			"concurrent_sessions": 20, "steps": 25, "tool_calls": 50, "tool_calls_per_type": 30, "identical_tool_calls": 3, "session_seconds": 600, "lockout_seconds": 300}},
+		"tenants": tenants,
+		"services": map[string]any{"model": map[string]any{"kind": "model"}, "alert": map[string]any{"kind": "once", "urgent": true, "past_breaker": true},
+			"search": map[string]any{"kind": "tool", "calls_per_minute": 100}},
+		"approval": map[string]any{"newly_refused_ratio": 0.5}})
+	return text
+}
+
+// Up starts everything, founds the fleet and puts a first description in
+// force.
+func (f *Fleet) Up(ctx context.Context) error {
+	for _, m := range append(append([]*Machine(nil), f.cores...), f.nodes...) {
+		if err := f.Start(m); err != nil {
+			return err
+		}
+	}
+	var addresses []string
+	for _, m := range f.cores {
+		addresses = append(addresses, m.operator)
+	}
+	var err error
+	for try := 0; try < 50; try++ {
+		if _, err = f.Caller().Found(ctx, f.Layout.Name, addresses, f.Layout.Parts, 3); err == nil {
+			break
+		}
+		pause(ctx, 100*time.Millisecond, 100*time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	for try := 0; ; try++ {
+		taking, status, err := f.Hand(ctx, f.cores[0], 0, "probe-first")
+		if taking.Taken {
+			break
+		}
+		if try == 20 {
+			return errors.Newf("no first configuration: %d %+v %v", status, taking, err)
+		}
+		pause(ctx, 200*time.Millisecond, 200*time.Millisecond)
+	}
+	for _, b := range f.backends {
+		b.run(ctx)
+	}
+	for try := 0; try < 200; try++ {
+		ready := 0
+		for _, m := range f.nodes {
+			if got, err := f.client.Get("http://" + m.requester + "/ready"); err == nil {
+				if got.StatusCode == 200 {
+					ready++
+				}
+				got.Body.Close()
+			}
+		}
+		if ready == len(f.nodes) {
+			return nil
+		}
+		pause(ctx, 50*time.Millisecond, 50*time.Millisecond)
+	}
+	return errors.New("not all nodes became ready")
+}
+
+// Hand hands a description over at a core.
+func (f *Fleet) Hand(ctx context.Context, at *Machine, basedOn uint64, mark string) (core.Taking, int, error) {
+	var taking core.Taking
+	status, raw, err := f.Caller().Do(ctx, "POST", at.operator, "/v1/configuration", operator.Handed{BasedOn: basedOn, Description: f.Describe(mark), BudgetMS: 8000}, nil)
+	if err == nil {
+		err = json.Unmarshal(raw, &taking)
+	}
+	return taking, status, err
+}
+
+// Drive lets stand-in requesters live for a time.
+func (f *Fleet) Drive(ctx context.Context, length time.Duration) {
+	driving, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	ended := make(chan struct{})
+	for i := 0; i < f.Layout.Users; i++ {
+		go func() {
+			f.live(driving, fmt.Sprintf("u%d", i), fmt.Sprintf("t%d", i%f.Layout.Tenants+1))
+			ended <- struct{}{}
+		}()
+	}
+	for i := 0; i < f.Layout.Users; i++ {
+		<-ended
+	}
+}
+
+// Finish judges the run.
+func (f *Fleet) Finish() (*judge.Record, []judge.Breach) {
+	var copied judge.Record
+	f.note(func(r *judge.Record) {
+		copied = *r
+		copied.Shots, copied.Asked = append([]judge.Shot(nil), r.Shots...), append([]judge.Asked(nil), r.Asked...)
+	})
+	return &copied, copied.Judge()
+}
+
+// Logs gathers the changes of state that all processes logged.
+func (f *Fleet) Logs() string {
+	var all strings.Builder
+	for _, m := range append(append([]*Machine(nil), f.cores...), f.nodes...) {
+		text, _ := os.ReadFile(filepath.Join(f.Layout.Folder, m.Name, "log"))
+		fmt.Fprintf(&all, "== %s\n%s", m.Name, text)
+	}
+	return all.String()
+}
--- /dev/null
+++ b/rehearsalkit/fleet/requester.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/program"
+)
+
+// got is what a requester reads of a return.
+type got struct {
+	Text         string  `json:"text"`
+	Tokens       int64   `json:"tokens"`
+	Closing      bool    `json:"closing"`
+	Head         string  `json:"head"`
+	Program      string  `json:"program"`
+	Code         string  `json:"code"`
+	Ran          string  `json:"ran"`
+	RetryAfterMS float64 `json:"retry_after_ms"`
+}
+
+type asking struct {
+	method, path, key, kind, program, line, mark, once, service string
+	body                                                        map[string]any
+	within                                                      time.Duration
+}
+
+// ask makes one inquiry over HTTP and records what its requester saw.
+func (f *Fleet) ask(ctx context.Context, at *Machine, q asking) (judge.Asked, got) {
+	a := judge.Asked{At: f.now(), Kind: q.kind, Tenant: tenantOf(q.key), Program: q.program, Line: q.line, Mark: q.mark, Once: q.once, Service: q.service, Outcome: judge.Silent}
+	var last got
+	ctx, cancel := context.WithTimeout(ctx, q.within+500*time.Millisecond)
+	defer cancel()
+	q.body["budget_ms"] = q.within.Milliseconds()
+	raw, _ := json.Marshal(q.body)
+	r, _ := http.NewRequestWithContext(ctx, q.method, "http://"+at.requester+q.path, bytes.NewReader(raw))
+	r.Header.Set("Authorization", "Bearer "+q.key)
+	if answer, err := f.client.Do(r); err == nil {
+		a.Status = answer.StatusCode
+		switch {
+		case answer.Header.Get("Content-Type") == "application/x-ndjson":
+			a.Outcome = judge.Broken
+			scanner := bufio.NewScanner(answer.Body)
+			for scanner.Scan() {
+				var l got
+				if json.Unmarshal(scanner.Bytes(), &l) != nil {
+					break
+				}
+				if l.Closing {
+					if l.Tokens == a.Tokens {
+						a.Outcome = judge.Whole
+					}
+					last = l
+					break
+				}
+				a.Text += l.Text
+				a.Tokens += l.Tokens
+			}
+		default:
+			text, err := io.ReadAll(answer.Body)
+			if err != nil || json.Unmarshal(text, &last) != nil {
+				a.Outcome = judge.Broken
+				break
+			}
+			a.Outcome = judge.Whole
+			if answer.StatusCode >= 300 {
+				a.Outcome, a.Code, a.Ran = judge.Refused, last.Code, last.Ran
+			}
+		}
+		answer.Body.Close()
+	}
+	a.Ended = f.now()
+	if a.Program == "" {
+		a.Program = last.Program
+	}
+	f.note(func(r *judge.Record) { r.Asked = append(r.Asked, a) })
+	return a, last
+}
+
+func tenantOf(key string) string {
+	var tenant string
+	fmt.Sscanf(key, "key-%s", &tenant)
+	return tenant
+}
+
+func pause(ctx context.Context, least, most time.Duration) {
+	select {
+	case <-time.After(least + time.Duration(rand.Int64N(int64(most-least)+1))):
+	case <-ctx.Done():
+	}
+}
+
+// live is a stand-in requester: it opens programs, takes turns at any node,
+// calls tools, sends alerts, and asks again where it is unsure.
+func (f *Fleet) live(ctx context.Context, name, tenant string) {
+	key := "key-" + tenant
+	for serial := 0; ctx.Err() == nil; serial++ {
+		a, opened := f.ask(ctx, f.anyNode(), asking{method: "POST", path: "/v1/programs", key: key, kind: "open", body: map[string]any{"user": name}, within: 3 * time.Second})
+		if a.Outcome != judge.Whole {
+			pause(ctx, 200*time.Millisecond, time.Second)
+			continue
+		}
+		head := program.Start
+		for turn := 0; turn < 12 && ctx.Err() == nil; turn++ {
+			pause(ctx, 20*time.Millisecond, 300*time.Millisecond)
+			mark := fmt.Sprintf("%s-%d-%d", name, serial, turn)
+			switch dice := rand.Float64(); {
+			case dice < 0.15:
+				f.alert(ctx, key, name, "alert-"+mark)
+			case dice < 0.25:
+				f.ask(ctx, f.anyNode(), asking{method: "POST", path: "/v1/programs/" + opened.Program + "/tools/search", key: key, kind: "tool", program: opened.Program, mark: "tool-" + mark, service: "search",
+					body: map[string]any{"arguments": map[string]string{"mark": "tool-" + mark}}, within: 3 * time.Second})
+			default:
+				a, last := f.ask(ctx, f.anyNode(), asking{method: "POST", path: "/v1/programs/" + opened.Program + "/turns", key: key, kind: "turn", program: opened.Program, mark: mark, service: "model",
+					body: map[string]any{"service": "model", "before": head, "say": mark}, within: 5 * time.Second})
+				switch {
+				case a.Outcome == judge.Whole:
+					head = last.Head
+				case a.Code == "wrong_history":
+					head = last.Head
+				case a.Code == "program_tokens_spent" || a.Code == "steps_reached" || a.Code == "duration_reached" || a.Status == 404 || a.Status == 410:
+					turn = 100
+				case last.RetryAfterMS > 0:
+					pause(ctx, time.Duration(min(last.RetryAfterMS, 2000))*time.Millisecond, time.Duration(min(last.RetryAfterMS, 2000)+50)*time.Millisecond)
+				}
+			}
+		}
+		f.ask(ctx, f.anyNode(), asking{method: "DELETE", path: "/v1/programs/" + opened.Program, key: key, kind: "close", program: opened.Program, body: map[string]any{}, within: 3 * time.Second})
+	}
+}
+
+func (f *Fleet) alert(ctx context.Context, key, name, mark string) {
+	q := asking{method: "POST", path: "/v1/actions/alert", key: key, kind: "action", mark: mark, once: mark, service: "alert", within: 2 * time.Second,
+		body: map[string]any{"user": name, "once_key": mark, "body": map[string]string{"mark": mark}}}
+	if rand.Float64() < 0.3 {
+		twin := q
+		twin.body = map[string]any{"user": name, "once_key": mark, "body": map[string]string{"mark": mark}}
+		go f.ask(ctx, f.anyNode(), twin)
+	}
+	for try := 0; try < 4 && ctx.Err() == nil; try++ {
+		if a, _ := f.ask(ctx, f.anyNode(), q); a.Outcome == judge.Whole {
+			return
+		}
+		pause(ctx, 100*time.Millisecond, 900*time.Millisecond)
+	}
+}
--- a/rehearsalkit/judge/judge.go
+++ b/rehearsalkit/judge/judge.go
@@ -381,3 +381,19 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// Gap is the longest time in which no turn came whole.
+func (r *Record) Gap() time.Duration {
+	var ends []time.Duration
+	for _, a := range r.Asked {
+		if a.Kind == "turn" && a.Outcome == Whole {
+			ends = append(ends, a.Ended)
+		}
+	}
+	sort.Slice(ends, func(i, j int) bool { return ends[i] < ends[j] })
+	var gap time.Duration
+	for i := 1; i < len(ends); i++ {
+		gap = max(gap, ends[i]-ends[i-1])
+	}
+	return gap
+}
--- /dev/null
+++ b/rehearsalkit/main.go
@@ -0,0 +1,174 @@
+// Command rehearsalkit rehearses saffronfall: a fleet of processes on one
+// machine, and a simulator with seeds. It is never deployed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sort"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"saffronfall/rehearsalkit/fleet"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rehearsalkit/simulator"
+)
+
+type fleetCommand struct {
+	Layout   string        `help:"Which fleet: small, aire or mahoe." default:"small"`
+	Binary   string        `help:"The saffronfall program." default:"bin/saffronfall" type:"path"`
+	Folder   string        `help:"Where settings, data and logs go; empty: a temporary folder."`
+	For      time.Duration `help:"How long requesters live." default:"15s"`
+	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, all." default:"calm"`
+	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
+	Logs     bool          `help:"Print the processes' logs."`
+}
+
+func (c *fleetCommand) Run() error {
+	layout, ok := fleet.Layouts[c.Layout]
+	if !ok {
+		return errors.Newf("no layout %q", c.Layout)
+	}
+	folder := c.Folder
+	if folder == "" {
+		made, err := os.MkdirTemp("", "rehearsal-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(made)
+		folder = made
+	}
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	layout.Binary, layout.Folder = binary, folder
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := fleet.New(ctx, layout)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	began := time.Now()
+	if err := f.Up(ctx); err != nil {
+		fmt.Println(f.Logs())
+		return err
+	}
+	fmt.Printf("fleet up after %v: %d cores, %d nodes\n", time.Since(began).Round(time.Millisecond), layout.Cores, layout.Nodes)
+	script, ok := fleet.Scenarios[c.Scenario]
+	if !ok {
+		return errors.Newf("no scenario %q", c.Scenario)
+	}
+	done := make(chan struct{})
+	go func() {
+		script(ctx, f, c.For)
+		close(done)
+	}()
+	f.Drive(ctx, c.For)
+	<-done
+	record, breaches := f.Finish()
+	report(record)
+	if c.Logs {
+		fmt.Println(f.Logs())
+	}
+	if c.Stay {
+		fmt.Println("fleet stays up; interrupt to end")
+		select {}
+	}
+	for _, b := range breaches {
+		fmt.Println("BROKEN", b)
+	}
+	if len(breaches) > 0 {
+		return errors.Newf("%d breaches", len(breaches))
+	}
+	fmt.Println("no rule was broken")
+	return nil
+}
+
+func report(r *judge.Record) {
+	counts := map[string]int{}
+	for _, a := range r.Asked {
+		name := a.Kind + " " + a.Outcome
+		if a.Code != "" {
+			name += " " + a.Code
+		}
+		counts[name]++
+	}
+	var names []string
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Printf("  requesters saw %-42s %d\n", name, counts[name])
+	}
+	fmt.Printf("  back ends saw  %-42s %d\n", "shots", len(r.Shots))
+	fmt.Printf("  longest time with no whole return: %v\n", r.Gap().Round(time.Millisecond))
+}
+
+type simulateCommand struct {
+	Seeds int    `help:"How many seeds." default:"100"`
+	First uint64 `help:"First seed; 0: a random one, which is printed." default:"0"`
+}
+
+func (c *simulateCommand) Run() error {
+	first := c.First
+	if first == 0 {
+		first = rand.Uint64N(1 << 40)
+	}
+	fmt.Printf("seeds %d to %d\n", first, first+uint64(c.Seeds)-1)
+	type outcome struct {
+		seed     uint64
+		breaches []judge.Breach
+		whole    int64
+	}
+	work, done := make(chan uint64), make(chan outcome)
+	for i := 0; i < runtime.NumCPU(); i++ {
+		go func() {
+			for seed := range work {
+				w, breaches := simulator.Run(simulator.Defaults(seed))
+				done <- outcome{seed, breaches, w.Counts["asked turn whole"]}
+			}
+		}()
+	}
+	go func() {
+		for i := 0; i < c.Seeds; i++ {
+			work <- first + uint64(i)
+		}
+		close(work)
+	}()
+	broken, whole := 0, int64(0)
+	for i := 0; i < c.Seeds; i++ {
+		o := <-done
+		whole += o.whole
+		for _, b := range o.breaches {
+			broken++
+			fmt.Printf("BROKEN seed %d: %s\n", o.seed, b)
+		}
+	}
+	fmt.Printf("%d seeds, %d whole turns, %d breaches\n", c.Seeds, whole, broken)
+	if broken > 0 {
+		return errors.Newf("%d breaches", broken)
+	}
+	return nil
+}
+
+var commands struct {
+	Fleet    fleetCommand    `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
+	Simulate simulateCommand `cmd:"" help:"Run the simulator over seeds."`
+}
+
+func main() {
+	parser := kong.Parse(&commands, kong.Name("rehearsalkit"), kong.Description("Rehearses saffronfall and judges it by what requesters and back ends saw."))
+	if err := parser.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "rehearsalkit:", err)
+		os.Exit(1)
+	}
+}
--- a/rehearsalkit/simulator/backend.go
+++ b/rehearsalkit/simulator/backend.go
@@ -42,10 +42,14 @@
 		if !p.alive || p.frozen {
 			return
 		}
-		if r.Leaving && !w.told(r.ID) {
-			w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
-		}
-		p.do(func() { p.takeNode(p.nodeM.Announce(p.now(), r)) })
+		w.tickets++
+		ticket := w.tickets
+		w.returns[ticket] = &waiting{node: p, piece: func(piece node.Piece) {
+			if piece.Kind == node.PieceBody && r.Leaving && !w.told(r.ID) {
+				w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
+			}
+		}}
+		p.do(func() { p.takeNode(p.nodeM.Announce(p.now(), ticket, r)) })
 	})
 }
 
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -75,8 +75,8 @@
 		t := body.(core.Taking)
 		w.logf("configuration %s on %d: %+v", mark, basedOn, t.Code)
 		w.Counts["configuration "+t.Code]++
+		w.version = max(w.version, t.Version)
 		if t.Taken {
-			w.version = max(w.version, t.Version)
 			w.keys[t.Version] = mark
 			w.Record.Taken = append(w.Record.Taken, judge.Taken{At: w.now, Version: t.Version, Mark: mark})
 		}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -196,7 +196,7 @@
 }
 
 func nodeParams() node.Params {
-	return node.Params{Core: CoreParams(), Buffer: 64, Patience: time.Second, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
+	return node.Params{Core: CoreParams(), Buffer: 64, Patience: time.Second, Newest: 1700 * time.Millisecond, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
 }
 
 func (p *proc) now() time.Duration {
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -233,11 +233,21 @@
 	}
 }
 
-func (s *process) announce(r core.Replica) bool {
+func (s *process) announce(ctx context.Context, r core.Replica) bool {
+	pieces := make(chan node.Piece, 1)
 	select {
-	case s.calls <- func(now time.Duration) node.Output { return s.machine.Announce(now, r) }:
-		return true
-	default:
+	case s.calls <- func(now time.Duration) node.Output {
+		s.next++
+		s.waiting[s.next] = pieces
+		return s.machine.Announce(now, s.next, r)
+	}:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case p := <-pieces:
+		return p.Kind == node.PieceBody
+	case <-ctx.Done():
 		return false
 	}
 }
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -33,6 +33,7 @@
 	MemberTermMS  int64   `json:"member_term_ms"`
 	ReplicaTermMS int64   `json:"replica_term_ms"`
 	PullMS        int64   `json:"pull_ms"`
+	NewestMS      int64   `json:"newest_ms"`
 	RetryMS       int64   `json:"retry_ms"`
 	PatienceMS    int64   `json:"patience_ms"`
 	BudgetMS      int64   `json:"budget_ms"`
@@ -64,6 +65,7 @@
 	{Path: "member_term_ms", Type: "int", Default: 2000, Min: 200, Max: 120000, About: "term of a node: how long it may go on alone, and how long its programs wait for a successor"},
 	{Path: "replica_term_ms", Type: "int", Default: 3000, Min: 200, Max: 120000, About: "how long a replica counts without announcing itself"},
 	{Path: "pull_ms", Type: "int", Default: 150, Min: 10, Max: 1000, About: "how often a node pulls news; well below two seconds"},
+	{Path: "newest_ms", Type: "int", Default: 1700, Min: 100, Max: 60000, About: "how old news of a back end may be when a shot is made; below two seconds"},
 	{Path: "retry_ms", Type: "int", Default: 150, Min: 10, Max: 10000, About: "how long one attempt at a command may take"},
 	{Path: "patience_ms", Type: "int", Default: 1000, Min: 0, Max: 60000, About: "longest wait of a shot for its tenant's rate"},
 	{Path: "budget_ms", Type: "int", Default: 30000, Min: 100, Max: 600000, About: "budget of inquiries that name none"},
@@ -150,7 +152,7 @@
 
 // Node are the data plane's bounds.
 func (p Params) Node() node.Params {
-	return node.Params{Core: p.Core(), Buffer: int(p.Buffer), Patience: ms(p.PatienceMS), Report: 2 * ms(p.PullMS),
+	return node.Params{Core: p.Core(), Buffer: int(p.Buffer), Patience: ms(p.PatienceMS), Newest: ms(p.NewestMS), Report: 2 * ms(p.PullMS),
 		UrgentRatio: p.UrgentRatio, Budget: ms(p.BudgetMS)}
 }
 
