Let a candidate go on while a majority can still promise

Cause: a candidate that was refused by one seat stepped down at once, although two other seats had promised it. Two candidates of one group could refuse each other for ever, in step, as each promise also held off the next try. Ruled out: lost messages (the group had no cut), lost promises on disk. Change: a refusal only counts against a majority; a candidate first asks without binding anybody, so that a seat that was cut off does not unseat an owner that serves.

--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -31,6 +31,7 @@
 	holder  Term
 	until   time.Duration
 	standAt time.Duration
+	highest uint64
 	owning  *owning
 	change  *change
 }
@@ -38,6 +39,8 @@
 type owning struct {
 	term      Term
 	released  Term
+	asking    bool
+	refused   map[string]bool
 	promises  map[string]Promise
 	sent      time.Duration
 	serving   bool
@@ -462,16 +465,17 @@
 
 func (m *Machine) stand(now time.Duration, released Term) {
 	m.Counters.Stands++
-	round := max(m.copy.Promised.Round, m.holder.Round) + 1
-	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, promises: map[string]Promise{}, sent: now,
-		group: m.copy.Group, renewed: map[string]time.Duration{}, whole: map[string]uint64{}}
+	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
+	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
+		group: m.copy.Group, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, refused: map[string]bool{}}
 	m.ask(now)
 }
 
 func (m *Machine) ask(now time.Duration) {
-	for _, seat := range m.owning.group.All() {
-		if _, ok := m.owning.promises[seat]; !ok {
-			m.send(seat, Stand{Term: m.owning.term, Group: m.owning.group, Released: m.owning.released, Sent: now}, false)
+	o := m.owning
+	for _, seat := range o.group.All() {
+		if _, ok := o.promises[seat]; !ok {
+			m.send(seat, Stand{Ask: o.asking, Term: o.term, Group: o.group, Released: o.released, Sent: now}, false)
 		}
 	}
 }
@@ -522,7 +526,7 @@
 	case Promise:
 		m.onPromise(now, from, b)
 	case Refuse:
-		m.onRefuse(now, b)
+		m.onRefuse(now, from, b)
 	case Write:
 		m.onWrite(now, from, b)
 	case Taken:
@@ -553,6 +557,8 @@
 		m.send(from, refuse, false)
 	case b.Term.Less(m.copy.Promised):
 		m.send(from, refuse, false)
+	case b.Ask:
+		m.send(from, Promise{Ask: true, Term: b.Term, Group: m.copy.Group, Sent: b.Sent}, false)
 	default:
 		if m.owning != nil && m.owning.term.Less(b.Term) {
 			m.stepDown(now)
@@ -575,11 +581,14 @@
 
 func (m *Machine) onPromise(now time.Duration, from string, b Promise) {
 	o := m.owning
-	if o == nil || o.serving || o.table != nil || b.Term != o.term {
+	if o == nil || o.serving || o.table != nil || b.Term != o.term || b.Ask != o.asking {
 		return
 	}
 	o.promises[from] = b
-	o.renewed[from] = b.Sent
+	delete(o.refused, from)
+	if !b.Ask {
+		o.renewed[from] = b.Sent
+	}
 	if o.group.Before(b.Group) {
 		o.group = b.Group
 		m.ask(now)
@@ -588,6 +597,11 @@
 	if !o.group.agreed(promised) {
 		return
 	}
+	if o.asking {
+		o.asking, o.promises, o.refused, o.sent = false, map[string]Promise{}, map[string]bool{}, now
+		m.ask(now)
+		return
+	}
 	o.table = map[string]Entry{}
 	var base Term
 	for _, p := range o.promises {
@@ -632,26 +646,28 @@
 	}
 }
 
-func (m *Machine) onRefuse(now time.Duration, b Refuse) {
+func (m *Machine) onRefuse(now time.Duration, from string, b Refuse) {
 	o := m.owning
-	if o == nil || b.Term != o.term {
-		return
-	}
 	if m.copy.Group.Before(b.Group) {
 		m.record(Record{Group: &b.Group})
 	}
-	if b.Wait > 0 {
-		if !o.serving {
+	if o == nil || b.Term != o.term {
+		return
+	}
+	m.highest = max(m.highest, b.Promised.Round)
+	if o.serving {
+		// The seat has promised a later term to somebody who did not come to
+		// own the part. The owner takes a later one still, without waiting.
+		if o.term.Less(b.Promised) && m.change == nil {
 			m.stepDown(now)
-			m.standAt = max(m.standAt, now+b.Wait)
+			m.stand(now, b.Term)
 		}
 		return
 	}
-	if o.term.Less(b.Promised) || o.group.Before(b.Group) {
-		if m.holder.Less(b.Promised) {
-			m.holder = b.Promised
-		}
+	o.refused[from] = true
+	if o.group.Before(b.Group) || !o.group.agreed(func(seat string) bool { return !o.refused[seat] }) {
 		m.stepDown(now)
+		m.standAt = max(m.standAt, now+b.Wait)
 	}
 }
 
--- a/rule/part/types.go
+++ b/rule/part/types.go
@@ -165,8 +165,10 @@
 
 // Messages between the seats of a part.
 type (
-	// Stand asks for the promise of a term.
+	// Stand asks for the promise of a term. One that only asks binds nobody; it
+	// keeps a seat that was cut off from unseating an owner that serves.
 	Stand struct {
+		Ask      bool          `msgpack:"a"`
 		Term     Term          `msgpack:"t"`
 		Group    Group         `msgpack:"g"`
 		Released Term          `msgpack:"r"`
@@ -174,6 +176,7 @@
 	}
 	// Promise gives it, with the whole copy of the seat.
 	Promise struct {
+		Ask     bool          `msgpack:"a"`
 		Term    Term          `msgpack:"t"`
 		Base    Term          `msgpack:"b"`
 		Group   Group         `msgpack:"g"`
