--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -85,6 +85,7 @@
 		Spent, Returned, Target int64
 		Whole                   int64
 		Chunk                   int64
+		Members                 int64
 		Ended                   []string
 	}
 	// DrawBreaker does the same for money.
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -16,6 +16,10 @@
 // Chunk is how many units of a tenant's rate let a bucket hold one inquiry.
 const Chunk = 16
 
+// IdleWeight is what a node wants of a rate that nobody asks it for, so that
+// it holds a share in advance.
+const IdleWeight = 32
+
 // Params bound the control plane's timing; what else it needs are ratios to
 // these.
 type Params struct {
@@ -355,8 +359,8 @@
 	l.Report(clock, c.Holder, c.Spent, c.Returned)
 	target := c.Target
 	if c.Kind != "day" {
-		whole := c.Whole / c.Chunk
-		target = l.Want(c.Holder, c.Target, whole) * c.Chunk
+		d := allowance.Division{Whole: c.Whole / c.Chunk, Holders: c.Members, Idle: IdleWeight}
+		target = l.Want(c.Holder, c.Target, d) * c.Chunk
 	}
 	granted := l.Draw(clock, c.Holder, target, []int64{c.Whole})
 	if !reflect.DeepEqual(l, before) {
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -51,10 +51,7 @@
 
 // What a node wants of a rate weighs by its recent demand, over a base that
 // keeps a share in advance at nodes where nobody asks.
-const (
-	idleWeight   = 32
-	demandWeight = 64
-)
+const demandWeight = 64
 
 type waiter struct {
 	until time.Duration
@@ -244,7 +241,7 @@
 		return
 	}
 	p.recent, p.demand = (p.recent*3+p.demand*demandWeight)/4, 0
-	want := idleWeight + p.recent
+	want := core.IdleWeight + p.recent
 	steady := want-p.want <= p.want/4 && p.want-want <= p.want/4
 	if held > 0 && held == p.target && steady && now < p.reportAt+m.params.Core.MemberTerm/2 {
 		return
@@ -258,7 +255,7 @@
 		kind = "urgent"
 	}
 	ask := core.ShareTenant{Tenant: tenant, Kind: kind, Holder: m.holder(), Returned: p.books.Returned, Target: want,
-		Whole: wholeOf(burst), Chunk: core.Chunk, Ended: m.ended(p.others)}
+		Whole: wholeOf(burst), Chunk: core.Chunk, Members: int64(len(m.others()) + 1), Ended: m.ended(p.others)}
 	m.caller.Call(now, ask, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		if incarnation != m.incarnation {
 			return
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -72,15 +72,15 @@
 	case !known || service.Kind != "model":
 		m.refuse(w, denied("unknown_service", "no such model service", 400))
 		return
+	case m.breakerState == breaker.HalfOpen && h.record.Test == 0:
+		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "breaker", Code: "breaker_half_open", Reason: "only test sessions are gated", Status: 503, RetryAfter: time.Second}))
+		return
 	case h.record.Busy(q.Line):
 		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "program", Code: "turn_running", Reason: "a turn of this conversation is running", Status: 409, RetryAfter: time.Second, Head: line.Head}))
 		return
 	case q.Before != line.Head || !fits(q.History, h.turns[q.Line]):
 		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "program", Code: "wrong_history", Reason: "what came before is not this conversation's history", Status: 409, Head: line.Head}))
 		return
-	case m.breakerState == breaker.HalfOpen && h.record.Test == 0:
-		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "breaker", Code: "breaker_half_open", Reason: "only test sessions are gated", Status: 503, RetryAfter: time.Second}))
-		return
 	}
 	caps := h.record.Caps(h.offset+now, role, m.description.WarnRatio)
 	if caps.Refused() {
--- /dev/null
+++ b/rehearsalkit/simulator/conformance_test.go
@@ -0,0 +1,317 @@
+package simulator
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/program"
+)
+
+type tree = map[string]any
+
+// design is a description whose figures are those of the design page, but for
+// what a case changes.
+func design(change func(role, tenant, services, breaker tree)) func(string) []byte {
+	return func(mark string) []byte {
+		role, tenant, breaker := tree{}, tree{"keys": []any{tree{"sha256": configuration.Sum("key-t1"), "role": "viewer"}}}, tree{}
+		services := tree{"model": tree{"kind": "model"}, "search": tree{"kind": "tool"}, "alert": tree{"kind": "once", "urgent": true}}
+		if change != nil {
+			change(role, tenant, services, breaker)
+		}
+		text, _ := json.Marshal(tree{"roles": tree{"viewer": role}, "tenants": tree{"t1": tenant, "probe": tree{"keys": []any{tree{"sha256": configuration.Sum(mark)}}}},
+			"services": services, "breaker": breaker})
+		return text
+	}
+}
+
+func small(change func(role, tenant, services, breaker tree)) *World {
+	p := Defaults(7)
+	p.Cores, p.Nodes, p.Users = 3, 3, 0
+	p.Describe = design(change)
+	return Calm(p)
+}
+
+func open(w *World, at int, user string) (judge.Asked, node.Piece) {
+	return w.Do(at, node.Inquiry{Kind: node.Open, Key: "key-t1", User: user})
+}
+
+func turn(w *World, at int, id, before string, tokens int64) (judge.Asked, node.Piece) {
+	return w.Do(at, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: id, Service: "model", Before: before, Say: w.mark("say"), MaxTokens: tokens})
+}
+
+func call(w *World, at int, id, arguments string) (judge.Asked, node.Piece) {
+	return w.Do(at, node.Inquiry{Kind: node.Tool, Key: "key-t1", Program: id, Service: "search", Arguments: []byte(arguments)})
+}
+
+func want(t *testing.T, what string, a judge.Asked, code string) {
+	t.Helper()
+	got := a.Code
+	if a.Outcome == judge.Whole {
+		got = ""
+	} else if got == "" {
+		got = a.Outcome
+	}
+	if got != code {
+		t.Errorf("%s: got %q, want %q", what, got, code)
+	}
+}
+
+// TestOrderAtSessionStart puts a user in the way of every check at once, and
+// takes the checks away one by one: breaker; lockout and windows; concurrency;
+// day.
+func TestOrderAtSessionStart(t *testing.T) {
+	for _, c := range []struct {
+		name                             string
+		breaker, locked, concurrent, day bool
+		code                             string
+	}{
+		{"all", true, true, true, true, "breaker_open"},
+		{"no breaker", false, true, true, true, "locked_out"},
+		{"no lockout", false, false, true, true, "concurrent_sessions"},
+		{"only the day", false, false, false, true, "user_day_tokens_spent"},
+		{"none", false, false, false, false, ""},
+		{"breaker and day", true, false, false, true, "breaker_open"},
+		{"lockout and day", false, true, false, true, "locked_out"},
+	} {
+		w := small(func(role, tenant, services, breaker tree) {
+			role["sessions_per_minute"], role["concurrent_sessions"] = 4, 2
+			role["turn_tokens"] = 1000
+			if c.day {
+				role["user_day_tokens_hard"], role["user_day_tokens_soft"] = 300, 200
+			}
+			if c.breaker {
+				// 1000 tokens cost 0.01 dollars; two turns' reservations pass.
+				breaker["minute_dollars"] = 0.025
+			}
+		})
+		_, first := open(w, 0, "u")
+		second, _ := open(w, 1, "u")
+		want(t, c.name+": second session", second, "")
+		head := program.Start
+		for i, code := 0, ""; i < 3 || (c.breaker && i < 9 && code != "breaker_open"); i++ {
+			a, last := turn(w, i%3, first.Text, head, 1000)
+			if code = a.Code; a.Outcome == judge.Whole {
+				head = last.Head
+			}
+		}
+		if !c.concurrent {
+			w.Do(0, node.Inquiry{Kind: node.Close, Key: "key-t1", Program: first.Text})
+			w.Do(0, node.Inquiry{Kind: node.Close, Key: "key-t1", Program: second.Program})
+		}
+		if c.locked {
+			for i := 0; i < 5; i++ {
+				open(w, i%3, "u")
+			}
+		}
+		w.Pass(300 * time.Millisecond)
+		a, _ := open(w, 2, "u")
+		want(t, c.name, a, c.code)
+	}
+}
+
+// TestLockout: a minute violation sets one of 600 s for viewers, and whoever
+// is locked out is told what remains, at every node.
+func TestLockout(t *testing.T) {
+	w := small(func(role, tenant, services, breaker tree) { role["concurrent_sessions"] = 100 })
+	for i := 0; i < 2; i++ {
+		a, _ := open(w, i, "u")
+		want(t, "within the minute", a, "")
+	}
+	a, last := open(w, 2, "u")
+	want(t, "third in a minute", a, "sessions_per_minute")
+	if last.Verdict.RetryAfter != 600*time.Second {
+		t.Errorf("the violation says come back in %v, want 600s", last.Verdict.RetryAfter)
+	}
+	w.Pass(100 * time.Second)
+	a, last = open(w, 0, "u")
+	want(t, "locked out", a, "locked_out")
+	if left := last.Verdict.RetryAfter; left < 495*time.Second || left > 505*time.Second {
+		t.Errorf("after 100 s %v remain of 600 s", left)
+	}
+	a, _ = open(w, 1, "other")
+	want(t, "another user", a, "")
+	w.Pass(515 * time.Second)
+	a, _ = open(w, 1, "u")
+	want(t, "after the lockout", a, "")
+}
+
+// TestWindows: 20 an hour for viewers, and come back when the oldest leaves.
+func TestWindows(t *testing.T) {
+	w := small(func(role, tenant, services, breaker tree) { role["concurrent_sessions"], role["sessions_per_hour"] = 100, 4 })
+	for i := 0; i < 4; i++ {
+		a, _ := open(w, i%3, "u")
+		want(t, "within the hour", a, "")
+		w.Pass(40 * time.Second)
+	}
+	a, last := open(w, 0, "u")
+	want(t, "fifth in an hour", a, "sessions_per_hour")
+	if left := last.Verdict.RetryAfter; left < 3300*time.Second || left > 3500*time.Second {
+		t.Errorf("come back in %v", left)
+	}
+}
+
+// TestProgramCaps: a reached cap stops the program's next turn, in the order
+// of the design; warnings come at 80 %.
+func TestProgramCaps(t *testing.T) {
+	w := small(nil)
+	_, p := open(w, 0, "steps")
+	head, warned := program.Start, 0
+	for i := 0; i < 10; i++ {
+		a, last := turn(w, i%3, p.Text, head, 10)
+		want(t, "a step", a, "")
+		head = last.Head
+		for _, one := range last.Verdict.Warnings {
+			if one.Scope == "steps" {
+				warned++
+			}
+		}
+	}
+	if warned != 2 {
+		t.Errorf("%d warnings of steps before the cap; from 80%% on there are two", warned)
+	}
+	a, _ := turn(w, 1, p.Text, head, 10)
+	want(t, "an eleventh step", a, "steps_reached")
+
+	_, p = open(w, 1, "same")
+	for i, arguments := range []string{`{"a":1,"b":[2]}`, ` { "b":[2], "a":1 }`} {
+		a, _ := call(w, i, p.Text, arguments)
+		want(t, "the same call", a, "")
+	}
+	a, _ = call(w, 2, p.Text, `{"b":[2],"a":1}`)
+	want(t, "the same call a third time", a, "loop")
+	a, _ = turn(w, 2, p.Text, program.Start, 10)
+	want(t, "the turn after a loop", a, "loop")
+
+	_, p = open(w, 1, "type")
+	for i := 0; i < 5; i++ {
+		a, _ := call(w, i%3, p.Text, `{"n":`+string(rune('0'+i))+`}`)
+		want(t, "a call", a, "")
+	}
+	a, _ = call(w, 2, p.Text, `{"n":9}`)
+	want(t, "a sixth call of one tool", a, "tool_calls_per_type_reached")
+	a, _ = turn(w, 0, p.Text, program.Start, 10)
+	want(t, "the turn after", a, "tool_calls_per_type_reached")
+
+	_, p = open(w, 1, "time")
+	w.Pass(121 * time.Second)
+	a, _ = turn(w, 0, p.Text, program.Start, 10)
+	want(t, "a turn after 120 s", a, "duration_reached")
+}
+
+// TestScopes: a program warns from its soft limit on and stops at its hard
+// one; helpers charge their root; a user's day refuses new sessions only; a
+// tenant's day refuses turns.
+func TestScopes(t *testing.T) {
+	w := small(func(role, tenant, services, breaker tree) {
+		role["program_tokens_soft"], role["program_tokens_hard"], role["turn_tokens"] = 50, 100, 60
+		role["user_day_tokens_soft"], role["user_day_tokens_hard"] = 60, 90
+		role["sessions_per_minute"], role["concurrent_sessions"] = 10, 10
+	})
+	_, p := open(w, 0, "u")
+	heads := map[string]string{"": program.Start, "helper": program.Start}
+	softly, stopped := false, false
+	for i := 0; i < 10 && !stopped; i++ {
+		line := []string{"", "helper"}[i%2]
+		a, last := w.Do(i%3, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Line: line, Service: "model", Before: heads[line], Say: w.mark("say"), MaxTokens: 30})
+		stopped = a.Code == "program_tokens_spent"
+		heads[line] = last.Head
+		for _, one := range last.Verdict.Warnings {
+			softly = softly || one.Scope == "program_tokens"
+		}
+	}
+	if !softly || !stopped {
+		t.Errorf("warned from the soft limit: %v, stopped at the hard one: %v", softly, stopped)
+	}
+	a, _ := open(w, 1, "u")
+	want(t, "a session of a spent user", a, "user_day_tokens_spent")
+	a, _ = open(w, 1, "v")
+	want(t, "another user's session", a, "")
+
+	w = small(func(role, tenant, services, breaker tree) { tenant["day_tokens"] = 2500 })
+	_, p = open(w, 0, "u")
+	head, refused := program.Start, false
+	for i := 0; i < 8 && !refused; i++ {
+		a, last := turn(w, 0, p.Text, head, 1000)
+		refused = a.Code == "tenant_day_tokens_spent"
+		head = last.Head
+	}
+	if !refused {
+		t.Error("a tenant beyond its day was not refused")
+	}
+}
+
+// TestBreaker: it trips by spend, refuses everything with what remains of the
+// recovery window, then gates a few test sessions, and closes when they went
+// well.
+func TestBreaker(t *testing.T) {
+	w := small(func(role, tenant, services, breaker tree) {
+		breaker["minute_dollars"], breaker["recovery_seconds"], breaker["tests"] = 0.025, 90, 2
+		role["sessions_per_minute"], role["concurrent_sessions"] = 50, 50
+	})
+	_, p := open(w, 0, "u")
+	head := program.Start
+	tripped := false
+	for i := 0; i < 6 && !tripped; i++ {
+		a, last := turn(w, 0, p.Text, head, 1000)
+		tripped = a.Code == "breaker_open"
+		head = last.Head
+	}
+	if !tripped {
+		t.Fatal("the breaker did not trip")
+	}
+	w.Pass(400 * time.Millisecond)
+	for i := 0; i < 3; i++ {
+		a, last := open(w, i, "v")
+		want(t, "a session at an open breaker", a, "breaker_open")
+		if left := last.Verdict.RetryAfter; left < 80*time.Second || left > 91*time.Second {
+			t.Errorf("node %d says come back in %v of 90 s", i, left)
+		}
+		a, _ = turn(w, i, p.Text, head, 10)
+		want(t, "a turn at an open breaker", a, "breaker_open")
+	}
+	w.Pass(95 * time.Second)
+	var tests []string
+	for i := 0; i < 4; i++ {
+		a, last := open(w, i%3, "w")
+		if a.Outcome == judge.Whole {
+			tests = append(tests, last.Text)
+		} else {
+			want(t, "beyond the tests", a, "breaker_half_open")
+		}
+	}
+	if len(tests) != 2 {
+		t.Fatalf("%d test sessions; 2 are allowed", len(tests))
+	}
+	a, _ := turn(w, 0, p.Text, head, 10)
+	want(t, "an old session while half-open", a, "breaker_half_open")
+	for _, id := range tests {
+		a, _ := turn(w, 0, id, program.Start, 10)
+		want(t, "a test's turn", a, "")
+	}
+	w.Pass(500 * time.Millisecond)
+	a, _ = open(w, 2, "x")
+	want(t, "after the tests", a, "")
+}
+
+// TestCooldown: each error doubles a tool's rest, up to an hour.
+func TestCooldown(t *testing.T) {
+	var r program.Record
+	service := configuration.Service{CooldownSeconds: 10}
+	clock := time.Duration(0)
+	for i, rest := range []time.Duration{10, 20, 40, 80, 160, 320, 640, 1280, 2560, 3600, 3600} {
+		r.CallTool(clock, "x", "a")
+		r.ToolDone(clock, "x", false, service, time.Hour)
+		if got := r.Tools["x"].CoolTill - clock; got != rest*time.Second {
+			t.Errorf("error %d: rests %v, want %v s", i+1, got, int(rest))
+		}
+		clock += rest * time.Second
+	}
+	r.ToolDone(clock, "x", true, service, time.Hour)
+	if r.Tools["x"].CoolTill != 0 {
+		t.Error("a good call did not end the rest")
+	}
+}
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -25,6 +25,9 @@
 // describe is the description of one version: it holds a key of its own, so
 // that a probe can tell from outside which version is in force at a node.
 func (w *World) describe(mark string) []byte {
+	if w.Params.Describe != nil {
+		return w.Params.Describe(mark)
+	}
 	role := map[string]any{"sessions_per_minute": 600, "sessions_per_hour": 6000, "sessions_per_day": 60000, "concurrent_sessions": 50,
 		"steps": 40, "program_tokens_soft": 3000, "program_tokens_hard": 6000, "turn_tokens": 1000, "tool_calls": 30, "tool_calls_per_type": 30,
 		"session_seconds": 600, "user_day_tokens_hard": 500_000}
@@ -255,3 +258,35 @@
 	sort.Strings(lines)
 	return lines
 }
+
+// Calm founds a world without faults, with a first description in force and
+// back ends known, for tests that drive it step by step.
+func Calm(p Params) *World {
+	p.Faults, p.Loss = false, 0
+	w := New(p)
+	w.Found()
+	for _, b := range w.models {
+		b.announce()
+	}
+	w.after(time.Second, w.firstHand)
+	w.run(4 * time.Second)
+	return w
+}
+
+// Do makes one inquiry at a node and runs the world until its return.
+func (w *World) Do(number int, q node.Inquiry) (judge.Asked, node.Piece) {
+	var got judge.Asked
+	var last node.Piece
+	over := false
+	if q.Budget == 0 {
+		q.Budget = 3 * time.Second
+	}
+	w.ask(w.nodes[number], q, func(a judge.Asked, p node.Piece) { got, last, over = a, p, true })
+	for until := w.now + q.Budget + time.Second; !over && w.now < until; {
+		w.run(w.now + 5*time.Millisecond)
+	}
+	return got, last
+}
+
+// Pass lets time pass.
+func (w *World) Pass(d time.Duration) { w.run(w.now + d) }
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -31,7 +31,7 @@
 	Faults     bool
 	Operators  int
 	Loss       float64
-	Text       []byte
+	Describe   func(mark string) []byte
 	Rate       float64
 	Burst      int64
 	MinuteCost float64
--- a/rule/allowance/ledger.go
+++ b/rule/allowance/ledger.go
@@ -1,8 +1,9 @@
 package allowance
 
 import (
-	"sort"
 	"time"
+
+	"saffronfall/rule/ordered"
 )
 
 // Books are the cumulative counts of one holder of shares. They only grow, so
@@ -97,10 +98,19 @@
 	return true
 }
 
-// Want notes what a holder would like to hold and returns what it should hold,
-// when a whole is divided in the ratio of the wants. Every holder that wants
-// anything is meant to have at least one unit while there are enough.
-func (l *Ledger) Want(holder string, want, whole int64) int64 {
+// Division says how a whole is divided among holders by what they want.
+type Division struct {
+	// Whole is in the units that are divided.
+	Whole int64
+	// Holders is how many there may be; those that have not asked yet are kept
+	// room for, as if each wanted Idle.
+	Holders int64
+	Idle    int64
+}
+
+// Want notes what a holder would like to hold and returns what it should hold.
+// While there are enough units, each holder that wants anything has one.
+func (l *Ledger) Want(holder string, want int64, d Division) int64 {
 	if l.Wants == nil {
 		l.Wants = map[string]int64{}
 	}
@@ -109,41 +119,24 @@
 	} else {
 		delete(l.Wants, holder)
 	}
-	return l.Target(holder, whole)
-}
-
-// Target is what a holder should hold of a whole.
-func (l *Ledger) Target(holder string, whole int64) int64 {
-	names := make([]string, 0, len(l.Wants))
+	if want <= 0 || d.Whole <= 0 {
+		return 0
+	}
 	var sum int64
-	for name, want := range l.Wants {
-		names = append(names, name)
-		sum += want
+	for _, w := range l.Wants {
+		sum += w
 	}
-	if l.Wants[holder] == 0 || sum == 0 {
-		return 0
+	count := int64(len(l.Wants))
+	if missing := d.Holders - count; missing > 0 {
+		count, sum = d.Holders, sum+missing*d.Idle
 	}
-	sort.Strings(names)
-	count := int64(len(names))
-	if count >= whole {
-		for i, name := range names {
-			if name == holder && int64(i) < whole {
+	if count >= d.Whole {
+		for i, name := range ordered.Keys(l.Wants) {
+			if name == holder && int64(i) < d.Whole {
 				return 1
 			}
 		}
 		return 0
 	}
-	spare := whole - count
-	var given int64
-	for i, name := range names {
-		part := spare * l.Wants[name] / sum
-		if i == len(names)-1 {
-			part = spare - given
-		}
-		given += part
-		if name == holder {
-			return 1 + part
-		}
-	}
-	return 0
+	return 1 + (d.Whole-count)*want/sum
 }
