--- /dev/null
+++ b/peer/core/life.go
@@ -0,0 +1,276 @@
+package core
+
+import (
+	"strings"
+	"time"
+
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/part"
+)
+
+// Move is one change of one part's group.
+type Move struct {
+	Part   int    `json:"part"`
+	Add    string `json:"add,omitempty"`
+	Remove string `json:"remove,omitempty"`
+}
+
+// Kinds of changes in a core's life.
+const (
+	AddCore     = "add"
+	RetireCore  = "retire"
+	ReplaceCore = "replace"
+)
+
+// Changed is the outcome of a change in a core's life.
+type Changed struct {
+	Done   bool   `json:"done"`
+	Moves  []Move `json:"moves"`
+	Made   int    `json:"moves_made"`
+	Code   string `json:"code,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// returnTo brings a core whose folder is empty back into the fleet that knows
+// its name. It has no vote until groups have changed to admit it.
+func (m *Machine) returnTo(now time.Duration, t Topology) {
+	known, ok := t.Cores[m.self.ID]
+	if !ok || known.Retired || known.Incarnation == m.self.Incarnation || len(t.Groups) == 0 {
+		return
+	}
+	f := Founding{Fleet: t.Fleet, Parts: len(t.Groups), Cores: t.Cores, Groups: make([]part.Group, len(t.Groups))}
+	m.Counters.Returns++
+	m.Join(now, f)
+}
+
+// Join makes this core, which has no vote anywhere yet, one of a fleet.
+func (m *Machine) Join(now time.Duration, f Founding) {
+	m.out.Changes = append(m.out.Changes, Change{Founding: &f})
+	s := Stored{Incarnation: m.self.Incarnation}
+	s.Apply(Change{Founding: &f})
+	m.begin(now, s)
+}
+
+// mend makes what the fleet knows of this core true again: its entry, and the
+// seats that an earlier incarnation of it still has in groups.
+func (m *Machine) mend(now time.Duration) {
+	if m.mending || m.self.Retired || m.leaving || m.stalled {
+		return
+	}
+	var moves []Move
+	for n, g := range m.groups {
+		for _, seat := range g.Seats {
+			if strings.HasPrefix(seat, m.self.ID+".") && seat != m.self.Seat() {
+				moves = append(moves, Move{Part: n, Add: m.self.Seat(), Remove: seat})
+			}
+		}
+	}
+	if len(moves) == 0 && !m.unknown {
+		return
+	}
+	m.mending = true
+	until := now + 10*m.params.MemberTerm
+	m.caller.Call(now, PutCore{Core: m.self}, until, func(now time.Duration, o Outcome) {
+		if d, ok := o.Answer.(Done); !ok || !d.OK {
+			if ok {
+				m.self.Version++
+				m.cores[m.self.ID] = m.self
+			}
+			m.mending = false
+			return
+		}
+		m.unknown = false
+		m.move(now, moves, 0, until, func(now time.Duration, made int) { m.mending = false })
+	})
+}
+
+// move makes moves one after the other.
+func (m *Machine) move(now time.Duration, moves []Move, made int, until time.Duration, next func(now time.Duration, made int)) {
+	if made == len(moves) || now >= until {
+		next(now, made)
+		return
+	}
+	one := moves[made]
+	m.caller.Call(now, ChangeSeat{Part: one.Part, Add: one.Add, Remove: one.Remove}, until, func(now time.Duration, o Outcome) {
+		d, ok := o.Answer.(Done)
+		switch {
+		case ok && d.OK:
+			m.move(now, moves, made+1, until, next)
+		case !ok:
+			next(now, made)
+		default:
+			m.waits = append(m.waits, wait{at: now + m.params.Pull, next: func(now time.Duration) { m.move(now, moves, made, until, next) }})
+		}
+	})
+}
+
+// Change adds a core to the groups, or empties one and retires it.
+func (m *Machine) Change(now time.Duration, ticket uint64, kind, id string, within time.Duration) Output {
+	m.out = &Output{}
+	m.learn()
+	until := now + within
+	c, ok := m.cores[id]
+	if !ok {
+		m.answer(ticket, Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + id})
+		return *m.out
+	}
+	var moves []Move
+	switch kind {
+	case AddCore:
+		moves = PlanAdd(m.cores, m.groups, c)
+	case RetireCore:
+		var short bool
+		if moves, short = PlanRetire(m.cores, m.groups, c); short {
+			m.answer(ticket, Changed{Moves: moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"})
+			return *m.out
+		}
+	}
+	m.move(now, moves, 0, until, func(now time.Duration, made int) {
+		if made < len(moves) {
+			m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "not all moves were made in time; ask again to go on"})
+			return
+		}
+		if kind != RetireCore {
+			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
+			return
+		}
+		c.Retired, c.Version = true, c.Version+1
+		m.caller.Call(now, PutCore{Core: c}, until, func(now time.Duration, o Outcome) {
+			d, ok := o.Answer.(Done)
+			if !ok || !d.OK {
+				m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "emptied, and not yet marked as retired; ask again"})
+				return
+			}
+			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
+		})
+	})
+	return *m.out
+}
+
+// Introduce makes a new core known, before it is given seats.
+func (m *Machine) Introduce(now time.Duration, ticket uint64, c Core, within time.Duration) Output {
+	m.out = &Output{}
+	if old, ok := m.cores[c.ID]; ok && old.Incarnation != c.Incarnation && !old.Retired {
+		m.answer(ticket, Done{})
+		return *m.out
+	} else if ok {
+		c.Version = old.Version + 1
+	}
+	m.caller.Call(now, PutCore{Core: c}, now+within, func(now time.Duration, o Outcome) {
+		d, _ := o.Answer.(Done)
+		if d.OK {
+			m.learnCore(c)
+		}
+		m.answer(ticket, d)
+	})
+	return *m.out
+}
+
+func seatCounts(cores map[string]Core, groups []part.Group) map[string]int {
+	counts := map[string]int{}
+	for _, id := range ordered.Keys(cores) {
+		if c := cores[id]; !c.Retired {
+			counts[c.Seat()] = 0
+		}
+	}
+	for _, g := range groups {
+		for _, s := range g.Seats {
+			if _, ok := counts[s]; ok {
+				counts[s]++
+			}
+		}
+	}
+	return counts
+}
+
+func zoneOf(cores map[string]Core, seat string) string {
+	for _, c := range cores {
+		if c.Seat() == seat {
+			return c.Zone
+		}
+	}
+	return ""
+}
+
+// PlanAdd moves seats to a new core until it has its even part, from the
+// fullest cores first, and never so that a group has fewer zones than before.
+func PlanAdd(cores map[string]Core, groups []part.Group, c Core) []Move {
+	counts := seatCounts(cores, groups)
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	var moves []Move
+	for n := range groups {
+		if counts[c.Seat()] >= total/max(1, len(counts)) {
+			break
+		}
+		g := groups[n]
+		if g.Has(c.Seat()) {
+			continue
+		}
+		fullest := ""
+		for _, s := range g.Seats {
+			if (fullest == "" || counts[s] > counts[fullest]) && zones(cores, swap(g.Seats, s, c.Seat())) >= zones(cores, g.Seats) {
+				fullest = s
+			}
+		}
+		if fullest != "" && counts[fullest] > counts[c.Seat()]+1 {
+			counts[fullest]--
+			counts[c.Seat()]++
+			moves = append(moves, Move{Part: n, Add: c.Seat(), Remove: fullest})
+		}
+	}
+	return moves
+}
+
+// PlanRetire gives each seat of a core to another core, in a zone of its own
+// where one can be had, the emptiest first. It reports when a group must shrink.
+func PlanRetire(cores map[string]Core, groups []part.Group, c Core) (moves []Move, short bool) {
+	counts := seatCounts(cores, groups)
+	delete(counts, c.Seat())
+	for n, g := range groups {
+		if !g.Has(c.Seat()) {
+			continue
+		}
+		best := ""
+		for _, s := range ordered.Keys(counts) {
+			if g.Has(s) {
+				continue
+			}
+			a, b := zones(cores, swap(g.Seats, c.Seat(), s)), 0
+			if best != "" {
+				b = zones(cores, swap(g.Seats, c.Seat(), best))
+			}
+			if best == "" || a > b || (a == b && counts[s] < counts[best]) {
+				best = s
+			}
+		}
+		if best == "" {
+			short = true
+			continue
+		}
+		counts[best]++
+		moves = append(moves, Move{Part: n, Add: best, Remove: c.Seat()})
+	}
+	return moves, short
+}
+
+func swap(seats []string, out, in string) []string {
+	var list []string
+	for _, s := range seats {
+		if s == out {
+			s = in
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func zones(cores map[string]Core, seats []string) int {
+	seen := map[string]bool{}
+	for _, s := range seats {
+		seen[zoneOf(cores, s)] = true
+	}
+	return len(seen)
+}
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -138,7 +138,7 @@
 
 // Counters are what a core counts.
 type Counters struct {
-	Messages, Commands, Moved, Unsure, Pulls, BadMessages int64
+	Messages, Commands, Moved, Unsure, Pulls, BadMessages, Returns int64
 }
 
 // Options make a machine.
@@ -147,6 +147,7 @@
 	ID, Zone string
 	Address  string
 	Operator string
+	Seeds    []string
 	Stored   Stored
 	Now      time.Duration
 	Random   func() float64
@@ -173,6 +174,10 @@
 	leaving  bool
 	stalled  bool
 	waits    []wait
+	seeds    []string
+	lookAt   time.Duration
+	mending  bool
+	unknown  bool
 	gathered uint64
 	samples  map[string][]rehearsal.Sample
 }
@@ -191,7 +196,7 @@
 
 // New makes a core from what its disk holds.
 func New(o Options) *Machine {
-	m := &Machine{params: o.Params, random: o.Random, parts: map[int]*part.Machine{}, cores: map[string]Core{},
+	m := &Machine{params: o.Params, random: o.Random, seeds: o.Seeds, parts: map[int]*part.Machine{}, cores: map[string]Core{},
 		self: Core{ID: o.ID, Incarnation: o.Stored.Incarnation, Zone: o.Zone, Peer: o.Address, Operator: o.Operator}}
 	m.caller = &Caller{Retry: o.Params.Retry, Random: o.Random,
 		Send:  func(to string, body any) { m.send(to, body, false) },
@@ -218,6 +223,8 @@
 	for id, c := range s.Founding.Cores {
 		m.cores[id] = c
 	}
+	m.learnCoresOf(s.Copies[ConfigurationPart])
+	m.assert()
 	for _, n := range ordered.Keys(s.Copies) {
 		m.seat(now, n, s.Copies[n])
 	}
@@ -229,21 +236,57 @@
 	return m.parts[n]
 }
 
-func (m *Machine) learnCores() {
-	p := m.parts[ConfigurationPart]
-	if p == nil {
+// assert makes the fleet's entry of this core what it is now: its address or
+// its incarnation may have changed while it was away.
+func (m *Machine) assert() {
+	known, ok := m.cores[m.self.ID]
+	fresh := m.self
+	fresh.Retired, fresh.Version = known.Retired, known.Version
+	if ok && fresh == known {
+		m.self = known
 		return
 	}
-	for key, e := range p.Copied().Entries {
+	fresh.Version++
+	m.self, m.cores[m.self.ID] = fresh, fresh
+	m.unknown = true
+}
+
+func (m *Machine) learnCores() {
+	if p := m.parts[ConfigurationPart]; p != nil {
+		m.learnCoresOf(p.Copied())
+	}
+}
+
+func (m *Machine) learnCoresOf(c part.Copy) {
+	for key, e := range c.Entries {
 		if len(key) > len(corePrefix) && key[:len(corePrefix)] == corePrefix && !e.Gone {
-			var c Core
-			if message.Unmarshal(e.Value, &c) == nil {
-				m.cores[c.ID] = c
+			var one Core
+			if message.Unmarshal(e.Value, &one) == nil {
+				m.learnCore(one)
 			}
 		}
 	}
 }
 
+func (m *Machine) learnCore(c Core) {
+	if old, ok := m.cores[c.ID]; !ok || old.Version < c.Version {
+		m.cores[c.ID] = c
+	}
+	if c.ID != m.self.ID || c.Incarnation != m.self.Incarnation || c.Version < m.self.Version {
+		return
+	}
+	m.self.Retired = c.Retired
+	if same := m.self; same.Version != c.Version {
+		if same.Version = c.Version; same == c {
+			m.self = c
+			return
+		}
+		m.self.Version = c.Version + 1
+		m.cores[m.self.ID] = m.self
+		m.unknown = true
+	}
+}
+
 func (m *Machine) send(to string, body any, synced bool) {
 	m.out.Sends = append(m.out.Sends, Send{To: to, Body: body, Synced: synced})
 }
@@ -266,10 +309,7 @@
 	if mine, ok := f.Cores[m.self.ID]; !ok || mine.Incarnation != m.self.Incarnation || f.Parts < 1 || len(f.Groups) != f.Parts {
 		return *m.out, false
 	}
-	s := Stored{Incarnation: m.self.Incarnation}
-	s.Apply(Change{Founding: &f})
-	m.out.Changes = append(m.out.Changes, Change{Founding: &f})
-	m.begin(now, s)
+	m.Join(now, f)
 	return *m.out, true
 }
 
@@ -277,6 +317,14 @@
 func (m *Machine) Tick(now time.Duration) Output {
 	m.out = &Output{}
 	if !m.Founded() {
+		if now >= m.lookAt {
+			m.lookAt = now + m.params.MemberTerm/2
+			for _, seed := range m.seeds {
+				if seed != m.self.Peer {
+					m.send(seed, Pull{Want: true}, false)
+				}
+			}
+		}
 		return *m.out
 	}
 	for n := 0; n < m.founding.Parts; n++ {
@@ -311,6 +359,10 @@
 			}
 		}
 	}
+	if now >= m.lookAt {
+		m.lookAt = now + m.params.MemberTerm/2
+		m.mend(now)
+	}
 	m.caller.Tick(now)
 	due := m.waits
 	m.waits = nil
@@ -398,21 +450,25 @@
 			at.handled(now, r)
 			continue
 		}
-		if at.from == "" {
-			continue
-		}
-		answer := CommandReturn{ID: at.id, Part: at.part, Unsure: r.Unsure, Moved: r.Moved}
-		switch {
-		case r.Moved:
-			m.Counters.Moved++
-			answer.Hint = m.hint(n)
-		case r.Unsure:
-			m.Counters.Unsure++
-		default:
-			answer.Raw = message.Pack(r.Body)
-		}
-		m.send(at.from, answer, false)
+		m.reply(n, at, r)
+	}
+}
+
+func (m *Machine) reply(n int, at origin, r part.Return) {
+	if at.from == "" {
+		return
+	}
+	answer := CommandReturn{ID: at.id, Part: at.part, Unsure: r.Unsure, Moved: r.Moved}
+	switch {
+	case r.Moved:
+		m.Counters.Moved++
+		answer.Hint = m.hint(n)
+	case r.Unsure:
+		m.Counters.Unsure++
+	default:
+		answer.Raw = message.Pack(r.Body)
 	}
+	m.send(at.from, answer, false)
 }
 
 func (m *Machine) addressOf(seat string) string {
@@ -440,8 +496,17 @@
 }
 
 func (m *Machine) propose(now time.Duration, n int, command any, from origin) {
-	ticket := m.tickets.Keep(from)
 	p := m.parts[n]
+	if c, ok := command.(ChangeSeat); ok && p != nil {
+		answer := from
+		from = origin{handled: func(now time.Duration, r part.Return) {
+			r.Body = Done{OK: r.Body == true}
+			m.reply(n, answer, r)
+		}}
+		m.take(now, n, p.Change(now, uint64(m.tickets.Keep(from)), c.Add, c.Remove))
+		return
+	}
+	ticket := m.tickets.Keep(from)
 	if p == nil {
 		m.take(now, n, part.Output{Returns: []part.Return{{Ticket: uint64(ticket), Moved: true}}})
 		return
@@ -455,7 +520,7 @@
 	m.Counters.Messages++
 	if !m.Founded() {
 		if t, ok := body.(Topology); ok {
-			m.adopt(t)
+			m.returnTo(now, t)
 		}
 		return *m.out
 	}
@@ -497,10 +562,8 @@
 			m.groups[n] = t.Groups[n]
 		}
 	}
-	for id, c := range t.Cores {
-		if _, ok := m.cores[id]; !ok {
-			m.cores[id] = c
-		}
+	for _, c := range t.Cores {
+		m.learnCore(c)
 	}
 }
 
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -245,6 +245,8 @@
 	Peer        string `msgpack:"p" json:"peer_address"`
 	Operator    string `msgpack:"o" json:"operator_address"`
 	Retired     bool   `msgpack:"r" json:"retired"`
+	// Version grows with each change of the entry.
+	Version uint64 `msgpack:"v" json:"version"`
 }
 
 // Seat names a core's incarnation as a seat of groups.
@@ -377,13 +379,24 @@
 		return PartOf(parts, "backend", c.Replica.Service)
 	case ReadEntries:
 		return c.Part
+	case ChangeSeat:
+		return c.Part
 	case SetFloor:
 		return c.Part
 	}
 	return ConfigurationPart
 }
 
-// PutCore makes a core known to the fleet.
-type PutCore struct{ Core Core }
+// Commands that change who the cores are.
+type (
+	// PutCore makes a core, or what changed of it, known to the fleet.
+	PutCore struct{ Core Core }
+	// ChangeSeat moves a part's group: one seat comes, one goes, either may be
+	// empty. It is asked again until the answer is OK.
+	ChangeSeat struct {
+		Part        int
+		Add, Remove string
+	}
+)
 
-func init() { message.Register(PutCore{}) }
+func init() { message.Register(PutCore{}, ChangeSeat{}) }
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -172,7 +172,14 @@
 	case SetFloor:
 		return r.setFloor(now, tx, c)
 	case PutCore:
-		write(tx, corePrefix+c.Core.ID, c.Core)
+		old, ok := read[Core](tx, corePrefix+c.Core.ID)
+		switch {
+		case ok && old == c.Core:
+		case ok && old.Version >= c.Core.Version:
+			return Done{}
+		default:
+			write(tx, corePrefix+c.Core.ID, c.Core)
+		}
 		return Done{OK: true}
 	case Sweep:
 		r.sweep(now, tx)
--- a/rehearsalkit/simulator/conformance_test.go
+++ b/rehearsalkit/simulator/conformance_test.go
@@ -141,7 +141,9 @@
 
 // TestWindows: 20 an hour for viewers, and come back when the oldest leaves.
 func TestWindows(t *testing.T) {
-	w := small(func(role, tenant, services, breaker tree) { role["concurrent_sessions"], role["sessions_per_hour"] = 100, 4 })
+	w := small(func(role, tenant, services, breaker tree) {
+		role["concurrent_sessions"], role["sessions_per_hour"] = 100, 4
+	})
 	for i := 0; i < 4; i++ {
 		a, _ := open(w, i%3, "u")
 		want(t, "within the hour", a, "")
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -164,7 +164,7 @@
 	c := w.cores[w.random.IntN(len(w.cores))]
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	length := w.between(100*time.Millisecond, 4*time.Second)
-	switch w.random.IntN(11) {
+	switch w.random.IntN(13) {
 	case 0:
 		if n.alive {
 			w.logf("kill %s", n.id)
@@ -209,6 +209,14 @@
 		w.logf("replica %s loses answers", b.name())
 		b.loses = 0.5
 		w.after(length, func() { b.loses = 0 })
+	case 11, 12:
+		if c.alive && down == 0 && w.seated() {
+			w.logf("%s loses its disk", c.id)
+			w.Counts["disks lost"]++
+			c.kill()
+			c.loseDisk()
+			w.after(length, c.boot)
+		}
 	case 10:
 		w.logf("split core zone %s", c.zone)
 		for _, other := range w.cores {
@@ -290,3 +298,25 @@
 
 // Pass lets time pass.
 func (w *World) Pass(d time.Duration) { w.run(w.now + d) }
+
+// seated reports whether every seat of every group is a core as it is now: the
+// loss of one more disk is then one that must be borne.
+func (w *World) seated() bool {
+	current := map[string]bool{}
+	for _, p := range w.cores {
+		current[p.coreM.Self().Seat()] = true
+	}
+	for _, p := range w.cores {
+		if !p.coreM.Founded() {
+			return false
+		}
+		for _, g := range p.coreM.Topology().Groups {
+			for _, s := range g.All() {
+				if !current[s] {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -215,16 +215,19 @@
 		p.disk.calls = map[uint64]func(any){}
 		var image core.Stored
 		image.CopyFrom(p.disk.stored)
-		p.coreM = core.New(core.Options{Params: CoreParams(), ID: p.id, Zone: p.zone, Address: p.address, Stored: image, Now: p.now(), Random: w.random.Float64})
+		p.coreM = core.New(core.Options{Params: CoreParams(), ID: p.id, Zone: p.zone, Address: p.address, Seeds: w.seeds(), Stored: image, Now: p.now(), Random: w.random.Float64})
 		p.tick(p.life, 15*time.Millisecond)
 		return
 	}
 	p.shots = map[uint64]*simShot{}
-	seeds := []string{w.cores[0].address, w.cores[1].address, w.cores[2].address}
-	p.nodeM = node.New(node.Options{Params: nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Seeds: seeds, Now: p.now(), Random: w.random.Float64})
+	p.nodeM = node.New(node.Options{Params: nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Seeds: w.seeds(), Now: p.now(), Random: w.random.Float64})
 	p.tick(p.life, 10*time.Millisecond)
 }
 
+func (w *World) seeds() []string {
+	return []string{w.cores[0].address, w.cores[1].address, w.cores[2].address}
+}
+
 func (p *proc) tick(life int, every time.Duration) {
 	if p.life != life || !p.alive {
 		return
--- a/rule/part/machine_test.go
+++ b/rule/part/machine_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// A write of an owner whose term is over must not count, even for an entry
+// that nobody else ever wrote.
+func TestLateWriteOfOldTermRefused(t *testing.T) {
+	b := newBench(t, []string{"a", "b", "c"}, "a", "b", "c")
+	b.pass(300 * time.Millisecond)
+	first := b.owner()
+	old, _ := b.seats[first].Owns(b.now)
+	b.seats[first] = nil
+	b.pass(500 * time.Millisecond)
+	second := b.owner()
+	o := b.seats[second].Receive(b.now, first, Write{Term: old, Seq: 9, Group: b.seats[second].copy.Group, Entries: []Entry{{Key: "late", Value: []byte("x"), Stamp: Stamp{Term: old, Seq: 9}}}})
+	if _, refused := o.Sends[0].Body.(Refuse); !refused || len(o.Records) > 0 {
+		t.Errorf("taken: %+v", o)
+	}
+	b.want("late", "")
+}
+
 func TestRestartedSeatKeepsItsPromise(t *testing.T) {
 	b := newBench(t, []string{"a", "b", "c"}, "a", "b", "c")
 	b.pass(300 * time.Millisecond)
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -82,7 +82,7 @@
 	}
 	s := &process{params: p, log: log, streams: streams, start: time.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
-	s.machine = core.New(core.Options{Params: p.Core(), ID: p.ID, Zone: p.Zone, Address: p.PeerAdvertise, Operator: p.OperatorAdvertise,
+	s.machine = core.New(core.Options{Params: p.Core(), ID: p.ID, Zone: p.Zone, Address: p.PeerAdvertise, Operator: p.OperatorAdvertise, Seeds: p.Seeds,
 		Stored: stored, Now: s.now(), Random: rand.Float64})
 	log.Info("core started", "id", p.ID, "incarnation", stored.Incarnation, "founded", s.machine.Founded())
 
@@ -313,7 +313,7 @@
 	body, err := s.Look(ctx, func(m *core.Machine, now time.Duration) any {
 		p := m.PartCounters()
 		return map[string]int64{"messages": m.Counters.Messages, "commands": m.Counters.Commands, "commands_moved": m.Counters.Moved,
-			"commands_unsure": m.Counters.Unsure, "pulls": m.Counters.Pulls, "bad_messages": m.Counters.BadMessages,
+			"commands_unsure": m.Counters.Unsure, "pulls": m.Counters.Pulls, "returns_with_empty_folder": m.Counters.Returns, "bad_messages": m.Counters.BadMessages,
 			"stands": p.Stands, "seated": p.Seated, "writes": p.Writes, "entries_written": p.Entries, "copies_mended": p.Mended,
 			"sweeps": p.Swept, "marks_dropped": p.Dropped, "parts_owned": int64(len(m.Owned(now))), "sent": s.sent, "dropped": s.dropped,
 			"received": s.received, "bad_streams": s.bad, "syncs": s.syncs, "sync_micros": s.syncTime.Microseconds(), "disk_stalled": flag(s.stalled)}
