--- a/peer/core/life.go
+++ b/peer/core/life.go
@@ -104,8 +104,9 @@
 	})
 }
 
-// Change adds a core to the groups, or empties one and retires it.
-func (m *Machine) Change(now time.Duration, ticket uint64, kind, id string, within time.Duration) Output {
+// Change gives a new core its even part of the seats, or empties one and
+// retires it, for whoever has room or for one named core.
+func (m *Machine) Change(now time.Duration, ticket uint64, kind, id, by string, within time.Duration) Output {
 	m.out = &Output{}
 	m.learn()
 	until := now + within
@@ -118,6 +119,17 @@
 	switch kind {
 	case AddCore:
 		moves = PlanAdd(m.cores, m.groups, c)
+	case ReplaceCore:
+		fresh, ok := m.cores[by]
+		if !ok || fresh.Retired {
+			m.answer(ticket, Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by})
+			return *m.out
+		}
+		for n, g := range m.groups {
+			if g.Has(c.Seat()) {
+				moves = append(moves, Move{Part: n, Add: fresh.Seat(), Remove: c.Seat()})
+			}
+		}
 	case RetireCore:
 		var short bool
 		if moves, short = PlanRetire(m.cores, m.groups, c); short {
@@ -130,7 +142,7 @@
 			m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "not all moves were made in time; ask again to go on"})
 			return
 		}
-		if kind != RetireCore {
+		if kind == AddCore {
 			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
 			return
 		}
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -160,6 +160,10 @@
 			return
 		}
 	}
+	if m.leaving && q.Kind == Open {
+		m.refuse(w, verdict.Later("node", "this node leaves; ask another", m.params.Core.Pull))
+		return
+	}
 	switch q.Kind {
 	case Open:
 		m.openProgram(now, w)
@@ -194,6 +198,10 @@
 		m.forward(now, w, owner)
 		return
 	}
+	if m.leaving && w.passed {
+		m.refuse(w, denied(notOwner, "this node leaves", 503))
+		return
+	}
 	m.claim(now, w, core.ClaimProgram{})
 }
 
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -73,6 +73,10 @@
 	renewAt   time.Duration
 	renewing  bool
 	leaving   bool
+	left      bool
+
+	handed, handing int
+	givingBack      bool
 
 	programs map[string]*held
 	owners   map[string]core.Member
@@ -185,6 +189,7 @@
 	m.report(now)
 	m.tickWays(now)
 	m.tickPrograms(now)
+	m.drain(now)
 	return *m.out
 }
 
@@ -227,7 +232,7 @@
 		m.Counters.TermsLost++
 		m.reset(now)
 	}
-	if m.renewing || now < m.renewAt || len(m.topology.Owners) == 0 || m.version == 0 || m.leaving {
+	if m.renewing || now < m.renewAt || len(m.topology.Owners) == 0 || m.version == 0 || (m.leaving && !m.joined) {
 		return
 	}
 	m.renewing = true
@@ -673,8 +678,8 @@
 	return verdict.Later("unsure", reason, time.Second)
 }
 
-// Leave begins to drain this node: it is not ready, takes no new programs, and
-// gives its term back when what runs has ended.
+// Leave begins to drain this node: it is not ready, what runs ends, programs
+// go to named successors, shares back, and the term ends last.
 func (m *Machine) Leave(now time.Duration) Output {
 	m.step(now)
 	m.leaving = true
@@ -682,8 +687,106 @@
 }
 
 // Left reports whether a leaving node has nothing more to do.
-func (m *Machine) Left(now time.Duration) bool {
-	return m.leaving && m.ways.Used() == 0 && m.running == 0 && m.caller.Waiting() == 0
+func (m *Machine) Left(now time.Duration) bool { return m.leaving && m.left }
+
+// Quit ends what is still running when the grace is over: streams break, and
+// the term is given back so that successors need not wait for it.
+func (m *Machine) Quit(now time.Duration) Output {
+	m.step(now)
+	m.leaving = true
+	for _, t := range m.liveShots() {
+		m.out.Cancels = append(m.out.Cancels, uint64(t))
+		m.endShot(now, t, Event{Kind: EventBroken})
+	}
+	if m.joined {
+		m.joined = false
+		m.leave(now)
+	}
+	return *m.out
+}
+
+// drain takes the next steps of leaving.
+func (m *Machine) drain(now time.Duration) {
+	if !m.leaving || m.left {
+		return
+	}
+	if !m.joined {
+		m.left = m.running == 0 && m.ways.Used() == 0
+		return
+	}
+	successors := m.successors()
+	for _, key := range ordered.Keys(m.programs) {
+		h := m.programs[key]
+		if len(successors) == 0 || len(h.record.Running) > 0 || len(h.waiters) > 0 || h.saved < h.record.Version {
+			continue
+		}
+		to := successors[m.handed%len(successors)]
+		m.handed++
+		m.hand(now, key, h, to)
+	}
+	if m.running > 0 || m.ways.Used() > 0 || m.handing > 0 || (len(m.programs) > 0 && len(successors) > 0) {
+		return
+	}
+	m.giveBack(now)
+}
+
+func (m *Machine) successors() []core.Member {
+	var list []core.Member
+	for _, id := range ordered.Keys(m.members) {
+		if o := m.members[id]; id != m.params.ID && !o.Ended && !o.Leaving {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// hand gives one program to a successor. From here on this node does nothing
+// for it, whatever becomes of the message.
+func (m *Machine) hand(now time.Duration, key string, h *held, to core.Member) {
+	h.lost = true
+	delete(m.programs, key)
+	m.owners[key] = to
+	m.handing++
+	m.Counters.Handed++
+	c := core.HandProgram{Tenant: h.record.Tenant, ID: h.record.ID, Fence: h.record.Fence, Node: to.ID, Incarnation: to.Incarnation, Address: to.Peer}
+	m.caller.Call(now, c, now+m.params.Core.MemberTerm, func(time.Duration, core.Outcome) { m.handing-- })
+}
+
+// giveBack returns all shares, then the term.
+func (m *Machine) giveBack(now time.Duration) {
+	if m.givingBack {
+		return
+	}
+	m.givingBack = true
+	waiting := 1
+	done := func(now time.Duration, o core.Outcome) {
+		if waiting--; waiting == 0 {
+			m.joined = false
+			m.leave(now)
+		}
+	}
+	ask := func(command any) {
+		waiting++
+		m.caller.Call(now, command, now+m.params.Core.MemberTerm/2, done)
+	}
+	for _, tenant := range m.tenants {
+		for _, kind := range []string{"rate", "urgent"} {
+			urgent := kind == "urgent"
+			p, rate, burst := m.paceOf(tenant, urgent)
+			p.give(now, p.books.Held(), rate, burst)
+			ask(core.ShareTenant{Tenant: tenant, Kind: kind, Holder: m.holder(), Returned: p.books.Returned, Whole: wholeOf(burst), Chunk: core.Chunk})
+		}
+		s := m.dayOf(tenant)
+		s.books.Returned += s.free()
+		ask(m.askDay(tenant, s)(0))
+	}
+	m.money.books.Returned += m.money.free()
+	ask(m.askMoney(0))
+	done(now, core.Outcome{})
+}
+
+func (m *Machine) leave(now time.Duration) {
+	m.caller.Call(now, core.LeaveMember{ID: m.params.ID, Incarnation: m.incarnation}, now+m.params.Core.MemberTerm, func(time.Duration, core.Outcome) { m.left = true })
 }
 
 // Status is what this node counts and holds.
@@ -705,5 +808,5 @@
 		"programs": len(m.programs), "running": m.running, "waiting": m.ways.Used(), "shares": shares, "refusals": refusals,
 		"inquiries": c.Inquiries, "forwarded": c.Forwarded, "gated": c.Gated, "warned": c.Warned, "refused": c.Refused, "shots": c.Shots,
 		"not_run": c.NotRun, "broken": c.Broken, "whole": c.Whole, "takeovers": c.Takeovers, "joins": c.Joins, "terms_lost": c.TermsLost,
-		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "command_tries": m.caller.Tries}
+		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "command_tries": m.caller.Tries}
 }
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -182,7 +182,7 @@
 }
 
 func (m *Machine) report(now time.Duration) {
-	if m.description == nil || !m.termed(now) {
+	if m.description == nil || !m.termed(now) || m.givingBack {
 		return
 	}
 	for _, tenant := range m.tenants {
--- a/peer/operator/call.go
+++ b/peer/operator/call.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"saffronfall/peer/core"
+	"saffronfall/rule/part"
 )
 
 // Caller calls processes on behalf of an operator.
@@ -104,6 +105,43 @@
 	return f, nil
 }
 
+// AddCore brings a core with an empty folder into a running fleet.
+func (c Caller) AddCore(ctx context.Context, any, fresh string) (core.Changed, error) {
+	var changed core.Changed
+	var who Identity
+	if status, raw, err := c.Do(ctx, "GET", fresh, "/v1/identity", nil, &who); err != nil || status != 200 {
+		return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", fresh, raw))
+	}
+	var t core.Topology
+	if status, raw, err := c.Do(ctx, "GET", any, "/v1/topology", nil, &t); err != nil || status != 200 {
+		return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", any, raw))
+	}
+	if !who.Founded {
+		f := core.Founding{Fleet: t.Fleet, Parts: len(t.Groups), Cores: t.Cores, Groups: make([]part.Group, len(t.Groups))}
+		f.Cores[who.Core.ID] = who.Core
+		if status, raw, err := c.Do(ctx, "POST", fresh, "/v1/found", f, nil); err != nil || status != 200 {
+			return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", fresh, raw))
+		}
+	}
+	return c.Change(ctx, any, Life{Kind: core.AddCore, ID: who.Core.ID, New: &who.Core})
+}
+
+// Change asks for a change in a core's life until it is done or refused.
+func (c Caller) Change(ctx context.Context, any string, life Life) (core.Changed, error) {
+	for {
+		var changed core.Changed
+		status, raw, err := c.Do(ctx, "POST", any, "/v1/cores", life, &changed)
+		switch {
+		case err != nil:
+			return changed, err
+		case status == 200:
+			return changed, nil
+		case status != 202:
+			return changed, errors.Newf("%s", raw)
+		}
+	}
+}
+
 func sortedCores(cores map[string]core.Core) []string {
 	ids := make([]string, 0, len(cores))
 	for id := range cores {
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -116,6 +116,15 @@
 			Write(w, 409, Fault{Code: "not_founded", Reason: "this core belongs to another fleet, or the founding does not name its incarnation", Ran: "no"})
 		}
 	})
+	mux.HandleFunc("GET /v1/topology", func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r, p, func(m *core.Machine, now time.Duration) any { return m.Topology() })
+	})
+	mux.HandleFunc("POST /v1/cores", func(w http.ResponseWriter, r *http.Request) {
+		var c Life
+		if readBody(w, r, &c) {
+			change(w, r, p, c)
+		}
+	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
 		status, err := Gather(r.Context(), p)
 		if err != nil {
@@ -172,6 +181,45 @@
 	Write(w, status, taking)
 }
 
+// Life is a change in a core's life, as an operator asks for it.
+type Life struct {
+	Kind     string     `json:"kind"`
+	ID       string     `json:"id"`
+	By       string     `json:"by,omitempty"`
+	New      *core.Core `json:"new,omitempty"`
+	BudgetMS int64      `json:"budget_ms"`
+}
+
+func change(w http.ResponseWriter, r *http.Request, p Process, c Life) {
+	within := time.Duration(c.BudgetMS) * time.Millisecond
+	if within <= 0 {
+		within = 30 * time.Second
+	}
+	if c.Kind != core.AddCore && c.Kind != core.RetireCore && c.Kind != core.ReplaceCore {
+		Write(w, 400, Fault{Code: "malformed", Reason: "kind must be add, retire or replace", Ran: "no"})
+		return
+	}
+	if c.New != nil {
+		body, err := p.Call(r.Context(), func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
+			return m.Introduce(now, ticket, *c.New, within)
+		})
+		if done, ok := body.(core.Done); err != nil || !ok || !done.OK {
+			Write(w, 409, Fault{Code: "not_introduced", Reason: "the core could not be made known; another core may have its name", Ran: "maybe"})
+			return
+		}
+	}
+	body, err := p.Call(r.Context(), func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
+		return m.Change(now, ticket, c.Kind, c.ID, c.By, within)
+	})
+	if err != nil {
+		Write(w, 503, Fault{Code: "unsure", Reason: err.Error(), Ran: "maybe"})
+		return
+	}
+	changed := body.(core.Changed)
+	status := map[string]int{"": 200, "unknown_core": 404, "no_room": 409, "not_finished": 202}[changed.Code]
+	Write(w, status, changed)
+}
+
 func answer(w http.ResponseWriter, r *http.Request, p Process, look func(m *core.Machine, now time.Duration) any) {
 	body, err := p.Look(r.Context(), look)
 	if err != nil {
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -164,7 +164,7 @@
 	c := w.cores[w.random.IntN(len(w.cores))]
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	length := w.between(100*time.Millisecond, 4*time.Second)
-	switch w.random.IntN(13) {
+	switch w.random.IntN(15) {
 	case 0:
 		if n.alive {
 			w.logf("kill %s", n.id)
@@ -209,6 +209,24 @@
 		w.logf("replica %s loses answers", b.name())
 		b.loses = 0.5
 		w.after(length, func() { b.loses = 0 })
+	case 13:
+		if n.alive && !n.frozen {
+			w.logf("%s drains", n.id)
+			n.takeNode(n.nodeM.Leave(n.now()))
+			w.after(100*time.Millisecond, func() { n.drained(n.life, w.now+5*time.Second) })
+		}
+	case 14:
+		if c.alive && !c.frozen && down < 2 {
+			w.logf("%s hands its parts over", c.id)
+			c.coreM.Leave()
+			life := c.life
+			w.after(time.Second, func() {
+				if c.life == life {
+					c.kill()
+					w.after(length, c.boot)
+				}
+			})
+		}
 	case 11, 12:
 		if c.alive && down == 0 && w.seated() {
 			w.logf("%s loses its disk", c.id)
@@ -320,3 +338,23 @@
 	}
 	return true
 }
+
+// drained restarts a leaving node once it has nothing left, or once its grace
+// is over.
+func (p *proc) drained(life int, until time.Duration) {
+	w := p.world
+	switch {
+	case p.life != life:
+		return
+	case p.nodeM.Left(p.now()):
+		w.Counts["drained"]++
+	case w.now >= until && !p.frozen:
+		w.Counts["drains cut short"]++
+		p.takeNode(p.nodeM.Quit(p.now()))
+	default:
+		w.after(50*time.Millisecond, func() { p.drained(life, until) })
+		return
+	}
+	p.kill()
+	w.after(w.between(100*time.Millisecond, time.Second), p.boot)
+}
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -72,7 +72,58 @@
 }
 
 type coreCommand struct {
-	Run coreRun `cmd:"" default:"withargs" help:"Run a core: a part of the control plane, on a machine with a disk."`
+	Run     coreRun     `cmd:"" default:"withargs" help:"Run a core: a part of the control plane, on a machine with a disk."`
+	Add     coreAdd     `cmd:"" help:"Bring a running core with an empty folder into the fleet and give it its seats."`
+	Retire  coreRetire  `cmd:"" help:"Empty a core, dead or alive, and retire it."`
+	Replace coreReplace `cmd:"" help:"Give all seats of one core to another one."`
+}
+
+type coreAdd struct {
+	calling
+	New string `arg:"" help:"Operator address of the new core."`
+}
+
+func (c *coreAdd) Run() error {
+	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
+		return o.AddCore(ctx, c.Core, c.New)
+	})
+}
+
+type coreRetire struct {
+	calling
+	ID string `arg:"" help:"Name of the core."`
+}
+
+func (c *coreRetire) Run() error {
+	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
+		return o.Change(ctx, c.Core, operator.Life{Kind: core.RetireCore, ID: c.ID})
+	})
+}
+
+type coreReplace struct {
+	calling
+	ID string `arg:"" help:"Name of the core that goes."`
+	By string `arg:"" help:"Name of the core that takes its seats."`
+}
+
+func (c *coreReplace) Run() error {
+	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
+		return o.Change(ctx, c.Core, operator.Life{Kind: core.ReplaceCore, ID: c.ID, By: c.By})
+	})
+}
+
+func (c calling) change(ask func(ctx context.Context, o operator.Caller) (core.Changed, error)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
+	defer cancel()
+	changed, err := ask(ctx, operator.Caller{Key: c.Key})
+	if err != nil {
+		return err
+	}
+	for _, m := range changed.Moves {
+		fmt.Printf("part %d: %s comes, %s goes\n", m.Part, m.Add, m.Remove)
+	}
+	fmt.Printf("done: %d moves\n", changed.Made)
+	return nil
 }
 
 type coreRun struct{ role }
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -108,6 +108,7 @@
 	defer ticker.Stop()
 	stop := ctx.Done()
 	var leaveBy time.Duration
+	quit := false
 	for {
 		select {
 		case in := <-s.streams.In:
@@ -137,7 +138,16 @@
 		case <-ticker.C:
 			s.take(s.machine.Tick(s.now()))
 			s.report()
-			if leaveBy > 0 && (s.now() >= leaveBy || s.machine.Left(s.now())) {
+			if leaveBy > 0 && s.now() >= leaveBy {
+				s.log.Info("grace is over", "inquiries left", len(s.waiting))
+				s.take(s.machine.Quit(s.now()))
+				leaveBy = s.now() + s.params.Core().Retry
+				if quit {
+					return nil
+				}
+				quit = true
+			}
+			if s.machine.Left(s.now()) {
 				s.log.Info("node stopped", "inquiries left", len(s.waiting))
 				return nil
 			}
