--- /dev/null
+++ b/rehearsalkit/simulator/failure_test.go
@@ -0,0 +1,414 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/program"
+)
+
+// begin starts an inquiry and lets only so much time pass.
+func begin(w *World, at int, q node.Inquiry, d time.Duration) *judge.Asked {
+	got := &judge.Asked{}
+	if q.Budget == 0 {
+		q.Budget = 8 * time.Second
+	}
+	w.ask(w.nodes[at], q, func(a judge.Asked, _ node.Piece) { *got = a })
+	w.Pass(d)
+	return got
+}
+
+func shotsOf(w *World, mark string) (n int, last time.Duration) {
+	for _, s := range w.Record.Shots {
+		if s.Mark == mark || s.Once == mark {
+			n++
+			last = s.At
+		}
+	}
+	return n, last
+}
+
+func noBreach(t *testing.T, w *World) {
+	t.Helper()
+	for _, b := range w.Record.Judge() {
+		t.Error(b)
+	}
+}
+
+func judged(w *World) *World {
+	w.Record.Limits = judge.Limits{ProgramTokens: 50_000, TurnTokens: 1000, Keep: time.Hour, Late: 2 * time.Second, Rate: map[string]float64{"t1": 50}, Burst: map[string]float64{"t1": 64}}
+	return w
+}
+
+// A node that froze between a reservation and its shot, and wakes when its
+// term is over, must not shoot: a successor may own the program by then.
+func TestWokenNodeShootsNothing(t *testing.T) {
+	for delay := 500 * time.Microsecond; delay < 8*time.Millisecond; delay += 500 * time.Microsecond {
+		w := judged(small(nil))
+		_, p := open(w, 0, "u")
+		mark := w.mark("say")
+		begin(w, 0, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Service: "model", Before: program.Start, Say: mark}, delay)
+		w.nodes[0].freeze()
+		w.Pass(5 * time.Second)
+		before, _ := shotsOf(w, mark)
+		w.nodes[0].wake()
+		w.Pass(4 * time.Second)
+		if after, _ := shotsOf(w, mark); after != before {
+			t.Errorf("frozen %v after the inquiry: it shot when it woke", delay)
+		}
+		noBreach(t, w)
+	}
+}
+
+// An owner that dies in mid-turn leaves its reservation charged, and another
+// node goes on with the very same history within seconds.
+func TestOwnerKilledInMidTurn(t *testing.T) {
+	w := judged(small(nil))
+	_, p := open(w, 0, "u")
+	a, first := turn(w, 1, p.Text, program.Start, 100)
+	want(t, "first turn", a, "")
+	mark := w.mark("say")
+	begin(w, 1, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Service: "model", Before: first.Head, Say: mark, MaxTokens: 700}, 40*time.Millisecond)
+	if n, _ := shotsOf(w, mark); n != 1 {
+		t.Fatalf("%d shots before the kill", n)
+	}
+	w.nodes[0].kill()
+	died := w.now
+	for {
+		a, last := turn(w, 2, p.Text, first.Head, 100)
+		if a.Status == 404 || a.Status == 410 {
+			t.Fatalf("called gone: %s", a.Code)
+		}
+		if a.Outcome == judge.Whole {
+			a, look := w.Do(1, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text})
+			want(t, "look", a, "")
+			var spent int64
+			fmt.Sscanf(string(look.Body[indexAfter(look.Body, `"tokens":`):]), "%d", &spent)
+			if least := first.Tokens + 700 + last.Tokens; spent != least {
+				t.Errorf("%d tokens are charged; the lost turn's 700 make it %d", spent, least)
+			}
+			break
+		}
+		if w.now > died+8*time.Second {
+			t.Fatalf("no takeover: %s %s", a.Outcome, a.Code)
+		}
+		w.Pass(100 * time.Millisecond)
+	}
+	if took := w.now - died; took > 5*time.Second {
+		t.Errorf("takeover took %v", took)
+	}
+	noBreach(t, w)
+}
+
+func indexAfter(body []byte, what string) int {
+	for i := range body {
+		if i+len(what) <= len(body) && string(body[i:i+len(what)]) == what {
+			return i + len(what)
+		}
+	}
+	return len(body)
+}
+
+// A node that is cut off from everybody goes on for at most its term, and then
+// refuses with a time to come back; nothing it says is "gone".
+func TestCutOffNode(t *testing.T) {
+	w := judged(small(nil))
+	_, p := open(w, 0, "u")
+	w.cutOff(w.nodes[0], 20*time.Second)
+	w.Pass(3 * time.Second)
+	for i := 0; i < 3; i++ {
+		a, last := turn(w, 0, p.Text, program.Start, 100)
+		if a.Outcome != judge.Refused || a.Status != 503 || a.Ran != "no" || last.Verdict.RetryAfter <= 0 {
+			t.Errorf("a cut-off node said %+v", a)
+		}
+	}
+	a, _ := turn(w, 1, p.Text, program.Start, 100)
+	want(t, "at another node", a, "")
+	noBreach(t, w)
+}
+
+// A configuration counts as taken only when every member follows it or its
+// term is over, so a cut-off node never gates by an older one afterwards.
+func TestConfigurationAndCutOffNode(t *testing.T) {
+	w := judged(small(nil))
+	w.Record.Limits.Late = 0
+	w.keys[1] = "probe-first"
+	w.cutOff(w.nodes[2], 6*time.Second)
+	w.hand(w.cores[0], 1, "probe-second", func(bool) {})
+	w.probe()
+	w.Pass(9 * time.Second)
+	if w.version != 2 {
+		t.Fatalf("version %d was taken", w.version)
+	}
+	noBreach(t, w)
+	if len(w.Record.Probes) < 10 {
+		t.Error("too few looks")
+	}
+}
+
+// Two operators race from the same version: one is taken, the other is refused
+// and never in force anywhere.
+func TestRacingOperators(t *testing.T) {
+	w := judged(small(nil))
+	var taken, lost int
+	for i := 0; i < 3; i++ {
+		mark := fmt.Sprintf("probe-race-%d", i)
+		w.hand(w.cores[i], 1, mark, func(ok bool) {
+			if ok {
+				taken++
+			} else {
+				lost++
+			}
+		})
+	}
+	w.probe()
+	w.Pass(4 * time.Second)
+	if taken != 1 || lost != 2 {
+		t.Errorf("%d taken, %d lost", taken, lost)
+	}
+	noBreach(t, w)
+}
+
+// A configuration that was taken is still in force when every core crashed
+// right after and came back.
+func TestCrashAfterTaken(t *testing.T) {
+	w := judged(small(nil))
+	w.hand(w.cores[0], 1, "probe-second", func(taken bool) {
+		if !taken {
+			t.Error("not taken")
+		}
+		for _, c := range w.cores {
+			c.kill()
+		}
+		for _, n := range w.nodes {
+			n.kill()
+		}
+	})
+	w.Pass(3 * time.Second)
+	for _, p := range append(append([]*proc(nil), w.cores...), w.nodes...) {
+		p.boot()
+	}
+	w.Pass(5 * time.Second)
+	for i := range w.nodes {
+		a, _ := w.Do(i, node.Inquiry{Kind: node.Look, Key: "probe-second", Program: "none"})
+		want(t, "the newer version's key", a, "unknown_program")
+		a, _ = w.Do(i, node.Inquiry{Kind: node.Look, Key: "probe-first", Program: "none"})
+		want(t, "the older version's key", a, "unknown_key")
+	}
+}
+
+// A key that is taken from a connected requester is refused at its next
+// inquiry, at every node.
+func TestRevokedKey(t *testing.T) {
+	w := judged(small(nil))
+	_, p := open(w, 0, "u")
+	a, last := turn(w, 1, p.Text, program.Start, 100)
+	want(t, "before", a, "")
+	w.Params.Describe = func(mark string) []byte {
+		return []byte(`{"roles":{"viewer":{}},"tenants":{"t1":{}},"services":{"model":{"kind":"model"}},"approval":{"newly_refused_ratio":1}}`)
+	}
+	ok := false
+	w.hand(w.cores[1], 1, "revoking", func(taken bool) { ok = taken })
+	w.Pass(3 * time.Second)
+	if !ok {
+		t.Fatal("not taken")
+	}
+	for i := range w.nodes {
+		a, _ := turn(w, i, p.Text, last.Head, 100)
+		if a.Status != 401 || a.Ran != "no" {
+			t.Errorf("node %d: %+v", i, a)
+		}
+	}
+}
+
+// Rehearsal refuses a description that would newly refuse too many of the
+// recent inquiries; it is never in force.
+func TestNotApproved(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) {
+		role["sessions_per_minute"], role["concurrent_sessions"] = 100, 100
+	}))
+	for i := 0; i < 30; i++ {
+		open(w, i%3, fmt.Sprint("u", i%2))
+	}
+	w.Params.Describe = design(func(role, tenant, services, breaker tree) { role["sessions_per_minute"] = 1 })
+	var got core.Taking
+	w.Operate(w.cores[0], func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
+		return m.Apply(now, ticket, core.Hand{BasedOn: 1, Text: w.Params.Describe("x"), Digest: "x", Within: 5 * time.Second})
+	}, func(body any) { got = body.(core.Taking) })
+	w.Pass(3 * time.Second)
+	if got.Code != "not_approved" || got.Figures == nil || got.Figures.NewlyRefused < 20 {
+		t.Errorf("%+v %+v", got, got.Figures)
+	}
+	a, _ := w.Do(0, node.Inquiry{Kind: node.Look, Key: "x", Program: "none"})
+	want(t, "the refused version's key", a, "unknown_key")
+}
+
+// A back end does the work and loses the answer: whoever asks again is told
+// that it may have run, for ever, and nothing sends it twice.
+func TestOnceAnswerLost(t *testing.T) {
+	w := judged(small(nil))
+	for _, b := range w.models {
+		if b.service == "alert" {
+			b.loses = 1
+		}
+	}
+	q := node.Inquiry{Kind: node.Action, Key: "key-t1", User: "u", Service: "alert", OnceKey: "k", Arguments: []byte(`{"mark":"k"}`)}
+	a, _ := w.Do(0, q)
+	if a.Ran != "maybe" {
+		t.Errorf("the first said %+v", a)
+	}
+	for i := 0; i < 6; i++ {
+		a, _ := w.Do(i%3, q)
+		want(t, "asked again", a, "may_have_run")
+	}
+	if n, _ := shotsOf(w, "k"); n != 1 {
+		t.Errorf("%d shots", n)
+	}
+}
+
+// The same once-key at two nodes at once runs once; both get its outcome in
+// the end. Another body under the key is refused.
+func TestOnceKeyAtTwoNodes(t *testing.T) {
+	w := judged(small(nil))
+	q := node.Inquiry{Kind: node.Action, Key: "key-t1", User: "u", Service: "alert", OnceKey: "k", Arguments: []byte(`{"mark":"k"}`)}
+	for i := range w.nodes {
+		begin(w, i, q, 0)
+	}
+	w.Pass(time.Second)
+	for i := range w.nodes {
+		a, last := w.Do(i, q)
+		want(t, "the outcome", a, "")
+		if string(last.Body) != `{"done":"k"}` || last.End != "repeated" {
+			t.Errorf("node %d: %+v", i, last)
+		}
+	}
+	if n, _ := shotsOf(w, "k"); n != 1 {
+		t.Errorf("%d shots", n)
+	}
+	q.Arguments = []byte(`{"mark":"other"}`)
+	a, _ := w.Do(0, q)
+	want(t, "another body", a, "once_key_reused")
+	noBreach(t, w)
+}
+
+// A crowd at every node gets no more through than the tenant's quota, whoever
+// dies meanwhile, and alerts keep their reserved room.
+func TestCrowd(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) {
+		role["sessions_per_minute"], role["concurrent_sessions"], role["steps"], role["session_seconds"] = 1000, 1000, 1000, 600
+		tenant["inquiries_per_second"], tenant["burst"] = 20, 32
+	}))
+	w.Record.Limits.Rate["t1"], w.Record.Limits.Burst["t1"] = 20, 32
+	var ids []string
+	for i := 0; i < 60; i++ {
+		_, p := open(w, i%3, fmt.Sprint("u", i))
+		ids = append(ids, p.Text)
+	}
+	w.Pass(2 * time.Second)
+	heads := make([]string, len(ids))
+	for i := range heads {
+		heads[i] = program.Start
+	}
+	crowded, alerts, through := 0, 0, 0
+	for end := w.now + 10*time.Second; w.now < end; w.Pass(100 * time.Millisecond) {
+		for i := range ids {
+			if w.chance(0.4) {
+				w.ask(w.anyNode(), node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: ids[i], Service: "model", Before: heads[i], Say: w.mark("crowd"), MaxTokens: 5, Budget: 2 * time.Second}, func(a judge.Asked, last node.Piece) {
+					crowded++
+					if a.Outcome == judge.Whole {
+						heads[i] = last.Head
+					} else if a.Code == "wrong_history" {
+						heads[i] = last.Verdict.Head
+					}
+				})
+			}
+		}
+		if w.chance(0.3) {
+			alerts++
+			mark := w.mark("alert")
+			w.ask(w.anyNode(), node.Inquiry{Kind: node.Action, Key: "key-t1", User: "u", Service: "alert", OnceKey: mark, Arguments: []byte(fmt.Sprintf(`{"mark":%q}`, mark)), Budget: 2 * time.Second}, func(a judge.Asked, last node.Piece) {
+				if a.Outcome == judge.Whole {
+					through++
+				}
+			})
+		}
+		if w.now > end-5*time.Second && w.nodes[1].alive {
+			w.nodes[1].kill()
+			w.after(2*time.Second, w.nodes[1].boot)
+		}
+	}
+	w.Pass(3 * time.Second)
+	shots := len(w.Record.Shots)
+	t.Logf("%d turns asked, %d shots in 10 s at a quota of 20/s and 32, %d of %d alerts through", crowded, shots, through, alerts)
+	if shots < 120 {
+		t.Errorf("only %d shots: the quota is not used", shots)
+	}
+	if through*10 < alerts*8 {
+		t.Errorf("%d of %d alerts came through", through, alerts)
+	}
+	noBreach(t, w)
+}
+
+// Five cores lose one disk after another; each comes back with an empty folder
+// and no vote, is given its seats again, and nothing that was kept is lost.
+func TestEveryDiskLostInTurn(t *testing.T) {
+	p := Defaults(11)
+	p.Users, p.Describe = 0, design(nil)
+	w := judged(Calm(p))
+	_, opened := open(w, 0, "u")
+	head := program.Start
+	for i, c := range w.cores {
+		a, last := turn(w, i%4, opened.Text, head, 10)
+		want(t, "a turn", a, "")
+		head = last.Head
+		c.kill()
+		c.loseDisk()
+		w.Pass(time.Second)
+		c.boot()
+		w.Pass(100 * time.Millisecond)
+		if g := c.coreM.Owned(c.now()); len(g) > 0 {
+			t.Errorf("%s owns parts %v right after it came back empty", c.id, g)
+		}
+		w.Pass(8 * time.Second)
+		if !w.seated() {
+			t.Fatalf("%s did not get its seats again", c.id)
+		}
+	}
+	a, _ := turn(w, 1, opened.Text, head, 10)
+	want(t, "after all", a, "")
+	noBreach(t, w)
+}
+
+// A kept conversation is never called gone while its parts come and go, and is
+// called gone, not unknown, once its time has passed.
+func TestKeptConversation(t *testing.T) {
+	params := Defaults(7)
+	params.Cores, params.Nodes, params.Users, params.Describe, params.Keep = 3, 3, 0, design(nil), 3*time.Minute
+	w := judged(Calm(params))
+	_, p := open(w, 0, "u")
+	for i := 0; i < 4; i++ {
+		w.cores[i%3].kill()
+		w.nodes[i%3].kill()
+		w.Pass(200 * time.Millisecond)
+		w.nodes[i%3].boot()
+		w.cores[i%3].boot()
+		for end := w.now + 12*time.Second; w.now < end; w.Pass(300 * time.Millisecond) {
+			a, last := w.Do(w.random.IntN(3), node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text, Budget: time.Second})
+			if a.Status == 404 || a.Status == 410 {
+				t.Fatalf("called gone: %s", a.Code)
+			}
+			if a.Outcome == judge.Refused && last.Verdict.RetryAfter <= 0 {
+				t.Fatalf("no time to come back: %+v", a)
+			}
+		}
+	}
+	a, _ := w.Do(0, node.Inquiry{Kind: node.Look, Key: "probe-first", Program: p.Text})
+	want(t, "another tenant", a, "unknown_program")
+	w.Pass(4 * time.Minute)
+	a, _ = w.Do(0, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text})
+	want(t, "after its keeping time", a, "gone")
+}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -35,13 +35,14 @@
 	Rate       float64
 	Burst      int64
 	MinuteCost float64
+	Keep       time.Duration
 	Logf       func(format string, args ...any)
 }
 
 // Defaults are a small fleet under all faults.
 func Defaults(seed uint64) Params {
 	return Params{Seed: seed, Cores: 5, Nodes: 4, Zones: 3, Replicas: 4, Alerts: 2, Users: 12, Parts: 6, Length: 24 * time.Second,
-		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50}
+		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Keep: time.Hour}
 }
 
 type event struct {
@@ -190,14 +191,13 @@
 	}
 }
 
-// CoreParams are the bounds that simulated processes run with.
-func CoreParams() core.Params {
+func (w *World) coreParams() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8, Home: 20}, MemberTerm: 2 * time.Second,
-		ReplicaTerm: 3 * time.Second, Keep: time.Hour, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
+		ReplicaTerm: 3 * time.Second, Keep: w.Params.Keep, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
 }
 
-func nodeParams() node.Params {
-	return node.Params{Core: CoreParams(), Buffer: 64, Patience: time.Second, Newest: 1700 * time.Millisecond, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
+func (w *World) nodeParams() node.Params {
+	return node.Params{Core: w.coreParams(), Buffer: 64, Patience: time.Second, Newest: 1700 * time.Millisecond, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
 }
 
 func (p *proc) now() time.Duration {
@@ -215,12 +215,12 @@
 		p.disk.calls = map[uint64]func(any){}
 		var image core.Stored
 		image.CopyFrom(p.disk.stored)
-		p.coreM = core.New(core.Options{Params: CoreParams(), ID: p.id, Zone: p.zone, Address: p.address, Seeds: w.seeds(), Stored: image, Now: p.now(), Random: w.random.Float64})
+		p.coreM = core.New(core.Options{Params: w.coreParams(), ID: p.id, Zone: p.zone, Address: p.address, Seeds: w.seeds(), Stored: image, Now: p.now(), Random: w.random.Float64})
 		p.tick(p.life, 15*time.Millisecond)
 		return
 	}
 	p.shots = map[uint64]*simShot{}
-	p.nodeM = node.New(node.Options{Params: nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Seeds: w.seeds(), Now: p.now(), Random: w.random.Float64})
+	p.nodeM = node.New(node.Options{Params: w.nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Seeds: w.seeds(), Now: p.now(), Random: w.random.Float64})
 	p.tick(p.life, 10*time.Millisecond)
 }
 
