--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -182,7 +182,7 @@
 }
 
 func (m *Machine) report(now time.Duration) {
-	if m.description == nil || !m.termed(now) || m.givingBack {
+	if m.description == nil || !m.termed(now) || m.givingBack || now < m.joinedAt+2*m.params.Core.Pull {
 		return
 	}
 	for _, tenant := range m.tenants {
@@ -243,7 +243,7 @@
 	p.recent, p.demand = (p.recent*3+p.demand*demandWeight)/4, 0
 	want := core.IdleWeight + p.recent
 	steady := want-p.want <= p.want/4 && p.want-want <= p.want/4
-	if held > 0 && held == p.target && steady && now < p.reportAt+m.params.Report {
+	if held > 0 && held == p.target && steady && now < p.reportAt+m.params.Report && p.reportAt > 0 {
 		return
 	}
 	p.want = want
@@ -270,6 +270,7 @@
 		p.others, p.target = r.Others, r.Target
 		if over := p.books.Held() - r.Target; over > 0 {
 			p.give(now, over, rate, burst)
+			p.reportAt = now
 		}
 	})
 }
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -46,7 +46,7 @@
 		m.tool(now, w, h)
 	case Look:
 		body, _ := json.Marshal(map[string]any{"program": h.record.ID, "user": h.record.User, "role": h.record.Role, "steps": h.record.Steps,
-			"tokens": h.record.Charged(), "head": h.record.Line(w.inquiry.Line).Head, "turns": h.turns[w.inquiry.Line], "closed": h.record.Closed, "owner": m.params.ID})
+			"tokens": h.record.Charged(), "head": h.record.Line(w.inquiry.Line).Head, "turns": append([]program.Turn{}, h.turns[w.inquiry.Line]...), "closed": h.record.Closed, "owner": m.params.ID})
 		m.end(w, Piece{Kind: PieceBody, Status: 200, Body: body})
 	case Close:
 		h.record.Closed = true
--- a/rehearsalkit/fleet/backend.go
+++ b/rehearsalkit/fleet/backend.go
@@ -28,6 +28,21 @@
 	loses   float64
 }
 
+// Backend runs one stand-in back end by itself, until the context ends.
+func Backend(ctx context.Context, service, id, zone, address, node, key string) error {
+	f := &Fleet{start: time.Now(), notes: make(chan func(*judge.Record)), ctx: ctx, nodes: []*Machine{{requester: node}}}
+	b := &backend{fleet: f, service: service, id: id, zone: zone, address: address, key: key}
+	b.run(ctx)
+	for {
+		select {
+		case what := <-f.notes:
+			what(&judge.Record{})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 func (b *backend) run(ctx context.Context) {
 	b.life, b.stop = context.WithCancel(ctx)
 	b.leave = make(chan struct{})
@@ -64,7 +79,7 @@
 	if err != nil {
 		return
 	}
-	r.Header.Set("Authorization", "Bearer "+replicaKey)
+	r.Header.Set("Authorization", "Bearer "+b.key)
 	got, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return
--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -139,12 +139,12 @@
 		}
 	}
 	for i := 0; i < l.Models; i++ {
-		f.backends = append(f.backends, &backend{fleet: f, service: "model", id: fmt.Sprintf("model%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", i+1)})
+		f.backends = append(f.backends, &backend{fleet: f, key: replicaKey, service: "model", id: fmt.Sprintf("model%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", i+1)})
 	}
 	for i := 0; i < l.Alerts; i++ {
-		f.backends = append(f.backends, &backend{fleet: f, service: "alert", id: fmt.Sprintf("alert%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", 100+i)})
+		f.backends = append(f.backends, &backend{fleet: f, key: replicaKey, service: "alert", id: fmt.Sprintf("alert%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", 100+i)})
 	}
-	f.backends = append(f.backends, &backend{fleet: f, service: "search", id: "search1", zone: "zone-1", address: "127.0.9.200:7900"})
+	f.backends = append(f.backends, &backend{fleet: f, key: replicaKey, service: "search", id: "search1", zone: "zone-1", address: "127.0.9.200:7900"})
 	for i := 1; i <= l.Tenants; i++ {
 		name := fmt.Sprintf("t%d", i)
 		f.record.Limits.Rate[name], f.record.Limits.Burst[name] = l.Rate, float64(l.Burst)
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -168,7 +170,23 @@
 	return nil
 }
 
+type backendCommand struct {
+	Service string `help:"Name of the service." default:"model"`
+	ID      string `help:"Name of the replica." default:"stand-in"`
+	Zone    string `help:"Zone." default:"zone-1"`
+	Address string `help:"Where it listens, by IP number." default:"127.0.9.1:7900"`
+	Node    string `help:"A node's requester address to announce at." default:"127.0.1.4:7002"`
+	Key     string `help:"Replica key." required:""`
+}
+
+func (c *backendCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return fleet.Backend(ctx, c.Service, c.ID, c.Zone, c.Address, c.Node, c.Key)
+}
+
 var commands struct {
+	Backend  backendCommand  `cmd:"" help:"Run one stand-in back end."`
 	Fleet    fleetCommand    `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
 	Simulate simulateCommand `cmd:"" help:"Run the simulator over seeds."`
 }
