--- a/rehearsalkit/fleet/backend.go
+++ b/rehearsalkit/fleet/backend.go
@@ -29,8 +29,11 @@
 }
 
 // Backend runs one stand-in back end by itself, until the context ends.
-func Backend(ctx context.Context, service, id, zone, address, node, key string) error {
-	f := &Fleet{start: time.Now(), notes: make(chan func(*judge.Record)), ctx: ctx, nodes: []*Machine{{requester: node}}}
+func Backend(ctx context.Context, service, id, zone, address string, nodes []string, key string) error {
+	f := &Fleet{start: time.Now(), notes: make(chan func(*judge.Record)), ctx: ctx}
+	for _, node := range nodes {
+		f.nodes = append(f.nodes, &Machine{requester: node})
+	}
 	b := &backend{fleet: f, service: service, id: id, zone: zone, address: address, key: key}
 	b.run(ctx)
 	for {
--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -77,6 +77,7 @@
 	notes    chan func(r *judge.Record)
 	record   *judge.Record
 	ctx      context.Context
+	seeds    []string
 }
 
 func (f *Fleet) now() time.Duration { return time.Since(f.start) }
@@ -107,36 +108,23 @@
 			}
 		}
 	}()
-	var seeds []string
+	for i := 0; i < min(3, l.Cores+l.Nodes); i++ {
+		f.seeds = append(f.seeds, ipOf(i)+":7000")
+	}
 	for i := 0; i < l.Cores+l.Nodes; i++ {
-		m := &Machine{Role: "node", ip: fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200), Zone: fmt.Sprintf("zone-%d", i%l.Zones+1)}
-		if i < l.Cores {
-			m.Role, m.Name = "core", fmt.Sprintf("core%d", i+1)
+		role, name := "core", fmt.Sprintf("core%d", i+1)
+		if i >= l.Cores {
+			role, name = "node", fmt.Sprintf("node%d", i-l.Cores+1)
+		}
+		m, err := f.machine(name, role, fmt.Sprintf("zone-%d", i%l.Zones+1), i)
+		if err != nil {
+			return nil, err
+		}
+		if role == "core" {
 			f.cores = append(f.cores, m)
 		} else {
-			m.Name = fmt.Sprintf("node%d", i-l.Cores+1)
 			f.nodes = append(f.nodes, m)
 		}
-		m.requester, m.operator, m.folder = m.ip+":7002", m.ip+":7001", filepath.Join(l.Folder, m.Name, "data")
-		if len(seeds) < 3 {
-			seeds = append(seeds, m.ip+":7000")
-		}
-		settings := map[string]any{"id": m.Name, "zone": m.Zone, "folder": m.folder, "seeds": seeds, "fleet_secret": fleetSecret, "operator_key": operatorKey,
-			"replica_key": replicaKey, "peer_listen": m.ip + ":7100", "peer_advertise": m.ip + ":7000", "operator_listen": m.operator, "requester_listen": m.requester}
-		for k, v := range l.Settings {
-			settings[k] = v
-		}
-		if err := os.MkdirAll(m.folder, 0o755); err != nil {
-			return nil, errors.Wrap(err, "folder")
-		}
-		text, _ := json.MarshalIndent(settings, "", "  ")
-		m.settings = filepath.Join(l.Folder, m.Name, "settings.json")
-		if err := os.WriteFile(m.settings, text, 0o600); err != nil {
-			return nil, errors.Wrap(err, "settings")
-		}
-		if err := f.links.relay(ctx, m.ip+":7000", m.ip+":7100"); err != nil {
-			return nil, errors.Wrap(err, "relay")
-		}
 	}
 	for i := 0; i < l.Models; i++ {
 		f.backends = append(f.backends, &backend{fleet: f, key: replicaKey, service: "model", id: fmt.Sprintf("model%d", i+1), zone: fmt.Sprintf("zone-%d", i%l.Zones+1), address: fmt.Sprintf("127.0.9.%d:7900", i+1)})
@@ -152,6 +140,28 @@
 	return f, nil
 }
 
+func ipOf(i int) string { return fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200) }
+
+// machine lays out one process: its address, its settings, its relay.
+func (f *Fleet) machine(name, role, zone string, number int) (*Machine, error) {
+	m := &Machine{Name: name, Role: role, Zone: zone, ip: ipOf(number)}
+	m.requester, m.operator, m.folder = m.ip+":7002", m.ip+":7001", filepath.Join(f.Layout.Folder, m.Name, "data")
+	settings := map[string]any{"id": m.Name, "zone": m.Zone, "folder": m.folder, "seeds": f.seeds, "fleet_secret": fleetSecret, "operator_key": operatorKey,
+		"replica_key": replicaKey, "peer_listen": m.ip + ":7100", "peer_advertise": m.ip + ":7000", "operator_listen": m.operator, "requester_listen": m.requester}
+	for k, v := range f.Layout.Settings {
+		settings[k] = v
+	}
+	if err := os.MkdirAll(m.folder, 0o755); err != nil {
+		return nil, errors.Wrap(err, "folder")
+	}
+	text, _ := json.MarshalIndent(settings, "", "  ")
+	m.settings = filepath.Join(f.Layout.Folder, m.Name, "settings.json")
+	if err := os.WriteFile(m.settings, text, 0o600); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return m, errors.Wrap(f.links.relay(f.ctx, m.ip+":7000", m.ip+":7100"), "relay")
+}
+
 // Start starts one process.
 func (f *Fleet) Start(m *Machine) error {
 	out, err := os.OpenFile(filepath.Join(f.Layout.Folder, m.Name, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"saffronfall/peer/core"
+	"saffronfall/peer/operator"
 	"saffronfall/rehearsalkit/judge"
 )
 
@@ -19,6 +21,14 @@
 	"cut":       cut,
 	"replace":   replace,
 	"operators": operators,
+	"disk":      diskLost,
+	"split":     split,
+	"corecut":   coreCut,
+	"zone":      zone,
+	"crowd":     crowd,
+	"drain":     drain,
+	"life":      life,
+	"closing":   closing,
 	"all":       all,
 }
 
@@ -49,22 +59,150 @@
 }
 
 func cut(ctx context.Context, f *Fleet, length time.Duration) {
-	everyone := append(append([]*Machine(nil), f.cores...), f.nodes...)
 	for _, m := range []*Machine{f.nodes[rand.IntN(len(f.nodes))], f.cores[rand.IntN(len(f.cores))]} {
 		pause(ctx, length/6, length/6)
-		tell(f, "cut off %s", m.Name)
-		for _, o := range everyone {
-			if o != m {
-				f.links.Cut(ctx, m.ip, o.ip, true)
-			}
+		f.between(ctx, "cut off "+m.Name, []*Machine{m}, without(f.everyone(), m), 3*time.Second)
+	}
+}
+
+func (f *Fleet) everyone() []*Machine {
+	return append(append([]*Machine(nil), f.cores...), f.nodes...)
+}
+
+func without(list []*Machine, m *Machine) []*Machine {
+	var rest []*Machine
+	for _, o := range list {
+		if o != m {
+			rest = append(rest, o)
 		}
-		pause(ctx, 3*time.Second, 3*time.Second)
-		tell(f, "mend %s", m.Name)
-		for _, o := range everyone {
-			if o != m {
-				f.links.Cut(ctx, m.ip, o.ip, false)
+	}
+	return rest
+}
+
+// between cuts all links between two sides for a time.
+func (f *Fleet) between(ctx context.Context, what string, a, b []*Machine, length time.Duration) {
+	tell(f, "%s", what)
+	for _, cut := range []bool{true, false} {
+		for _, x := range a {
+			for _, y := range b {
+				f.links.Cut(ctx, x.ip, y.ip, cut)
 			}
 		}
+		if cut {
+			pause(ctx, length, length)
+			tell(f, "mended: %s", what)
+		}
+	}
+}
+
+func diskLost(ctx context.Context, f *Fleet, length time.Duration) {
+	m := f.cores[rand.IntN(len(f.cores))]
+	pause(ctx, length/4, length/4)
+	tell(f, "%s loses its disk", m.Name)
+	f.lose(m)
+	pause(ctx, length/8, length/8)
+	tell(f, "start %s with an empty folder", m.Name)
+	f.Start(m)
+}
+
+// split cuts the cores of one zone from the other cores; nodes still reach all.
+func split(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/4, length/4)
+	var one, rest []*Machine
+	for _, m := range f.cores {
+		if m.Zone == f.cores[0].Zone {
+			one = append(one, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	f.between(ctx, "the core is split", one, rest, length/4)
+}
+
+// coreCut cuts all cores from all nodes.
+func coreCut(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/4, length/4)
+	f.between(ctx, "the core is cut off", f.cores, f.nodes, length/5)
+}
+
+func zone(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/4, length/4)
+	var one, rest []*Machine
+	for _, m := range f.everyone() {
+		if m.Zone == f.cores[0].Zone {
+			one = append(one, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	f.between(ctx, "a zone is cut off", one, rest, length/4)
+}
+
+func crowd(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/4, length/4)
+	tell(f, "a crowd of %d more requesters of one tenant", 9*f.Layout.Users)
+	crowded, cancel := context.WithTimeout(ctx, length/2)
+	defer cancel()
+	ended := make(chan struct{})
+	for i := 0; i < 9*f.Layout.Users; i++ {
+		go func() {
+			f.live(crowded, fmt.Sprintf("crowd%d", i), "t1")
+			ended <- struct{}{}
+		}()
+	}
+	for i := 0; i < 9*f.Layout.Users; i++ {
+		<-ended
+	}
+}
+
+func drain(ctx context.Context, f *Fleet, length time.Duration) {
+	for _, m := range []*Machine{f.nodes[rand.IntN(len(f.nodes))], f.cores[rand.IntN(len(f.cores))]} {
+		pause(ctx, length/6, length/6)
+		began := f.now()
+		tell(f, "drain %s", m.Name)
+		f.Signal(m, syscall.SIGTERM)
+		<-m.ended
+		tell(f, "%s stopped after %v", m.Name, (f.now() - began).Round(time.Millisecond))
+		f.Start(m)
+	}
+}
+
+// life brings a new core into the fleet and retires another one, while
+// requesters live.
+func life(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/5, length/5)
+	m, err := f.machine("core-new", "core", f.cores[0].Zone, 250)
+	if err != nil {
+		tell(f, "no new core: %v", err)
+		return
+	}
+	f.Start(m)
+	pause(ctx, 500*time.Millisecond, 500*time.Millisecond)
+	changed, err := f.Caller().AddCore(ctx, f.cores[0].operator, m.operator)
+	tell(f, "added %s: %d moves, %v", m.Name, changed.Made, err)
+	f.cores = append(f.cores, m)
+	pause(ctx, length/5, length/5)
+	gone := f.cores[1]
+	changed, err = f.Caller().Change(ctx, f.cores[0].operator, operator.Life{Kind: core.RetireCore, ID: gone.Name})
+	tell(f, "retired %s: %d moves, %v", gone.Name, changed.Made, err)
+	if err == nil {
+		f.Kill(gone)
+	}
+}
+
+// closing is a fault at the end of a day: everything is killed at once and
+// started again.
+func closing(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/3, length/3)
+	tell(f, "everything is killed")
+	for _, m := range f.everyone() {
+		f.Signal(m, syscall.SIGKILL)
+	}
+	for _, m := range f.everyone() {
+		<-m.ended
+	}
+	for _, m := range f.everyone() {
+		f.Start(m)
 	}
 }
 
@@ -112,7 +250,6 @@
 			tell(f, "configuration %s based on %d: taken=%v %s", o.mark, version, o.taken, o.code)
 			if o.taken {
 				f.probe(ctx, o.mark, o.version)
-				defer func() {}()
 			} else if o.code == "race_lost" {
 				f.probeRefused(ctx, o.mark)
 			}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -27,7 +27,7 @@
 	Binary   string        `help:"The saffronfall program." default:"bin/saffronfall" type:"path"`
 	Folder   string        `help:"Where settings, data and logs go; empty: a temporary folder."`
 	For      time.Duration `help:"How long requesters live." default:"15s"`
-	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, all." default:"calm"`
+	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, all." default:"calm"`
 	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
 	Logs     bool          `help:"Print the processes' logs."`
 }
@@ -171,12 +171,12 @@
 }
 
 type backendCommand struct {
-	Service string `help:"Name of the service." default:"model"`
-	ID      string `help:"Name of the replica." default:"stand-in"`
-	Zone    string `help:"Zone." default:"zone-1"`
-	Address string `help:"Where it listens, by IP number." default:"127.0.9.1:7900"`
-	Node    string `help:"A node's requester address to announce at." default:"127.0.1.4:7002"`
-	Key     string `help:"Replica key." required:""`
+	Service string   `help:"Name of the service." default:"model"`
+	ID      string   `help:"Name of the replica." default:"stand-in"`
+	Zone    string   `help:"Zone." default:"zone-1"`
+	Address string   `help:"Where it listens, by IP number." default:"127.0.9.1:7900"`
+	Node    []string `help:"Nodes' requester addresses to announce at." default:"127.0.1.4:7002,127.0.1.5:7002,127.0.1.6:7002"`
+	Key     string   `help:"Replica key." required:""`
 }
 
 func (c *backendCommand) Run() error {
