Tests that fail without the sync before an answer and without the term's check

Cause: breaking the code on purpose showed two checks that no test needed: an acknowledgement before its sync, and a node's term right before a shot (old news of replicas stopped the shot as well). Change: power is lost on all machines at the moment of a confirmation, with slow disks; a node is frozen at many points between inquiry and shot, with old news allowed.

--- a/rehearsalkit/fleet/requester.go
+++ b/rehearsalkit/fleet/requester.go
@@ -37,7 +37,8 @@
 func (f *Fleet) ask(ctx context.Context, at *Machine, q asking) (judge.Asked, got) {
 	a := judge.Asked{At: f.now(), Kind: q.kind, Tenant: tenantOf(q.key), Program: q.program, Line: q.line, Mark: q.mark, Once: q.once, Service: q.service, Outcome: judge.Silent}
 	var last got
-	ctx, cancel := context.WithTimeout(ctx, q.within+500*time.Millisecond)
+	// An inquiry that is under way when the run ends is seen to its end.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.within+500*time.Millisecond)
 	defer cancel()
 	q.body["budget_ms"] = q.within.Milliseconds()
 	raw, _ := json.Marshal(q.body)
--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -228,6 +228,7 @@
 	version := uint64(1)
 	for i := 0; ctx.Err() == nil; i++ {
 		pause(ctx, time.Second, 2*time.Second)
+		base := version
 		type outcome struct {
 			mark    string
 			version uint64
@@ -238,7 +239,7 @@
 		for j := 0; j < 2; j++ {
 			mark := fmt.Sprintf("probe-%d-%d", i, j)
 			go func() {
-				taking, _, _ := f.Hand(ctx, f.cores[rand.IntN(len(f.cores))], version, mark)
+				taking, _, _ := f.Hand(ctx, f.cores[rand.IntN(len(f.cores))], base, mark)
 				done <- outcome{mark, taking.Version, taking.Taken, taking.Code}
 			}()
 		}
@@ -247,7 +248,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			tell(f, "configuration %s based on %d: taken=%v %s", o.mark, version, o.taken, o.code)
+			tell(f, "configuration %s based on %d: taken=%v %s", o.mark, base, o.taken, o.code)
 			if o.taken {
 				f.probe(ctx, o.mark, o.version)
 			} else if o.code == "race_lost" {
--- a/rehearsalkit/simulator/failure_test.go
+++ b/rehearsalkit/simulator/failure_test.go
@@ -47,8 +47,12 @@
 // A node that froze between a reservation and its shot, and wakes when its
 // term is over, must not shoot: a successor may own the program by then.
 func TestWokenNodeShootsNothing(t *testing.T) {
-	for delay := 500 * time.Microsecond; delay < 8*time.Millisecond; delay += 500 * time.Microsecond {
-		w := judged(small(nil))
+	for i := 0; i < 60; i++ {
+		delay := time.Duration(i%10+1) * 700 * time.Microsecond
+		// Old news would stop the shot as well; here the term alone must.
+		params := Defaults(uint64(i))
+		params.Cores, params.Nodes, params.Users, params.Describe, params.Newest = 3, 3, 0, design(nil), time.Hour
+		w := judged(Calm(params))
 		_, p := open(w, 0, "u")
 		mark := w.mark("say")
 		begin(w, 0, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Service: "model", Before: program.Start, Say: mark}, delay)
@@ -414,3 +418,50 @@
 	a, _ = w.Do(0, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text})
 	want(t, "after its keeping time", a, "gone")
 }
+
+// All cores lose power at the very moment in which a requester has its closing
+// record, or an alert's outcome: what was confirmed is still there.
+func TestPowerLostAfterConfirmation(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		params := Defaults(seed)
+		params.Cores, params.Nodes, params.Users, params.Describe = 3, 3, 0, design(func(role, tenant, services, breaker tree) { role["session_seconds"] = 600 })
+		params.Sync = 60 * time.Millisecond
+		w := judged(Calm(params))
+		_, p := open(w, 0, "u")
+		head := program.Start
+		for i := 0; i < 4; i++ {
+			say := w.mark("say")
+			var closing node.Piece
+			over := false
+			w.ask(w.nodes[i%3], node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Service: "model", Before: head, Say: say, MaxTokens: 50, Budget: 5 * time.Second}, func(a judge.Asked, last node.Piece) {
+				over, closing = true, last
+				for _, c := range w.cores {
+					c.kill()
+				}
+				for _, n := range w.nodes {
+					n.kill()
+				}
+			})
+			for !over {
+				w.Pass(time.Millisecond)
+			}
+			for _, c := range w.cores {
+				c.boot()
+			}
+			for _, n := range w.nodes {
+				n.boot()
+			}
+			if closing.Kind != node.PieceClose {
+				t.Fatalf("seed %d turn %d: %+v", seed, i, closing)
+			}
+			head = closing.Head
+			w.Pass(5 * time.Second)
+			a, look := w.Do(0, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text})
+			want(t, "look", a, "")
+			if at := indexAfter(look.Body, `"head":"`); string(look.Body[at:at+len(head)]) != head {
+				t.Errorf("seed %d: turn %d was confirmed and is lost", seed, i)
+			}
+		}
+		noBreach(t, w)
+	}
+}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -36,13 +36,16 @@
 	Burst      int64
 	MinuteCost float64
 	Keep       time.Duration
-	Logf       func(format string, args ...any)
+	Newest     time.Duration
+	// Sync is the longest that a sync of a disk takes that does not stall.
+	Sync time.Duration
+	Logf func(format string, args ...any)
 }
 
 // Defaults are a small fleet under all faults.
 func Defaults(seed uint64) Params {
 	return Params{Seed: seed, Cores: 5, Nodes: 4, Zones: 3, Replicas: 4, Alerts: 2, Users: 12, Parts: 6, Length: 24 * time.Second,
-		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Keep: time.Hour}
+		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Keep: time.Hour, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
 }
 
 type event struct {
@@ -197,7 +200,7 @@
 }
 
 func (w *World) nodeParams() node.Params {
-	return node.Params{Core: w.coreParams(), Buffer: 64, Patience: time.Second, Newest: 1700 * time.Millisecond, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
+	return node.Params{Core: w.coreParams(), Buffer: 64, Patience: time.Second, Newest: w.Params.Newest, Report: 300 * time.Millisecond, UrgentRatio: 0.25, Budget: 10 * time.Second}
 }
 
 func (p *proc) now() time.Duration {
@@ -382,7 +385,7 @@
 	}
 	d.busy = true
 	count, upto, life := len(d.pending), d.issued, p.life
-	delay := p.world.between(300*time.Microsecond, 4*time.Millisecond)
+	delay := p.world.between(p.world.Params.Sync/12, p.world.Params.Sync)
 	if d.stall > p.world.now {
 		delay += d.stall - p.world.now
 	}
