--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 
@@ -90,6 +91,21 @@
 	if len(breaches) > 0 {
 		return errors.Newf("%d breaches", len(breaches))
 	}
+	for _, sign := range []string{"DATA RACE", "panic:", "fatal error:"} {
+		if logs := f.Logs(); strings.Contains(logs, sign) {
+			fmt.Println(logs)
+			return errors.Newf("a process logged %q", sign)
+		}
+	}
+	served := 0
+	for _, a := range record.Asked {
+		if a.Kind == "turn" && a.Outcome == judge.Whole {
+			served++
+		}
+	}
+	if served == 0 {
+		return errors.New("no turn came whole; a run that serves nothing proves nothing")
+	}
 	fmt.Println("no rule was broken")
 	return nil
 }
