--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -17,10 +17,12 @@
 // Caller gets commands to the owners of parts, over and over until their
 // budget has passed. Commands bear repeating.
 type Caller struct {
-	Retry   time.Duration
-	Random  func() float64
-	Send    func(to string, body any)
-	Anyone  func() []string
+	Retry  time.Duration
+	Random func() float64
+	Send   func(to string, body any)
+	Anyone func() []string
+	// Others are members that may pass a command on when cores stay silent.
+	Others  func() []string
 	Parts   func() int
 	hints   map[int]string
 	calls   slab.Slab[*call]
@@ -59,6 +61,11 @@
 	to := c.hints[k.part]
 	if to == "" {
 		all := c.Anyone()
+		if c.Others != nil && k.tries >= 2 && k.tries%2 == 0 {
+			if others := c.Others(); len(others) > 0 {
+				all = others
+			}
+		}
 		if len(all) == 0 {
 			k.again = now + c.Retry
 			return
@@ -79,6 +86,9 @@
 	c.hints[number] = address
 }
 
+// HintOf is who is thought to own a part.
+func (c *Caller) HintOf(number int) string { return c.hints[number] }
+
 // Tick tries again what got no answer, and ends what has no budget left.
 func (c *Caller) Tick(now time.Duration) {
 	var due []*call
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -94,6 +94,8 @@
 	asked    slab.Slab[*asked]
 	open     map[slab.Ticket]*asked
 	served   map[string]*servedWay
+	passed   slab.Slab[*passed]
+	passing  []slab.Ticket
 	nextID   uint64
 	samples  []rehearsal.Sample
 	nextSamp int
@@ -135,7 +137,8 @@
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
 		Parts:  func() int { return len(m.topology.Owners) },
-		Anyone: func() []string { return m.coreAddresses() }}
+		Anyone: func() []string { return m.coreAddresses() },
+		Others: func() []string { return m.others() }}
 	m.clear()
 	return m
 }
@@ -201,6 +204,7 @@
 	m.report(now)
 	m.tickWays(now)
 	m.tickPrograms(now)
+	m.tickPassed(now)
 	m.drain(now)
 	return *m.out
 }
@@ -278,6 +282,62 @@
 	})
 }
 
+// passOn carries a command to a core for a node whose own way there is cut.
+func (m *Machine) passOn(now time.Duration, from string, b core.Command) {
+	to := m.caller.HintOf(b.Part)
+	if all := m.coreAddresses(); to == "" && len(all) > 0 {
+		to = all[int(m.random()*float64(len(all)))%len(all)]
+	}
+	if to == "" || m.passed.Used() >= m.params.Buffer || !m.termed(now) {
+		m.send(from, core.CommandReturn{ID: b.ID, Part: b.Part, Moved: true})
+		return
+	}
+	m.Counters.PassedOn++
+	p := &passed{from: from, command: b, until: now + m.params.Core.MemberTerm}
+	t := m.passed.Keep(p)
+	m.passing = append(m.passing, t)
+	b.ID = uint64(t) | passedOn
+	m.send(to, b)
+}
+
+func (m *Machine) passBack(now time.Duration, b core.CommandReturn) {
+	t := slab.Ticket(b.ID &^ passedOn)
+	p, ok := m.passed.Look(t)
+	if !ok {
+		return
+	}
+	if b.Moved && b.Hint != "" && p.moved < 3 {
+		p.moved++
+		m.caller.Hint(b.Part, b.Hint)
+		m.send(b.Hint, core.Command{ID: b.ID, Part: b.Part, Raw: p.command.Raw})
+		return
+	}
+	m.passed.Take(t)
+	b.ID, b.Hint = p.command.ID, ""
+	m.send(p.from, b)
+}
+
+// passedOn marks the ids of commands that are carried for others.
+const passedOn = 1 << 63
+
+type passed struct {
+	from    string
+	command core.Command
+	moved   int
+	until   time.Duration
+}
+
+func (m *Machine) tickPassed(now time.Duration) {
+	for len(m.passing) > 0 {
+		p, ok := m.passed.Look(m.passing[0])
+		if ok && now < p.until {
+			return
+		}
+		m.passed.Take(m.passing[0])
+		m.passing = m.passing[1:]
+	}
+}
+
 // reset begins a new incarnation: what the old one owned, held and ran is no
 // longer this node's.
 func (m *Machine) reset(now time.Duration) {
@@ -326,7 +386,13 @@
 	m.step(now)
 	switch b := body.(type) {
 	case core.CommandReturn:
-		m.caller.Receive(now, from, b)
+		if b.ID&passedOn == 0 {
+			m.caller.Receive(now, from, b)
+		} else {
+			m.passBack(now, b)
+		}
+	case core.Command:
+		m.passOn(now, from, b)
 	case core.Topology:
 		m.onTopology(b)
 	case core.News:
@@ -821,5 +887,5 @@
 		"programs": len(m.programs), "running": m.running, "waiting": m.ways.Used(), "shares": shares, "refusals": refusals,
 		"inquiries": c.Inquiries, "forwarded": c.Forwarded, "gated": c.Gated, "warned": c.Warned, "refused": c.Refused, "shots": c.Shots,
 		"not_run": c.NotRun, "broken": c.Broken, "whole": c.Whole, "takeovers": c.Takeovers, "joins": c.Joins, "terms_lost": c.TermsLost,
-		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "command_tries": m.caller.Tries}
+		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "passed_on": c.PassedOn, "command_tries": m.caller.Tries}
 }
--- a/peer/node/types.go
+++ b/peer/node/types.go
@@ -172,7 +172,7 @@
 
 // Counters are what a node counts.
 type Counters struct {
-	Inquiries, Forwarded, Gated, Warned, Refused, Shots, NotRun, Broken, Whole         int64
-	Takeovers, Joins, TermsLost, StaleNews, Resets, Fenced, BadMessages, Saves, Handed int64
-	Refusals                                                                           map[string]int64
+	Inquiries, Forwarded, Gated, Warned, Refused, Shots, NotRun, Broken, Whole                   int64
+	Takeovers, Joins, TermsLost, StaleNews, Resets, Fenced, BadMessages, Saves, Handed, PassedOn int64
+	Refusals                                                                                     map[string]int64
 }
--- a/rehearsalkit/simulator/failure_test.go
+++ b/rehearsalkit/simulator/failure_test.go
@@ -465,3 +465,32 @@
 		noBreach(t, w)
 	}
 }
+
+// A node that is cut from every core and reaches another node keeps its term,
+// learns news and serves, by way of that node.
+func TestCutFromCoresButNotFromNodes(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) { role["session_seconds"] = 600 }))
+	_, p := open(w, 0, "u")
+	for _, c := range w.cores {
+		for _, pair := range [][2]string{{w.nodes[0].address, c.address}, {c.address, w.nodes[0].address}} {
+			w.cut[pair] = true
+		}
+	}
+	w.Pass(10 * time.Second)
+	if w.nodes[0].nodeM.Counters.TermsLost > 0 || !w.nodes[0].nodeM.Ready(w.nodes[0].now()) {
+		t.Errorf("the term was lost %d times", w.nodes[0].nodeM.Counters.TermsLost)
+	}
+	head := program.Start
+	for i := 0; i < 3; i++ {
+		a, last := turn(w, 0, p.Text, head, 100)
+		want(t, "a turn by way of another node", a, "")
+		head = last.Head
+	}
+	ok := false
+	w.hand(w.cores[0], 1, "probe-second", func(taken bool) { ok = taken })
+	w.Pass(2 * time.Second)
+	if !ok || w.nodes[0].nodeM.Version() != 2 {
+		t.Errorf("taken %v, version %d at the node", ok, w.nodes[0].nodeM.Version())
+	}
+	noBreach(t, w)
+}
