Two ways in which shares and programs could be taken from the living

Cause, found by reading: a node took any life of a member that its news did not show for an ended one, so with old news it proved a live owner dead; and a late message of a holder whose books were closed opened them again with counts that made room that was not there. Change: a member's entry lists its earlier lives, and only those and an ended present one count as ended; a holder with counts and no books is not heard. Each other replica tried takes the tenant's quota again. Keeping times come from the description.

--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -205,6 +205,18 @@
 	Version     uint64 `msgpack:"v" json:"version"`
 	Ended       bool   `msgpack:"e" json:"ended"`
 	Leaving     bool   `msgpack:"l" json:"leaving"`
+	// Past has the earlier lives, all of which have surely ended. A life that is
+	// neither here nor the present one is not known to have ended: the news may
+	// be older than that life.
+	Past []string `msgpack:"a" json:"-"`
+}
+
+// HasEnded reports whether a life of the member is known to have ended.
+func (m Member) HasEnded(incarnation string) bool {
+	if m.Incarnation == incarnation {
+		return m.Ended
+	}
+	return contains(m.Past, incarnation)
 }
 
 // Holder names a member's incarnation as a holder of shares.
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -27,8 +27,6 @@
 	MemberTerm time.Duration
 	// ReplicaTerm is how long a replica counts without announcing itself.
 	ReplicaTerm time.Duration
-	// Keep is how long a closed or silent program is kept.
-	Keep time.Duration
 	// Retry is how long an attempt at a command may take.
 	Retry time.Duration
 	// Pull is how often news is pulled.
@@ -202,8 +200,15 @@
 	if c.Member.Version < floor {
 		return Termed{Floor: floor}
 	}
-	if !ok || m != c.Member {
-		write(tx, key, c.Member)
+	if !ok || m.Incarnation != c.Member.Incarnation {
+		fresh := c.Member
+		if ok {
+			fresh.Past = append(m.Past, m.Incarnation)
+			if n := len(fresh.Past); n > livesKept {
+				fresh.Past = fresh.Past[n-livesKept:]
+			}
+		}
+		write(tx, key, fresh)
 	}
 	r.members[key], r.versions[key] = now, c.Member.Version
 	return Termed{Granted: true, Floor: floor}
@@ -265,7 +270,7 @@
 			continue
 		}
 		p, _ := read[program.Record](tx, key)
-		if clock >= p.Touched+r.params.Keep && len(p.Running) == 0 {
+		if clock >= p.Touched+p.Keep && len(p.Running) == 0 {
 			for _, turn := range tx.Keys(key + "/") {
 				tx.Remove(turn)
 			}
@@ -363,7 +368,9 @@
 	for _, holder := range c.Ended {
 		l.End(clock, holder)
 	}
-	l.Report(clock, c.Holder, c.Spent, c.Returned)
+	if !l.Report(clock, c.Holder, c.Spent, c.Returned) {
+		return Shared{}
+	}
 	target := c.Target
 	if c.Kind != "day" {
 		d := allowance.Division{Whole: c.Whole / c.Chunk, Holders: c.Members, Idle: IdleWeight}
@@ -419,7 +426,9 @@
 	for _, holder := range c.Ended {
 		b.Ledger.End(clock, holder)
 	}
-	b.Ledger.Report(clock, c.Holder, c.Spent, c.Returned)
+	if !b.Ledger.Report(clock, c.Holder, c.Spent, c.Returned) {
+		return Shared{}
+	}
 	params := c.Description.params()
 	b.Turn(clock, params)
 	granted := b.Draw(clock, c.Holder, c.Target, params)
@@ -469,4 +478,7 @@
 
 const loadStep = 4
 
-const handedKept = 16
+const (
+	handedKept = 16
+	livesKept  = 256
+)
--- a/peer/core/rules_test.go
+++ b/peer/core/rules_test.go
@@ -22,7 +22,7 @@
 
 func newAlone(t *testing.T) *alone {
 	p := Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8}, MemberTerm: 2 * time.Second,
-		ReplicaTerm: 3 * time.Second, Keep: time.Hour, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
+		ReplicaTerm: 3 * time.Second, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
 	a := &alone{t: t, got: map[uint64]CommandReturn{}}
 	a.m = New(Options{Params: p, ID: "c", Address: "c", Stored: Stored{Incarnation: "1"}, Random: func() float64 { return 0.5 }})
 	out, ok := a.m.Found(0, Plan("f", 4, 1, []Core{a.m.Self()}))
@@ -177,9 +177,13 @@
 				r := a.run(c).(Shared)
 				h.granted = max(h.granted, r.Granted)
 				if random.IntN(3) == 0 {
+					// A late copy may come from a holder that has ended long ago.
 					again := late[random.IntN(len(late))]
-					if again.Holder == name {
-						h.granted = max(h.granted, a.run(again).(Shared).Granted)
+					granted := a.run(again).(Shared).Granted
+					if one := holders[again.Holder]; one != nil {
+						one.granted = max(one.granted, granted)
+					} else {
+						a.run(ShareTenant{Tenant: "t", Kind: "day", Holder: name, Spent: h.spent, Returned: h.returned, Whole: whole, Ended: []string{again.Holder}})
 					}
 				}
 			}
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -124,6 +124,9 @@
 	if w.ran != verdict.No && v.Ran == verdict.No {
 		v.Ran = verdict.Maybe
 	}
+	if m.now >= w.until && v.Status == 503 {
+		v = late(v.Ran)
+	}
 	m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Kind: w.inquiry.Kind, Service: w.inquiry.Service, Refused: true})
 	m.end(w, Piece{Kind: PieceVerdict, Status: v.Status, Verdict: v})
 }
@@ -453,7 +456,8 @@
 			m.refuse(w, m.dayVerdict())
 			return
 		}
-		r := program.Record{ID: id, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Node: m.params.ID, Incarnation: m.incarnation, Address: m.params.Address, Test: test}
+		r := program.Record{ID: id, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Node: m.params.ID, Incarnation: m.incarnation, Address: m.params.Address, Test: test,
+			Keep: time.Duration(m.description.KeepSeconds) * time.Second}
 		m.caller.Call(now, core.OpenProgram{Record: r}, m.patient(now, w), func(now time.Duration, o core.Outcome) {
 			p, ok := o.Answer.(core.Programmed)
 			if !ok || !p.Owned || w.over || p.Record.Incarnation != m.incarnation {
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -378,7 +378,7 @@
 
 func (m *Machine) hasEnded(id, incarnation string) bool {
 	o, ok := m.members[id]
-	return ok && (o.Ended || o.Incarnation != incarnation)
+	return ok && o.HasEnded(incarnation)
 }
 
 // Receive takes a message from the process at an address.
@@ -735,7 +735,7 @@
 			w.next(now, false)
 		}
 		m.pushSave(now, h)
-		if now > h.usedAt+m.params.Core.Keep && len(h.record.Running) == 0 && h.saved >= h.record.Version {
+		if now > h.usedAt+h.record.Keep && len(h.record.Running) == 0 && h.saved >= h.record.Version {
 			delete(m.programs, k)
 		}
 	}
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -190,7 +190,7 @@
 			m.refuse(w, unsure("the reservation could not be made durable in time"))
 			return
 		}
-		m.launch(now, s, false)
+		m.launch(now, s)
 	}
 	m.save(now, h, m.patient(now, w), done)
 	m.caller.Call(now, core.ChargeUser{Tenant: w.tenant, User: h.record.User, Program: h.record.ID, Charged: h.record.Charged()}, m.patient(now, w), func(now time.Duration, o core.Outcome) {
@@ -205,8 +205,8 @@
 
 // launch takes the tenant's rate and a replica, and shoots, all in one moment
 // if the term still holds then.
-func (m *Machine) launch(now time.Duration, s *shot, urgent bool) {
-	m.pass(now, s.way.tenant, urgent, s.way.until, func(now time.Duration, ok bool) {
+func (m *Machine) launch(now time.Duration, s *shot) {
+	m.pass(now, s.way.tenant, m.description.Services[s.way.inquiry.Service].Urgent, s.way.until, func(now time.Duration, ok bool) {
 		if s.way.over {
 			m.undo(now, s, verdict.Verdict{})
 			return
@@ -331,7 +331,8 @@
 		m.eject(now, c)
 		s.way.ran = verdict.No
 		if len(s.tried) < 3 && !s.way.over {
-			m.fire(now, s)
+			// Another replica is another inquiry to the tenant's quota.
+			m.launch(now, s)
 			return
 		}
 		m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "replica", Code: "no_replica", Reason: "no replica could be reached", Status: 503, RetryAfter: time.Second}))
@@ -443,7 +444,7 @@
 			m.undo(now, s, unsure("the call could not be made durable in time"))
 			return
 		}
-		m.launch(now, s, service.Urgent)
+		m.launch(now, s)
 	})
 }
 
@@ -496,7 +497,7 @@
 	m.nextID++
 	s := &shot{way: w, tried: map[string]bool{}, claim: fmt.Sprintf("%s-%s-%d", m.params.ID, m.incarnation, m.nextID)}
 	s.payload = Payload{Shot: s.claim, Tenant: w.tenant, OnceKey: q.OnceKey, Body: q.Arguments}
-	keep := 24 * time.Hour
+	keep := time.Duration(m.description.OnceKeep) * time.Second
 	claim := core.ClaimOnce{Tenant: w.tenant, Service: q.Service, Key: onceKey(q.OnceKey), Claim: s.claim, Digest: digest, Keep: keep}
 	m.caller.Call(now, claim, m.patient(now, w), func(now time.Duration, o core.Outcome) {
 		c, ok := o.Answer.(core.Once)
@@ -510,7 +511,7 @@
 				m.undo(now, s, verdict.Verdict{})
 				return
 			}
-			m.launch(now, s, service.Urgent)
+			m.launch(now, s)
 		case c.State == core.OnceDone:
 			m.end(w, Piece{Kind: PieceBody, Status: c.Status, Body: c.Body, Verdict: verdict.Gated(verdict.Yes, nil), End: "repeated"})
 		default:
--- a/rehearsalkit/simulator/failure_test.go
+++ b/rehearsalkit/simulator/failure_test.go
@@ -393,7 +393,9 @@
 // called gone, not unknown, once its time has passed.
 func TestKeptConversation(t *testing.T) {
 	params := Defaults(7)
-	params.Cores, params.Nodes, params.Users, params.Describe, params.Keep = 3, 3, 0, design(nil), 3*time.Minute
+	params.Cores, params.Nodes, params.Users, params.Describe = 3, 3, 0, design(nil)
+	describe := params.Describe
+	params.Describe = func(mark string) []byte { return append([]byte(`{"keep_seconds":180,`), describe(mark)[1:]...) }
 	w := judged(Calm(params))
 	_, p := open(w, 0, "u")
 	for i := 0; i < 4; i++ {
@@ -494,3 +496,44 @@
 	}
 	noBreach(t, w)
 }
+
+// A node whose news of the members is old knows only an earlier life of a
+// program's owner. It must not take that for a proof that the owner's present
+// life has ended.
+func TestOldNewsOfALifeIsNoProof(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) { role["session_seconds"] = 600 }))
+	parts := w.Params.Parts
+	news := core.PartOf(parts, "member", "node1")
+	for _, c := range w.cores {
+		if len(c.coreM.Owned(c.now())) == 0 {
+			t.Fatal("a core owns nothing")
+		}
+	}
+	// node3 hears nothing from the owner of node1's member part, nor from nodes.
+	for _, c := range w.cores {
+		for _, n := range c.coreM.Owned(c.now()) {
+			if n == news {
+				w.cut[[2]string{c.address, w.nodes[2].address}] = true
+			}
+		}
+	}
+	for _, n := range w.nodes[:2] {
+		w.cut[[2]string{n.address, w.nodes[2].address}] = true
+	}
+	w.nodes[0].kill()
+	w.nodes[0].boot()
+	w.Pass(4 * time.Second)
+	stolen := 0
+	for i := 0; i < 12; i++ {
+		_, p := open(w, 0, fmt.Sprint("u", i))
+		if p.Text == "" {
+			t.Fatalf("no program at the new life: %+v", p)
+		}
+		w.ask(w.nodes[2], node.Inquiry{Kind: node.Look, Key: "key-t1", Program: p.Text, Budget: 300 * time.Millisecond}, func(a judge.Asked, last node.Piece) {})
+		w.Pass(500 * time.Millisecond)
+	}
+	stolen = int(w.nodes[2].nodeM.Counters.Takeovers)
+	if stolen > 0 {
+		t.Errorf("%d programs were taken from a node that lives", stolen)
+	}
+}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -35,7 +35,6 @@
 	Rate       float64
 	Burst      int64
 	MinuteCost float64
-	Keep       time.Duration
 	Newest     time.Duration
 	// Sync is the longest that a sync of a disk takes that does not stall.
 	Sync time.Duration
@@ -45,7 +44,7 @@
 // Defaults are a small fleet under all faults.
 func Defaults(seed uint64) Params {
 	return Params{Seed: seed, Cores: 5, Nodes: 4, Zones: 3, Replicas: 4, Alerts: 2, Users: 12, Parts: 6, Length: 24 * time.Second,
-		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Keep: time.Hour, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
+		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
 }
 
 type event struct {
@@ -196,7 +195,7 @@
 
 func (w *World) coreParams() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8, Home: 20}, MemberTerm: 2 * time.Second,
-		ReplicaTerm: 3 * time.Second, Keep: w.Params.Keep, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
+		ReplicaTerm: 3 * time.Second, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
 }
 
 func (w *World) nodeParams() node.Params {
--- a/rule/allowance/ledger.go
+++ b/rule/allowance/ledger.go
@@ -34,12 +34,18 @@
 	return out
 }
 
-// Report takes a holder's cumulative counts.
-func (l *Ledger) Report(now time.Duration, holder string, spent, returned int64) {
+// Report takes a holder's cumulative counts. A holder with counts and no books
+// has ended before.
+func (l *Ledger) Report(now time.Duration, holder string, spent, returned int64) bool {
 	if l.Holders == nil {
 		l.Holders = map[string]Books{}
 	}
-	b := l.Holders[holder]
+	b, known := l.Holders[holder]
+	if !known && (spent > 0 || returned > 0) {
+		// Nobody spends or returns before a grant: this holder's books were
+		// closed, and what was in them is counted already.
+		return false
+	}
 	if spent > b.Spent {
 		for i := range l.Windows {
 			l.Windows[i].Add(now, spent-b.Spent)
@@ -50,6 +56,7 @@
 		b.Returned = returned
 	}
 	l.Holders[holder] = b
+	return true
 }
 
 // Room is how much may still be granted under the limits, one for each window.
--- a/rule/configuration/description.go
+++ b/rule/configuration/description.go
@@ -78,6 +78,7 @@
 	} `json:"breaker"`
 	WarnRatio       float64  `json:"warn_ratio"`
 	KeepSeconds     int64    `json:"keep_seconds"`
+	OnceKeep        int64    `json:"once_keep_seconds"`
 	CooldownMaximum int64    `json:"cooldown_maximum_seconds"`
 	Approval        Approval `json:"approval"`
 }
@@ -125,6 +126,7 @@
 	{Path: "breaker.tests", Type: "int", Default: 3, Min: 1, Max: 1000, About: "test sessions of a half-open breaker (ours)"},
 	{Path: "warn_ratio", Type: "number", Default: 0.8, Min: 0.1, Max: 1, About: "from which part of a cap on warnings are given"},
 	{Path: "keep_seconds", Type: "int", Default: 3600, Min: 10, Max: 30 * 86400, About: "how long a conversation is kept after its last turn (ours)"},
+	{Path: "once_keep_seconds", Type: "int", Default: 86400, Min: 60, Max: 365 * 86400, About: "how long a once-key and its outcome are kept (ours)"},
 	{Path: "cooldown_maximum_seconds", Type: "int", Default: 3600, Min: 1, Max: 86400, About: "where the doubling of cooldowns ends"},
 	{Path: "approval.newly_refused_ratio", Type: "number", Default: 0.05, Min: 0, Max: 1, About: "greatest part of rehearsed inquiries that may newly be refused (ours)"},
 	{Path: "approval.least_inquiries", Type: "int", Default: 20, Min: 0, Max: 1e6, About: "with fewer samples rehearsal decides nothing (ours)"},
--- a/rule/program/program.go
+++ b/rule/program/program.go
@@ -52,6 +52,7 @@
 	Version     uint64                 `msgpack:"v"`
 	Opened      time.Duration          `msgpack:"o"`
 	Touched     time.Duration          `msgpack:"z"`
+	Keep        time.Duration          `msgpack:"e"`
 	Closed      bool                   `msgpack:"c"`
 	Steps       int64                  `msgpack:"s"`
 	Spent       int64                  `msgpack:"p"`
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -38,7 +38,6 @@
 	PatienceMS    int64   `json:"patience_ms"`
 	BudgetMS      int64   `json:"budget_ms"`
 	GraceMS       int64   `json:"grace_ms"`
-	KeepSeconds   int64   `json:"keep_seconds"`
 	Drift         float64 `json:"drift"`
 	Buffer        int64   `json:"buffer"`
 	Largest       int64   `json:"largest_inquiry_bytes"`
@@ -70,7 +69,6 @@
 	{Path: "patience_ms", Type: "int", Default: 1000, Min: 0, Max: 60000, About: "longest wait of a shot for its tenant's rate"},
 	{Path: "budget_ms", Type: "int", Default: 30000, Min: 100, Max: 600000, About: "budget of inquiries that name none"},
 	{Path: "grace_ms", Type: "int", Default: 5000, Min: 0, Max: 120000, About: "how long a drain may take"},
-	{Path: "keep_seconds", Type: "int", Default: 3600, Min: 10, Max: 30 * 86400, About: "how long a silent program is kept"},
 	{Path: "drift", Type: "number", Default: 0.1, Min: 0.001, Max: 1, About: "ratio by which a giver counts a term longer than its holder"},
 	{Path: "buffer", Type: "int", Default: 1024, Min: 8, Max: 1e6, About: "room of every buffer"},
 	{Path: "largest_inquiry_bytes", Type: "int", Default: 1 << 20, Min: 1024, Max: 64 << 20, About: "largest body of an inquiry"},
@@ -146,7 +144,7 @@
 // Core are the control plane's bounds.
 func (p Params) Core() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: ms(p.OwnerTermMS), Drift: p.Drift, Renewals: 5, Sweeps: 8, Home: 20},
-		MemberTerm: ms(p.MemberTermMS), ReplicaTerm: ms(p.ReplicaTermMS), Keep: time.Duration(p.KeepSeconds) * time.Second,
+		MemberTerm: ms(p.MemberTermMS), ReplicaTerm: ms(p.ReplicaTermMS),
 		Retry: ms(p.RetryMS), Pull: ms(p.PullMS)}
 }
 
