--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -192,6 +192,9 @@
 // Version is the configuration that is in force here.
 func (m *Machine) Version() uint64 { return m.version }
 
+// Breaker is the breaker's position as this node knows it.
+func (m *Machine) Breaker() string { return string(m.breakerState) }
+
 // Incarnation tells this life of the node from its earlier ones.
 func (m *Machine) Incarnation() string { return m.incarnation }
 
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -89,9 +89,21 @@
 	encoder.Encode(body)
 }
 
+// Drain asks a process to leave, as SIGTERM does.
+func Drain(drain chan<- struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case drain <- struct{}{}:
+		default:
+		}
+		Write(w, 202, map[string]bool{"draining": true})
+	}
+}
+
 // Handler is a core's operators' side.
-func Handler(p Process, key string) http.Handler {
+func Handler(p Process, key string, drain chan<- struct{}) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/drain", Drain(drain))
 	mux.HandleFunc("GET /v1/identity", func(w http.ResponseWriter, r *http.Request) {
 		answer(w, r, p, func(m *core.Machine, now time.Duration) any {
 			return Identity{Core: m.Self(), Founded: m.Founded(), Founding: m.Founding()}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -40,6 +40,7 @@
 	streams *stream.Streams
 	start   time.Time
 	calls   chan func(now time.Duration) core.Output
+	drain   chan struct{}
 	toDisk  chan batch
 	onDisk  chan written
 
@@ -81,7 +82,7 @@
 		return err
 	}
 	s := &process{params: p, log: log, streams: streams, start: time.Now(), calls: make(chan func(time.Duration) core.Output, 64),
-		toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
+		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
 	s.machine = core.New(core.Options{Params: p.Core(), ID: p.ID, Zone: p.Zone, Address: p.PeerAdvertise, Operator: p.OperatorAdvertise, Seeds: p.Seeds,
 		Stored: stored, Now: s.now(), Random: rand.Float64})
 	log.Info("core started", "id", p.ID, "incarnation", stored.Incarnation, "founded", s.machine.Founded())
@@ -91,7 +92,7 @@
 	group.Add(func() error { return s.own(ctx, life) }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
 	group.Add(func() error { return s.write(life, folder, stored) }, func(error) { cancel() })
-	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second}
 	group.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "operator address")
@@ -145,7 +146,7 @@
 	ticker := time.NewTicker(s.params.Core().Part.OwnerTerm / 40)
 	defer ticker.Stop()
 	var leaveBy time.Duration
-	stop := ctx.Done()
+	stop, drain := ctx.Done(), s.drain
 	for {
 		select {
 		case in := <-s.streams.In:
@@ -177,10 +178,9 @@
 				return nil
 			}
 		case <-stop:
-			stop = nil
-			leaveBy = s.now() + s.params.Grace()
-			s.machine.Leave()
-			s.log.Info("core leaves", "parts", len(s.machine.Owned(s.now())))
+			stop, drain, leaveBy = nil, nil, s.leave()
+		case <-drain:
+			stop, drain, leaveBy = nil, nil, s.leave()
 		case <-life.Done():
 			return nil
 		}
@@ -188,6 +188,12 @@
 	}
 }
 
+func (s *process) leave() time.Duration {
+	s.machine.Leave()
+	s.log.Info("core leaves", "parts", len(s.machine.Owned(s.now())))
+	return s.now() + s.params.Grace()
+}
+
 func (s *process) watch() {
 	stalled := s.busy && s.now()-s.busyAt > s.params.Core().Part.OwnerTerm
 	if stalled != s.stalled {
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -269,6 +269,24 @@
 	return nil
 }
 
+type drainCommand struct {
+	Process string        `arg:"" help:"Operator address of the node or core that is to leave."`
+	Key     string        `help:"Operator key." env:"SAFFRONFALL_OPERATOR_KEY"`
+	Within  time.Duration `help:"How long the call may take." default:"5s"`
+}
+
+func (c *drainCommand) Run() error {
+	status, raw, err := calling{Core: c.Process, Key: c.Key, Within: c.Within}.do("POST", "/v1/drain", nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != 202 {
+		return errors.Newf("%s", raw)
+	}
+	fmt.Println("draining")
+	return nil
+}
+
 type statusCommand struct {
 	calling
 	JSON bool `help:"Print JSON."`
@@ -328,6 +346,7 @@
 	Check    checkCommand    `cmd:"" help:"Check a description or settings."`
 	Apply    applyCommand    `cmd:"" help:"Hand over a whole description: checked, rehearsed, measured, agreed, taken."`
 	Plan     planCommand     `cmd:"" help:"Show what a description would move and whom it would refuse; change nothing."`
+	Drain    drainCommand    `cmd:"" help:"Make a node or core leave in good order, as SIGTERM does."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet."`
 	Settings settingsCommand `cmd:"" help:"List every setting with type, default and meaning."`
 }
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -42,6 +42,7 @@
 	events  chan node.Event
 	calls   chan func(now time.Duration) node.Output
 	life    context.Context
+	drain   chan struct{}
 
 	waiting  map[uint64]chan node.Piece
 	shots    map[uint64]context.CancelFunc
@@ -53,6 +54,7 @@
 	slow     int64
 	version  uint64
 	ready    bool
+	breaker  string
 }
 
 // Run runs the role until the context ends, then drains it.
@@ -67,7 +69,7 @@
 		return err
 	}
 	life, cancel := context.WithCancel(context.Background())
-	s := &process{params: p, log: log, streams: streams, start: time.Now(), life: life, arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
+	s := &process{params: p, log: log, streams: streams, start: time.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
 		events: make(chan node.Event, p.Buffer), calls: make(chan func(time.Duration) node.Output, 64),
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
 		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Core().MemberTerm}, p.Largest*16)}
@@ -106,7 +108,7 @@
 	runtime.LockOSThread()
 	ticker := time.NewTicker(s.params.Core().Pull / 15)
 	defer ticker.Stop()
-	stop := ctx.Done()
+	stop, drain := ctx.Done(), s.drain
 	var leaveBy time.Duration
 	quit := false
 	for {
@@ -152,17 +154,26 @@
 				return nil
 			}
 		case <-stop:
-			stop = nil
-			leaveBy = s.now() + s.params.Grace()
-			s.log.Info("node leaves")
-			s.take(s.machine.Leave(s.now()))
+			stop, drain, leaveBy = nil, nil, s.leave()
+		case <-drain:
+			stop, drain, leaveBy = nil, nil, s.leave()
 		case <-s.life.Done():
 			return nil
 		}
 	}
 }
 
+func (s *process) leave() time.Duration {
+	s.log.Info("node leaves")
+	s.take(s.machine.Leave(s.now()))
+	return s.now() + s.params.Grace()
+}
+
 func (s *process) report() {
+	if state := s.machine.Breaker(); state != s.breaker {
+		s.breaker = state
+		s.log.Info("breaker", "state", state)
+	}
 	if v := s.machine.Version(); v != s.version {
 		s.version = v
 		s.log.Info("configuration in force", "version", v)
@@ -300,6 +311,7 @@
 
 func (s *process) operators() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/drain", operator.Drain(s.drain))
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, r *http.Request) {
 		counts, err := s.Counters(r.Context())
 		if err != nil {
