Serve again sooner after a lost term and after an owner that came back

Cause, two: (1) a node whose term ran out waited at the core for the term of its own former life before it could join again; (2) an inquiry passed to an owner that died and came back at once was not ended when the former life was known to be over, as the entry showed a living member, but only with its budget. Ruled out: slow owner changes (the gap was the same with no core restarted); requesters' own pauses (they follow Retry-After, which is now short when the owner is known to have ended). Change: a node ends its former life itself before it joins; any known earlier life breaks what was passed to it.

--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -274,6 +274,7 @@
 		return
 	}
 	if owner.ID == m.params.ID {
+		delete(m.owners, w.tenant+"/"+w.inquiry.Program)
 		m.refuse(w, unsure("the program is changing hands"))
 		return
 	}
@@ -372,7 +373,11 @@
 	if a.way.inquiry.Kind == Look || a.way.inquiry.Kind == Close {
 		ran = verdict.No
 	}
-	v := verdict.Refused(verdict.Refusal{Check: "owner", Code: "owner_silent", Reason: "the program's owner gave no whole return", Status: 503, Ran: ran, RetryAfter: m.params.Core.MemberTerm})
+	wait := m.params.Core.MemberTerm
+	if m.hasEnded(a.member.ID, a.member.Incarnation) {
+		wait = m.params.Core.Pull
+	}
+	v := verdict.Refused(verdict.Refusal{Check: "owner", Code: "owner_silent", Reason: "the program's owner gave no whole return", Status: 503, Ran: ran, RetryAfter: wait})
 	if now >= a.way.until {
 		v = late(ran)
 	}
@@ -383,7 +388,7 @@
 	for _, t := range m.openAsked() {
 		a := m.open[t]
 		switch {
-		case a.member.ID != o.ID || a.member.Incarnation != o.Incarnation:
+		case a.member.ID != o.ID || !o.HasEnded(a.member.Incarnation):
 		case a.taken:
 			m.loseAsked(now, t, a)
 		default:
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -47,6 +48,8 @@
 	random      func() float64
 	incarnation string
 	births      int
+	former      []string
+	buried      map[string]bool
 	caller      *core.Caller
 
 	topology core.Topology
@@ -129,7 +132,7 @@
 // New makes a node.
 func New(o Options) *Machine {
 	m := &Machine{params: identity{Params: o.Params, ID: o.ID, Zone: o.Zone, Address: o.Address, HTTP: o.HTTP, Seeds: o.Seeds},
-		random: o.Random, incarnation: o.Incarnation, now: o.Now,
+		random: o.Random, incarnation: o.Incarnation, buried: map[string]bool{}, now: o.Now,
 		versions: map[int]part.Stamp{}, fresh: map[int]time.Duration{}, entries: map[int]map[string]part.Entry{},
 		members: map[string]core.Member{}, replicas: map[string]map[string]core.Replica{}, cores: map[string]core.Core{},
 		conditions: map[string]*condition{}, waiting: map[uint64]slab.Ticket{}, live: map[slab.Ticket]*shot{},
@@ -256,6 +259,10 @@
 	if m.renewing || now < m.renewAt || len(m.topology.Owners) == 0 || m.version == 0 || (m.leaving && !m.joined) {
 		return
 	}
+	if !m.joined && len(m.former) > 0 {
+		m.bury(now)
+		return
+	}
 	m.renewing = true
 	m.renewAt = now + m.params.Core.MemberTerm/6
 	sent, incarnation := now, m.incarnation
@@ -365,11 +372,27 @@
 	}
 }
 
+// bury tells the core that this node's former life is over, which this node
+// alone can know before its term has run out there. What that life owned may
+// then be taken over at once, by this node too.
+func (m *Machine) bury(now time.Duration) {
+	m.renewing = true
+	former := m.former[0]
+	m.caller.Call(now, core.LeaveMember{ID: m.params.ID, Incarnation: former}, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
+		m.renewing = false
+		if t, ok := o.Answer.(core.Termed); ok && t.Ended {
+			m.buried[former] = true
+			m.former = slices.DeleteFunc(m.former, func(life string) bool { return life == former })
+		}
+	})
+}
+
 // reset begins a new incarnation: what the old one owned, held and ran is no
 // longer this node's.
 func (m *Machine) reset(now time.Duration) {
 	m.Counters.Resets++
 	m.births++
+	m.former = append(m.former, m.incarnation)
 	base, _, _ := strings.Cut(m.incarnation, "+")
 	m.incarnation = fmt.Sprintf("%s+%d", base, m.births)
 	m.joined, m.termUntil, m.renewing, m.renewAt = false, 0, false, now
@@ -404,6 +427,9 @@
 }
 
 func (m *Machine) hasEnded(id, incarnation string) bool {
+	if id == m.params.ID && m.buried[incarnation] {
+		return true
+	}
 	o, ok := m.members[id]
 	return ok && o.HasEnded(incarnation)
 }
@@ -569,9 +595,7 @@
 		var o core.Member
 		if message.Unmarshal(e.Value, &o) == nil {
 			m.members[o.ID] = o
-			if o.Ended {
-				m.breakFrom(now, o)
-			}
+			m.breakFrom(now, o)
 		}
 	case "backend":
 		var r core.Replica
--- a/rehearsalkit/judge/judge.go
+++ b/rehearsalkit/judge/judge.go
@@ -397,3 +397,30 @@
 	}
 	return gap
 }
+
+// Outages lists, for every conversation that was hindered, how long it took
+// from its first turn that did not come whole to its next one that did.
+func (r *Record) Outages() []time.Duration {
+	turns := map[string][]Asked{}
+	for _, a := range r.Asked {
+		if a.Kind == "turn" {
+			turns[a.Program+"/"+a.Line] = append(turns[a.Program+"/"+a.Line], a)
+		}
+	}
+	var list []time.Duration
+	for _, key := range sorted(turns) {
+		sort.SliceStable(turns[key], func(i, j int) bool { return turns[key][i].At < turns[key][j].At })
+		since := time.Duration(-1)
+		for _, a := range turns[key] {
+			switch {
+			case a.Outcome == Whole && since >= 0:
+				list = append(list, a.Ended-since)
+				since = -1
+			case a.Outcome != Whole && since < 0 && a.Status != 409 && a.Status != 429:
+				since = a.At
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -136,6 +136,9 @@
 		fmt.Printf("  refusals a second: %-24s %v\n", code, byCode[code])
 	}
 	fmt.Printf("  back ends saw  %-42s %d\n", "shots", len(r.Shots))
+	if out := r.Outages(); len(out) > 0 {
+		fmt.Printf("  conversations hindered: %d; served again after: half %v, all %v\n", len(out), out[len(out)/2].Round(time.Millisecond), out[len(out)-1].Round(time.Millisecond))
+	}
 	fmt.Printf("  longest time with no whole return: %v\n", r.Gap().Round(time.Millisecond))
 }
 
--- a/rehearsalkit/simulator/failure_test.go
+++ b/rehearsalkit/simulator/failure_test.go
@@ -592,3 +592,61 @@
 		noBreach(t, w)
 	}
 }
+
+// When all links between cores and nodes were cut for longer than a term, all
+// nodes serve their own programs again within two seconds of the mending: no
+// node waits for the term of its own former life.
+func TestBackAfterTheCoreWasCutOff(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) { role["session_seconds"] = 600 }))
+	var ids []string
+	for i := range w.nodes {
+		_, p := open(w, i, fmt.Sprint("u", i))
+		ids = append(ids, p.Text)
+	}
+	for _, cut := range []bool{true, false} {
+		for _, n := range w.nodes {
+			for _, c := range w.cores {
+				w.cut[[2]string{n.address, c.address}], w.cut[[2]string{c.address, n.address}] = cut, cut
+			}
+		}
+		if cut {
+			w.Pass(3 * time.Second)
+		}
+	}
+	mended := w.now
+	for i, id := range ids {
+		for {
+			a, last := w.Do(i, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: id, Service: "model", Before: program.Start, Say: w.mark("say"), MaxTokens: 10, Budget: time.Second})
+			if a.Outcome == judge.Whole {
+				break
+			}
+			if w.now > mended+5*time.Second {
+				t.Fatalf("node %d: %+v", i, a)
+			}
+			w.Pass(max(20*time.Millisecond, last.Verdict.RetryAfter/10))
+		}
+	}
+	t.Logf("all served %v after the mending", w.now-mended)
+	if w.now > mended+2*time.Second {
+		t.Errorf("all served only %v after the mending", w.now-mended)
+	}
+	noBreach(t, w)
+}
+
+// An inquiry that was passed to an owner which died and came back at once ends
+// when the owner's life is known to have ended, not with its budget.
+func TestOwnerDiesAndComesBack(t *testing.T) {
+	w := judged(small(nil))
+	_, p := open(w, 0, "u")
+	got := begin(w, 1, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: p.Text, Service: "model", Before: program.Start, Say: w.mark("say"), Budget: 15 * time.Second}, 30*time.Millisecond)
+	w.nodes[0].kill()
+	died := w.now
+	w.nodes[0].boot()
+	for got.Outcome == "" {
+		w.Pass(20 * time.Millisecond)
+	}
+	if took := w.now - died; took > 4*time.Second || got.Outcome == judge.Whole {
+		t.Errorf("it ended as %s after %v", got.Outcome, took)
+	}
+	noBreach(t, w)
+}
