--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -105,17 +105,22 @@
 	f.Start(m)
 }
 
-// split cuts the cores of one zone from the other cores; nodes still reach all.
-func split(ctx context.Context, f *Fleet, length time.Duration) {
-	pause(ctx, length/4, length/4)
-	var one, rest []*Machine
-	for _, m := range f.cores {
+// sides parts machines into those of the first core's zone and the others.
+func (f *Fleet) sides(machines []*Machine) (one, rest []*Machine) {
+	for _, m := range machines {
 		if m.Zone == f.cores[0].Zone {
 			one = append(one, m)
 		} else {
 			rest = append(rest, m)
 		}
 	}
+	return one, rest
+}
+
+// split cuts the cores of one zone from the other cores; nodes still reach all.
+func split(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/4, length/4)
+	one, rest := f.sides(f.cores)
 	f.between(ctx, "the core is split", one, rest, length/4)
 }
 
@@ -127,14 +132,7 @@
 
 func zone(ctx context.Context, f *Fleet, length time.Duration) {
 	pause(ctx, length/4, length/4)
-	var one, rest []*Machine
-	for _, m := range f.everyone() {
-		if m.Zone == f.cores[0].Zone {
-			one = append(one, m)
-		} else {
-			rest = append(rest, m)
-		}
-	}
+	one, rest := f.sides(f.everyone())
 	f.between(ctx, "a zone is cut off", one, rest, length/4)
 }
 
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -30,6 +30,7 @@
 	For      time.Duration `help:"How long requesters live." default:"15s"`
 	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, all." default:"calm"`
 	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
+	Work     bool          `help:"Measure what the cores do, idle and for each shot."`
 	Logs     bool          `help:"Print the processes' logs."`
 }
 
@@ -69,6 +70,11 @@
 	if !ok {
 		return errors.Newf("no scenario %q", c.Scenario)
 	}
+	if c.Work {
+		idle := f.Idle(ctx, 5*time.Second)
+		fmt.Printf("  idle, all cores, a second: %d commands, %d writes, %d syncs, %d messages\n", idle.Commands, idle.Writes, idle.Syncs, idle.Messages)
+	}
+	before := f.Work(ctx)
 	done := make(chan struct{})
 	go func() {
 		script(ctx, f, c.For)
@@ -76,8 +82,13 @@
 	}()
 	f.Drive(ctx, c.For)
 	<-done
+	after := f.Work(ctx)
 	record, breaches := f.Finish()
 	report(record)
+	if shots := float64(len(record.Shots)); c.Work && shots > 0 {
+		fmt.Printf("  for each shot, all cores: %.1f commands, %.1f writes, %.1f syncs, %.1f messages\n", float64(after.Commands-before.Commands)/shots,
+			float64(after.Writes-before.Writes)/shots, float64(after.Syncs-before.Syncs)/shots, float64(after.Messages-before.Messages)/shots)
+	}
 	if c.Logs {
 		fmt.Println(f.Logs())
 	}
