--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -92,8 +92,10 @@
 	DrawBreaker struct {
 		Holder                  string
 		Spent, Returned, Target int64
-		Ended                   []string
-		Description             BreakerLimits
+		// Need is what running inquiries need; the rest is held in advance.
+		Need        int64
+		Ended       []string
+		Description BreakerLimits
 	}
 	// Shared answers both.
 	Shared struct {
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -431,7 +431,7 @@
 	}
 	params := c.Description.params()
 	b.Turn(clock, params)
-	granted := b.Draw(clock, c.Holder, c.Target, params)
+	granted := b.Draw(clock, c.Holder, c.Target, c.Need, params)
 	r.keepBreaker(tx, b, before)
 	return Shared{Granted: granted, Open: b.State == breaker.Open, Left: b.Left(clock, params), Others: names(b.Ledger.Holders)}
 }
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -913,7 +913,7 @@
 		ask(m.askDay(tenant, s)(0))
 	}
 	m.money.books.Returned += m.money.free()
-	ask(m.askMoney(0))
+	ask(m.prefetchMoney(0))
 	done(now, core.Outcome{})
 }
 
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -172,7 +172,13 @@
 }
 
 func (m *Machine) askMoney(target int64) any {
-	return core.DrawBreaker{Holder: m.holder(), Spent: m.money.books.Spent, Returned: m.money.books.Returned, Target: target,
+	return m.drawMoney(target, m.money.reserved+m.money.pending)
+}
+
+func (m *Machine) prefetchMoney(target int64) any { return m.drawMoney(target, 0) }
+
+func (m *Machine) drawMoney(target, need int64) any {
+	return core.DrawBreaker{Holder: m.holder(), Spent: m.money.books.Spent, Returned: m.money.books.Returned, Target: target, Need: need,
 		Ended: m.ended(m.money.others), Description: m.limits()}
 }
 
@@ -192,7 +198,7 @@
 		s := m.dayOf(tenant)
 		m.reportShare(now, s, m.askDay(tenant, s), m.dayChunk(tenant))
 	}
-	m.reportShare(now, m.money, m.askMoney, m.moneyChunk())
+	m.reportShare(now, m.money, m.prefetchMoney, m.moneyChunk())
 }
 
 func (m *Machine) dayChunk(tenant string) int64 {
--- a/rule/breaker/breaker.go
+++ b/rule/breaker/breaker.go
@@ -79,14 +79,15 @@
 	return max(0, b.Since+p.Recovery-now)
 }
 
-// Draw raises a holder's share to a target. A share that can't be given whole
-// trips the breaker: what is out and what was spent have reached a threshold.
-func (b *Breaker) Draw(now time.Duration, holder string, target int64, p Params) int64 {
+// Draw raises a holder's share to a target, as far as there is room. A need
+// that can't be met trips the breaker: what is out and what was spent have
+// reached a threshold. What is only held in advance never trips it.
+func (b *Breaker) Draw(now time.Duration, holder string, target, need int64, p Params) int64 {
 	b.Turn(now, p)
 	if b.State == Open {
 		return b.Ledger.Holders[holder].Granted
 	}
-	lack := target - b.Ledger.Holders[holder].Held()
+	lack := need - b.Ledger.Holders[holder].Held()
 	if lack > 0 && b.Ledger.Room(now, p.limits()) < lack {
 		b.trip(now, lack, p)
 		return b.Ledger.Holders[holder].Granted
