Returns to an earlier life of a process are no longer taken for its own

Cause, found by reading: ids of commands and of passed inquiries began anew with each life of a process, at the same address, so a return or a stream that was under way when it died could be taken for one that its next life asked for. Change: ids carry a random mark of the life; a join of a life that is known to have ended is refused.

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -27,6 +27,7 @@
 	hints   map[int]string
 	calls   slab.Slab[*call]
 	pending map[slab.Ticket]*call
+	salt    uint64
 	// Tries counts the attempts made.
 	Tries int64
 }
@@ -75,7 +76,7 @@
 	k.tries++
 	c.Tries++
 	k.again = now + c.Retry
-	c.Send(to, Command{ID: uint64(k.ticket), Part: k.part, Raw: k.raw})
+	c.Send(to, Command{ID: c.Mark(k.ticket), Part: k.part, Raw: k.raw})
 }
 
 // Hint tells who owns a part.
@@ -86,6 +87,18 @@
 	c.hints[number] = address
 }
 
+// Mark turns a ticket into an id that no other life of this process gives out,
+// so that a return to an earlier life finds nothing here.
+func (c *Caller) Mark(t slab.Ticket) uint64 {
+	for c.salt == 0 {
+		c.salt = uint64(c.Random()*(1<<31))<<31 | uint64(c.Random()*(1<<31))
+	}
+	return uint64(t) ^ c.salt
+}
+
+// Unmark turns an id back into a ticket.
+func (c *Caller) Unmark(id uint64) slab.Ticket { return slab.Ticket(c.Mark(slab.Ticket(id))) }
+
 // HintOf is who is thought to own a part.
 func (c *Caller) HintOf(number int) string { return c.hints[number] }
 
@@ -126,7 +139,7 @@
 
 // Receive takes an answer.
 func (c *Caller) Receive(now time.Duration, from string, r CommandReturn) {
-	k, ok := c.calls.Look(slab.Ticket(r.ID))
+	k, ok := c.calls.Look(c.Unmark(r.ID))
 	switch {
 	case !ok:
 	case r.Moved:
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -190,7 +190,7 @@
 	floor, _ := read[uint64](tx, floorKey)
 	m, ok := read[Member](tx, key)
 	switch {
-	case ok && m.Incarnation == c.Member.Incarnation && m.Ended:
+	case ok && m.HasEnded(c.Member.Incarnation):
 		return Termed{Ended: true, Floor: floor}
 	case ok && m.Incarnation != c.Member.Incarnation && !m.Ended:
 		if wait := r.members[key] + r.memberTerm() - now; wait > 0 {
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if a, ok := m.asked.Look(w.asked); ok {
-		m.send(a.to, Withdraw{ID: uint64(w.asked)})
+		m.send(a.to, Withdraw{ID: m.caller.Mark(w.asked)})
 		m.asked.Take(w.asked)
 		delete(m.open, w.asked)
 	}
@@ -284,7 +284,7 @@
 	m.Counters.Forwarded++
 	q := w.inquiry
 	q.Budget = w.until - now
-	m.send(a.to, Forward{ID: uint64(w.asked), Inquiry: q})
+	m.send(a.to, Forward{ID: m.caller.Mark(w.asked), Inquiry: q})
 }
 
 func (m *Machine) onForward(now time.Duration, from string, b Forward) {
@@ -313,7 +313,8 @@
 }
 
 func (m *Machine) onPieced(now time.Duration, from string, b Pieced) {
-	a, ok := m.asked.Look(slab.Ticket(b.ID))
+	t := m.caller.Unmark(b.ID)
+	a, ok := m.asked.Look(t)
 	if !ok || a.to != from {
 		return
 	}
@@ -329,7 +330,7 @@
 		a.next = 1
 	}
 	if b.Number != a.next {
-		m.loseAsked(now, slab.Ticket(b.ID), a)
+		m.loseAsked(now, t, a)
 		return
 	}
 	a.next++
@@ -341,8 +342,8 @@
 		}
 		return
 	}
-	m.asked.Take(slab.Ticket(b.ID))
-	delete(m.open, slab.Ticket(b.ID))
+	m.asked.Take(t)
+	delete(m.open, t)
 	key := w.tenant + "/" + w.inquiry.Program
 	if b.Piece.Kind == PieceVerdict && b.Piece.Verdict.Code == notOwner {
 		// It surely did not run there. Find out who owns it now, and go on.
@@ -367,7 +368,7 @@
 func (m *Machine) loseAsked(now time.Duration, t slab.Ticket, a *asked) {
 	m.asked.Take(t)
 	delete(m.open, t)
-	m.send(a.to, Withdraw{ID: uint64(t)})
+	m.send(a.to, Withdraw{ID: m.caller.Mark(t)})
 	delete(m.owners, a.way.tenant+"/"+a.way.inquiry.Program)
 	ran := verdict.Maybe
 	if a.way.inquiry.Kind == Look || a.way.inquiry.Kind == Close {
@@ -416,7 +417,7 @@
 			a.again = now + m.params.Core.Retry
 			q := a.way.inquiry
 			q.Budget = a.until - now
-			m.send(a.to, Forward{ID: uint64(t), Inquiry: q})
+			m.send(a.to, Forward{ID: m.caller.Mark(t), Inquiry: q})
 		}
 	}
 	for _, t := range m.liveShots() {
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -308,12 +308,12 @@
 	p := &passed{from: from, command: b, until: now + m.params.Core.MemberTerm}
 	t := m.passed.Keep(p)
 	m.passing = append(m.passing, t)
-	b.ID = uint64(t) | passedOn
+	b.ID = m.caller.Mark(t) | passedOn
 	m.send(to, b)
 }
 
 func (m *Machine) passBack(now time.Duration, b core.CommandReturn) {
-	t := slab.Ticket(b.ID &^ passedOn)
+	t := m.caller.Unmark(b.ID &^ passedOn)
 	p, ok := m.passed.Look(t)
 	if !ok {
 		return
