A candidate's own promise is on disk before it asks for any other

Cause, found by reading: a candidate sent its stand to the other seats before its own promise was synced. Killed in between, its next life could stand for the same term, get it again, and write other values under the same stamps. Change: the promise is recorded first and the stand waits for its sync. Before: every group test names the stand without a promise.

--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -473,9 +473,14 @@
 
 func (m *Machine) ask(now time.Duration) {
 	o := m.owning
+	if !o.asking && m.copy.Promised != o.term {
+		// This seat's own promise is on disk before any other is asked for, so
+		// that no later life of it can stand for the same term.
+		m.record(Record{Promised: o.term})
+	}
 	for _, seat := range o.group.All() {
 		if _, ok := o.promises[seat]; !ok {
-			m.send(seat, Stand{Ask: o.asking, Term: o.term, Group: o.group, Released: o.released, Sent: now}, false)
+			m.send(seat, Stand{Ask: o.asking, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
 		}
 	}
 }
--- a/rule/part/machine_test.go
+++ b/rule/part/machine_test.go
@@ -60,6 +60,11 @@
 
 func (b *bench) take(from string, o Output) {
 	for _, s := range o.Sends {
+		// A candidate's own promise must be on its disk before it asks for
+		// others', or its next life could own the part under the same term.
+		if stand, ok := s.Body.(Stand); ok && !stand.Ask && s.To != from && (!s.Synced || b.seats[from].copy.Promised != stand.Term) {
+			b.t.Errorf("%s stands for %v with no durable promise of its own", from, stand.Term)
+		}
 		b.box = append(b.box, parcel{from, s.To, s.Body})
 	}
 	for _, r := range o.Returns {
