A reached cap no longer tells a requester to come back in a millisecond

Cause: every refusal with 429 or 503 got at least one millisecond, also those of caps that never heal; a requester that obeys would ask again at once, for ever. Change: such refusals have no time to come back; every 503 has one. Before: retry_after_ms 1 with steps_reached.

--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -119,8 +119,8 @@
 	}
 	m.Counters.Refused++
 	m.Counters.Refusals[v.Code]++
-	if v.Status == 429 || v.Status == 503 {
-		v.RetryAfter = max(v.RetryAfter, time.Millisecond)
+	if v.Status == 503 && v.RetryAfter <= 0 {
+		v.RetryAfter = m.params.Core.Pull
 	}
 	if w.ran != verdict.No && v.Ran == verdict.No {
 		v.Ran = verdict.Maybe
--- a/rehearsalkit/simulator/conformance_test.go
+++ b/rehearsalkit/simulator/conformance_test.go
@@ -175,8 +175,11 @@
 	if warned != 2 {
 		t.Errorf("%d warnings of steps before the cap; from 80%% on there are two", warned)
 	}
-	a, _ := turn(w, 1, p.Text, head, 10)
+	a, last := turn(w, 1, p.Text, head, 10)
 	want(t, "an eleventh step", a, "steps_reached")
+	if last.Verdict.RetryAfter != 0 {
+		t.Errorf("a reached cap says come back in %v; it never heals", last.Verdict.RetryAfter)
+	}
 
 	_, p = open(w, 1, "same")
 	for i, arguments := range []string{`{"a":1,"b":[2]}`, ` { "b":[2], "a":1 }`} {
