--- a/rehearsalkit/simulator/failure_test.go
+++ b/rehearsalkit/simulator/failure_test.go
@@ -650,3 +650,45 @@
 	}
 	noBreach(t, w)
 }
+
+// A replica whose shots break again and again is left out for a time, longer
+// each time, and tried again afterwards.
+func TestEjection(t *testing.T) {
+	w := judged(small(func(role, tenant, services, breaker tree) {
+		role["sessions_per_minute"], role["concurrent_sessions"], role["steps"], role["session_seconds"], role["program_tokens_hard"] = 1000, 1000, 1000, 600, 10_000_000
+	}))
+	bad := w.models[0]
+	bad.loses = 1
+	_, p := open(w, 0, "u")
+	head := program.Start
+	take := func(n int) (shots, broken int) {
+		from := len(w.Record.Shots)
+		for i := 0; i < n; i++ {
+			a, last := turn(w, 0, p.Text, head, 5)
+			if a.Outcome == judge.Whole {
+				head = last.Head
+			} else {
+				broken++
+			}
+		}
+		for _, s := range w.Record.Shots[from:] {
+			if s.Replica == bad.name() {
+				shots++
+			}
+		}
+		return shots, broken
+	}
+	first, broken := take(60)
+	if first < 3 || broken > 12 {
+		t.Errorf("%d shots at the failing replica, %d broken turns of 60", first, broken)
+	}
+	if at := w.nodes[0].nodeM; at.Counters.Broken > 12 {
+		t.Errorf("%d broken shots", at.Counters.Broken)
+	}
+	bad.loses = 0
+	w.Pass(20 * time.Second)
+	if again, _ := take(60); again == 0 {
+		t.Error("the replica is well again and is never tried")
+	}
+	noBreach(t, w)
+}
