One piece of code where two did the same

Cause: reading the change once more. Steps that wait for a time were kept twice, in core and node; seeds were run by two copies of one loop, in the test and the command; keys were put in order by hand in six places beside ordered.Keys; a passed inquiry was sent, and a changed record saved, from several copies. Change: core.Later, simulator.RunSeeds, ordered.Keys, sendForward, resave and onlyTests serve all of them; fields that nothing read are gone, and a core no longer reads its own entries twice when it begins. Ruled out: a change of behaviour.

Also: a core that starts again copies its image before its machine runs; the race detector saw the copy being read while the machine wrote to it.

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
 	"saffronfall/rule/slab"
 )
 
@@ -39,7 +40,6 @@
 	until   time.Duration
 	again   time.Duration
 	tries   int
-	maybe   bool
 	outcome func(now time.Duration, o Outcome)
 }
 
@@ -105,12 +105,11 @@
 // Tick tries again what got no answer, and ends what has no budget left.
 func (c *Caller) Tick(now time.Duration) {
 	var due []*call
-	for _, k := range c.pending {
-		if now >= k.until || now >= k.again {
+	for _, t := range ordered.Keys(c.pending) {
+		if k := c.pending[t]; now >= k.until || now >= k.again {
 			due = append(due, k)
 		}
 	}
-	sortCalls(due)
 	for _, k := range due {
 		if now >= k.until {
 			c.end(now, k, Outcome{Unsure: true, Sent: k.tries > 0})
@@ -121,14 +120,6 @@
 	}
 }
 
-func sortCalls(calls []*call) {
-	for i := 1; i < len(calls); i++ {
-		for j := i; j > 0 && calls[j].ticket < calls[j-1].ticket; j-- {
-			calls[j], calls[j-1] = calls[j-1], calls[j]
-		}
-	}
-}
-
 func (c *Caller) end(now time.Duration, k *call, o Outcome) {
 	if _, ok := c.calls.Take(k.ticket); !ok {
 		return
--- a/peer/core/life.go
+++ b/peer/core/life.go
@@ -99,7 +99,7 @@
 		case !ok:
 			next(now, made)
 		default:
-			m.waits = append(m.waits, wait{at: now + m.params.Pull, next: func(now time.Duration) { m.move(now, moves, made, until, next) }})
+			m.later.Add(now+m.params.Pull, func(now time.Duration) { m.move(now, moves, made, until, next) })
 		}
 	})
 }
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -50,7 +51,7 @@
 				return (i+n)%len(cores) < (best+n)%len(cores)
 			}
 			for i, c := range cores {
-				if !contains(group, c.Seat()) && better(i) {
+				if !slices.Contains(group, c.Seat()) && better(i) {
 					best = i
 				}
 			}
@@ -71,15 +72,6 @@
 	return f
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Stored is what a core's disk holds.
 type Stored struct {
 	Incarnation string            `msgpack:"i"`
@@ -170,10 +162,9 @@
 	random   func() float64
 	gossipAt time.Duration
 	sweepAt  time.Duration
-	ticked   time.Duration
 	leaving  bool
 	stalled  bool
-	waits    []wait
+	later    Later
 	seeds    []string
 	lookAt   time.Duration
 	mending  bool
@@ -182,11 +173,6 @@
 	samples  map[string][]rehearsal.Sample
 }
 
-type wait struct {
-	at   time.Duration
-	next func(now time.Duration)
-}
-
 type origin struct {
 	from    string
 	id      uint64
@@ -228,7 +214,6 @@
 	for _, n := range ordered.Keys(s.Copies) {
 		m.seat(now, n, s.Copies[n])
 	}
-	m.learnCores()
 }
 
 func (m *Machine) seat(now time.Duration, n int, c part.Copy) *part.Machine {
@@ -364,15 +349,7 @@
 		m.mend(now)
 	}
 	m.caller.Tick(now)
-	due := m.waits
-	m.waits = nil
-	for _, w := range due {
-		if now >= w.at {
-			w.next(now)
-		} else {
-			m.waits = append(m.waits, w)
-		}
-	}
+	m.later.Tick(now)
 	return *m.out
 }
 
@@ -625,7 +602,6 @@
 	Code    string               `json:"code,omitempty"`
 	Reason  string               `json:"reason,omitempty"`
 	Faults  configuration.Faults `json:"faults,omitempty"`
-	Lagging []string             `json:"lagging,omitempty"`
 	Figures *rehearsal.Figures   `json:"figures,omitempty"`
 }
 
@@ -749,7 +725,7 @@
 		next(now, all)
 		return
 	}
-	m.waits = append(m.waits, wait{at: now + m.params.Pull/4, next: func(now time.Duration) { m.gathering(now, until, id, want, next) }})
+	m.later.Add(now+m.params.Pull/4, func(now time.Duration) { m.gathering(now, until, id, want, next) })
 }
 
 func (m *Machine) answer(ticket uint64, body any) {
@@ -786,7 +762,7 @@
 			waiting--
 			if waiting == 0 && !ended {
 				ended = true
-				m.waits = append(m.waits, wait{at: now + m.params.Pull/4, next: func(now time.Duration) { m.floor(now, taking, ticket, until, done) }})
+				m.later.Add(now+m.params.Pull/4, func(now time.Duration) { m.floor(now, taking, ticket, until, done) })
 			}
 		})
 	}
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strings"
 	"time"
 
@@ -218,7 +219,7 @@
 	if m.Incarnation == incarnation {
 		return m.Ended
 	}
-	return contains(m.Past, incarnation)
+	return slices.Contains(m.Past, incarnation)
 }
 
 // Holder names a member's incarnation as a holder of shares.
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -380,11 +380,7 @@
 	if !reflect.DeepEqual(l, before) {
 		write(tx, key, l)
 	}
-	return Shared{Granted: granted, Target: target, Others: names(l.Holders)}
-}
-
-func names(holders map[string]allowance.Books) []string {
-	return ordered.Keys(holders)
+	return Shared{Granted: granted, Target: target, Others: ordered.Keys(l.Holders)}
 }
 
 func (b BreakerLimits) params() breaker.Params {
@@ -433,7 +429,7 @@
 	b.Turn(clock, params)
 	granted := b.Draw(clock, c.Holder, c.Target, c.Need, params)
 	r.keepBreaker(tx, b, before)
-	return Shared{Granted: granted, Open: b.State == breaker.Open, Left: b.Left(clock, params), Others: names(b.Ledger.Holders)}
+	return Shared{Granted: granted, Open: b.State == breaker.Open, Left: b.Left(clock, params), Others: ordered.Keys(b.Ledger.Holders)}
 }
 
 func (r *rules) claimOnce(tx *part.Tx, c ClaimOnce) any {
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -278,13 +278,18 @@
 		m.refuse(w, unsure("the program is changing hands"))
 		return
 	}
-	a := &asked{way: w, to: owner.Peer, member: owner, until: w.until, again: now + m.params.Core.Retry}
+	a := &asked{way: w, to: owner.Peer, member: owner, until: w.until, next: 1}
 	w.asked = m.asked.Keep(a)
 	m.open[w.asked] = a
 	m.Counters.Forwarded++
-	q := w.inquiry
-	q.Budget = w.until - now
-	m.send(a.to, Forward{ID: m.caller.Mark(w.asked), Inquiry: q})
+	m.sendForward(now, w.asked, a)
+}
+
+func (m *Machine) sendForward(now time.Duration, t slab.Ticket, a *asked) {
+	a.again = now + m.params.Core.Retry
+	q := a.way.inquiry
+	q.Budget = a.until - now
+	m.send(a.to, Forward{ID: m.caller.Mark(t), Inquiry: q})
 }
 
 func (m *Machine) onForward(now time.Duration, from string, b Forward) {
@@ -318,17 +323,10 @@
 	if !ok || a.to != from {
 		return
 	}
+	a.taken = true
 	if b.Piece.Kind == PieceTaken {
-		a.taken = true
-		if a.next == 0 {
-			a.next = 1
-		}
 		return
 	}
-	a.taken = true
-	if a.next == 0 {
-		a.next = 1
-	}
 	if b.Number != a.next {
 		m.loseAsked(now, t, a)
 		return
@@ -352,7 +350,7 @@
 			m.refuse(w, unsure("the program is changing hands"))
 			return
 		}
-		m.later(now+m.params.Core.Pull/4, func(now time.Duration) { m.locate(now, w) })
+		m.later.Add(now+m.params.Core.Pull/4, func(now time.Duration) { m.locate(now, w) })
 		return
 	}
 	m.end(w, b.Piece)
@@ -394,7 +392,7 @@
 			m.loseAsked(now, t, a)
 		default:
 			// One that left in good order still says that it is not the owner.
-			m.later(now+2*m.params.Core.Retry, func(now time.Duration) {
+			m.later.Add(now+2*m.params.Core.Retry, func(now time.Duration) {
 				if still, ok := m.asked.Look(t); ok && still == a {
 					m.loseAsked(now, t, a)
 				}
@@ -414,10 +412,7 @@
 		case now >= a.until:
 			m.loseAsked(now, t, a)
 		case !a.taken && now >= a.again:
-			a.again = now + m.params.Core.Retry
-			q := a.way.inquiry
-			q.Budget = a.until - now
-			m.send(a.to, Forward{ID: m.caller.Mark(t), Inquiry: q})
+			m.sendForward(now, t, a)
 		}
 	}
 	for _, t := range m.liveShots() {
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -56,13 +56,11 @@
 	versions map[int]part.Stamp
 	fresh    map[int]time.Duration
 	entries  map[int]map[string]part.Entry
-	sources  []string
 	pullAt   time.Duration
 	pulls    int
 
 	description  *configuration.Description
 	version      uint64
-	text         []byte
 	tenants      []string
 	members      map[string]core.Member
 	replicas     map[string]map[string]core.Replica
@@ -99,7 +97,7 @@
 	served   map[string]*servedWay
 	passed   slab.Slab[*passed]
 	passing  []slab.Ticket
-	delayed  []delayed
+	later    core.Later
 	nextID   uint64
 	samples  []rehearsal.Sample
 	nextSamp int
@@ -211,7 +209,7 @@
 	m.report(now)
 	m.tickWays(now)
 	m.tickPrograms(now)
-	m.tickLater(now)
+	m.later.Tick(now)
 	m.tickPassed(now)
 	m.drain(now)
 	return *m.out
@@ -339,28 +337,6 @@
 	until   time.Duration
 }
 
-// later runs a step at a tick after a time has come.
-func (m *Machine) later(at time.Duration, next func(now time.Duration)) {
-	m.delayed = append(m.delayed, delayed{at: at, next: next})
-}
-
-type delayed struct {
-	at   time.Duration
-	next func(now time.Duration)
-}
-
-func (m *Machine) tickLater(now time.Duration) {
-	due := m.delayed
-	m.delayed = nil
-	for _, d := range due {
-		if now >= d.at {
-			d.next(now)
-		} else {
-			m.delayed = append(m.delayed, d)
-		}
-	}
-}
-
 func (m *Machine) tickPassed(now time.Duration) {
 	for len(m.passing) > 0 {
 		p, ok := m.passed.Look(m.passing[0])
@@ -589,7 +565,7 @@
 		if len(faults) > 0 {
 			return
 		}
-		m.description, m.version, m.text, m.tenants = d, c.Version, c.Text, d.TenantNames()
+		m.description, m.version, m.tenants = d, c.Version, d.TenantNames()
 		m.renewAt = now
 	case "member":
 		var o core.Member
@@ -711,6 +687,12 @@
 	m.pushSave(now, h)
 }
 
+// resave makes a changed record durable, with nobody waiting for it.
+func (m *Machine) resave(now time.Duration, h *held) {
+	h.record.Version++
+	m.pushSave(now, h)
+}
+
 func (m *Machine) pushSave(now time.Duration, h *held) {
 	if h.saving || h.lost || h.saved >= h.record.Version {
 		if h.lost {
@@ -921,7 +903,7 @@
 	m.caller.Call(now, core.LeaveMember{ID: m.params.ID, Incarnation: m.incarnation}, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		// Until every other node has learned it, some may still pass inquiries
 		// here, and are told to ask elsewhere.
-		m.later(now+3*m.params.Core.Pull, func(time.Duration) { m.left = true })
+		m.later.Add(now+3*m.params.Core.Pull, func(time.Duration) { m.left = true })
 	})
 }
 
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -151,17 +151,16 @@
 	})
 }
 
-func (m *Machine) learnShare(now time.Duration, s *share, o core.Outcome) bool {
+func (m *Machine) learnShare(now time.Duration, s *share, o core.Outcome) {
 	r, ok := o.Answer.(core.Shared)
 	if !ok {
-		return false
+		return
 	}
 	s.books.Granted = max(s.books.Granted, r.Granted)
 	s.others = r.Others
 	if s == m.money && r.Open {
 		m.openUntil = now + r.Left
 	}
-	return true
 }
 
 func (m *Machine) askDay(tenant string, s *share) func(target int64) any {
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -73,7 +73,7 @@
 		m.refuse(w, denied("unknown_service", "no such model service", 400))
 		return
 	case m.breakerState == breaker.HalfOpen && h.record.Test == 0:
-		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "breaker", Code: "breaker_half_open", Reason: "only test sessions are gated", Status: 503, RetryAfter: time.Second}))
+		m.refuse(w, onlyTests())
 		return
 	case h.record.Busy(q.Line):
 		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "program", Code: "turn_running", Reason: "a turn of this conversation is running", Status: 409, RetryAfter: time.Second, Head: line.Head}))
@@ -105,6 +105,10 @@
 	m.drawTurn(now, s)
 }
 
+func onlyTests() verdict.Verdict {
+	return verdict.Refused(verdict.Refusal{Check: "breaker", Code: "breaker_half_open", Reason: "only test sessions are gated", Status: 503, RetryAfter: time.Second})
+}
+
 func fits(told, kept []program.Turn) bool {
 	if len(told) == 0 {
 		return true
@@ -154,8 +158,7 @@
 		return
 	}
 	s.held.record.Unreserve(s.turn)
-	s.held.record.Version++
-	m.pushSave(now, s.held)
+	m.resave(now, s.held)
 }
 
 // refund gives back what a shot that did not run had taken.
@@ -269,8 +272,7 @@
 	case Tool:
 		if !s.held.lost {
 			s.held.record.UncallTool(s.way.inquiry.Service, s.arguments)
-			s.held.record.Version++
-			m.pushSave(now, s.held)
+			m.resave(now, s.held)
 		}
 	case Action:
 		m.endOnce(now, s, core.OnceFree, 0, nil, func(time.Duration, bool) {})
@@ -376,8 +378,7 @@
 	}
 	if !good {
 		h.record.Fail(s.turn)
-		h.record.Version++
-		m.pushSave(now, h)
+		m.resave(now, h)
 		m.breakOff(now, w)
 		return
 	}
@@ -427,7 +428,7 @@
 		return
 	}
 	if m.breakerState == breaker.HalfOpen && h.record.Test == 0 {
-		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "breaker", Code: "breaker_half_open", Reason: "only test sessions are gated", Status: 503, RetryAfter: time.Second}))
+		m.refuse(w, onlyTests())
 		return
 	}
 	v := h.record.Tool(h.offset+now, name, arguments, role, service, m.description.WarnRatio)
@@ -457,8 +458,7 @@
 	}
 	if e.Kind != EventDone {
 		if !h.lost {
-			h.record.Version++
-			m.pushSave(now, h)
+			m.resave(now, h)
 		}
 		m.breakOff(now, w)
 		return
--- a/peer/operator/call.go
+++ b/peer/operator/call.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sort"
 
 	"github.com/cockroachdb/errors"
 
@@ -141,12 +140,3 @@
 		}
 	}
 }
-
-func sortedCores(cores map[string]core.Core) []string {
-	ids := make([]string, 0, len(cores))
-	for id := range cores {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -15,6 +15,7 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
 )
 
@@ -287,7 +288,7 @@
 	}
 	t := body.(core.Topology)
 	s.Fleet = t.Fleet
-	for _, id := range sortedCores(t.Cores) {
+	for _, id := range ordered.Keys(t.Cores) {
 		s.Cores = append(s.Cores, t.Cores[id])
 	}
 	for n := range t.Owners {
--- a/rehearsalkit/judge/judge.go
+++ b/rehearsalkit/judge/judge.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sort"
 	"time"
+
+	"saffronfall/rule/ordered"
 )
 
 // Shot is a piece of work that reached a back end.
@@ -137,7 +139,7 @@
 	}
 	most := r.Limits.ProgramTokens + r.Limits.TurnTokens
 	for _, side := range []map[string]int64{made, got} {
-		for _, p := range sorted(side) {
+		for _, p := range ordered.Keys(side) {
 			if side[p] > most {
 				list = append(list, breach(1, "program %s got %d tokens; at most %d", p, side[p], most))
 			}
@@ -193,7 +195,7 @@
 			list = append(list, breach(11, "once-key %s was answered and never ran", a.Once))
 		}
 	}
-	for _, k := range sorted(all) {
+	for _, k := range ordered.Keys(all) {
 		if all[k] == not[k] && ran[k] > 0 {
 			list = append(list, breach(4, "once-key %s was only refused as not run, and ran", k))
 		}
@@ -287,7 +289,7 @@
 	for _, s := range r.Shots {
 		times[s.Tenant] = append(times[s.Tenant], s.At)
 	}
-	for _, tenant := range sorted(times) {
+	for _, tenant := range ordered.Keys(times) {
 		rate, ok := r.Limits.Rate[tenant]
 		if !ok {
 			continue
@@ -373,15 +375,6 @@
 	return list
 }
 
-func sorted[T any](m map[string]T) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // Gap is the longest time in which no turn came whole.
 func (r *Record) Gap() time.Duration {
 	var ends []time.Duration
@@ -408,7 +401,7 @@
 		}
 	}
 	var list []time.Duration
-	for _, key := range sorted(turns) {
+	for _, key := range ordered.Keys(turns) {
 		sort.SliceStable(turns[key], func(i, j int) bool { return turns[key][i].At < turns[key][j].At })
 		since := time.Duration(-1)
 		for _, a := range turns[key] {
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"syscall"
 	"time"
@@ -164,35 +163,14 @@
 		first = rand.Uint64N(1 << 40)
 	}
 	fmt.Printf("seeds %d to %d\n", first, first+uint64(c.Seeds)-1)
-	type outcome struct {
-		seed     uint64
-		breaches []judge.Breach
-		whole    int64
-	}
-	work, done := make(chan uint64), make(chan outcome)
-	for i := 0; i < runtime.NumCPU(); i++ {
-		go func() {
-			for seed := range work {
-				w, breaches := simulator.Run(simulator.Defaults(seed))
-				done <- outcome{seed, breaches, w.Counts["asked turn whole"]}
-			}
-		}()
-	}
-	go func() {
-		for i := 0; i < c.Seeds; i++ {
-			work <- first + uint64(i)
-		}
-		close(work)
-	}()
 	broken, whole := 0, int64(0)
-	for i := 0; i < c.Seeds; i++ {
-		o := <-done
-		whole += o.whole
-		for _, b := range o.breaches {
+	simulator.RunSeeds(first, c.Seeds, func(o simulator.Outcome) {
+		whole += o.Whole
+		for _, b := range o.Breaches {
 			broken++
-			fmt.Printf("BROKEN seed %d: %s\n", o.seed, b)
+			fmt.Printf("BROKEN seed %d: %s\n", o.Seed, b)
 		}
-	}
+	})
 	fmt.Printf("%d seeds, %d whole turns, %d breaches\n", c.Seeds, whole, broken)
 	if broken > 0 {
 		return errors.Newf("%d breaches", broken)
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"sort"
+	"runtime"
 	"time"
 
 	"saffronfall/peer/core"
@@ -278,10 +278,9 @@
 // Summary lists what was counted, in order.
 func (w *World) Summary() []string {
 	var lines []string
-	for name, n := range w.Counts {
-		lines = append(lines, fmt.Sprintf("%s: %d", name, n))
+	for _, name := range ordered.Keys(w.Counts) {
+		lines = append(lines, fmt.Sprintf("%s: %d", name, w.Counts[name]))
 	}
-	sort.Strings(lines)
 	return lines
 }
 
@@ -358,3 +357,33 @@
 	p.kill()
 	w.after(w.between(100*time.Millisecond, time.Second), p.boot)
 }
+
+// Outcome is what became of one seed.
+type Outcome struct {
+	Seed     uint64
+	Breaches []judge.Breach
+	Whole    int64
+}
+
+// RunSeeds runs seeds one after the other on each processor, and tells their
+// outcomes as they come.
+func RunSeeds(first uint64, count int, tell func(o Outcome)) {
+	work, done := make(chan uint64), make(chan Outcome)
+	for i := 0; i < runtime.NumCPU(); i++ {
+		go func() {
+			for seed := range work {
+				w, breaches := Run(Defaults(seed))
+				done <- Outcome{Seed: seed, Breaches: breaches, Whole: w.Counts["asked turn whole"]}
+			}
+		}()
+	}
+	go func() {
+		for i := 0; i < count; i++ {
+			work <- first + uint64(i)
+		}
+		close(work)
+	}()
+	for i := 0; i < count; i++ {
+		tell(<-done)
+	}
+}
--- a/rehearsalkit/simulator/simulator_test.go
+++ b/rehearsalkit/simulator/simulator_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"runtime"
 	"testing"
 )
 
@@ -14,41 +13,16 @@
 
 // TestSeeds runs the fleet under all faults, one world a seed.
 func TestSeeds(t *testing.T) {
-	type outcome struct {
-		seed     uint64
-		breaches []string
-		whole    int64
-	}
-	work, done := make(chan uint64), make(chan outcome)
-	for i := 0; i < runtime.NumCPU(); i++ {
-		go func() {
-			for seed := range work {
-				w, breaches := Run(Defaults(seed))
-				o := outcome{seed: seed, whole: w.Counts["asked turn whole"]}
-				for _, b := range breaches {
-					o.breaches = append(o.breaches, b.String())
-				}
-				done <- o
-			}
-		}()
-	}
-	go func() {
-		for i := 0; i < *seeds; i++ {
-			work <- *first + uint64(i)
-		}
-		close(work)
-	}()
 	var whole int64
-	for i := 0; i < *seeds; i++ {
-		o := <-done
-		whole += o.whole
-		for _, b := range o.breaches {
-			t.Errorf("seed %d: %s", o.seed, b)
+	RunSeeds(*first, *seeds, func(o Outcome) {
+		whole += o.Whole
+		for _, b := range o.Breaches {
+			t.Errorf("seed %d: %s", o.Seed, b)
 		}
-		if o.whole < 20 {
-			t.Errorf("seed %d: only %d whole turns; a run that serves nothing proves nothing", o.seed, o.whole)
+		if o.Whole < 20 {
+			t.Errorf("seed %d: only %d whole turns; a run that serves nothing proves nothing", o.Seed, o.Whole)
 		}
-	}
+	})
 	fmt.Printf("%d seeds, %d whole turns\n", *seeds, whole)
 }
 
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -83,6 +83,8 @@
 	}
 	s := &process{params: p, log: log, streams: streams, start: time.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
+	var image core.Stored
+	image.CopyFrom(stored)
 	s.machine = core.New(core.Options{Params: p.Core(), ID: p.ID, Zone: p.Zone, Address: p.PeerAdvertise, Operator: p.OperatorAdvertise, Seeds: p.Seeds,
 		Stored: stored, Now: s.now(), Random: rand.Float64})
 	log.Info("core started", "id", p.ID, "incarnation", stored.Incarnation, "founded", s.machine.Founded())
@@ -91,7 +93,7 @@
 	life, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return s.own(ctx, life) }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
-	group.Add(func() error { return s.write(life, folder, stored) }, func(error) { cancel() })
+	group.Add(func() error { return s.write(life, folder, image) }, func(error) { cancel() })
 	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second}
 	group.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -261,10 +263,8 @@
 
 // write is the goroutine that owns the disk. It keeps its own image of what is
 // stored, so that a slot can be written without asking the machine.
-func (s *process) write(life context.Context, folder *disk.Folder, stored core.Stored) error {
+func (s *process) write(life context.Context, folder *disk.Folder, image core.Stored) error {
 	defer folder.Close()
-	image := core.Stored{Incarnation: stored.Incarnation, Founding: stored.Founding}
-	image.CopyFrom(stored)
 	slotSize := int64(1 << 20)
 	for {
 		select {
