The judge keeps its own books, judges order at session starts and nodes over their lives

Cause: rule 8 filed probes by a node's life, rule 6 took any prefix of an answer in any order, rule 12 was not judged, rule 2 went by refusals only, rule 9 did not look at the end of a run, and the fleet made probe times up. A run did not tell whether a rule's situation came about.

--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -78,6 +78,9 @@
 	record   *judge.Record
 	ctx      context.Context
 	seeds    []string
+	// marks are the keys of all descriptions that were handed over, with their
+	// versions; only the owner of the record uses it.
+	marks map[string]uint64
 }
 
 func (f *Fleet) now() time.Duration { return time.Since(f.start) }
@@ -95,9 +98,10 @@
 
 // New lays a fleet out and writes its settings files.
 func New(ctx context.Context, l Layout) (*Fleet, error) {
-	f := &Fleet{Layout: l, links: newLinks(ctx), start: time.Now(), notes: make(chan func(*judge.Record), 64), ctx: ctx, record: &judge.Record{},
+	f := &Fleet{Layout: l, links: newLinks(ctx), start: time.Now(), notes: make(chan func(*judge.Record), 64), ctx: ctx, record: &judge.Record{}, marks: map[string]uint64{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
-	f.record.Limits = judge.Limits{ProgramTokens: 50_000, TurnTokens: 1000, Keep: time.Hour, Late: 2 * time.Second, Rate: map[string]float64{}, Burst: map[string]float64{}}
+	f.record.Limits = judge.Limits{ProgramTokens: 50_000, TurnTokens: 1000, Keep: time.Hour, Late: 2 * time.Second, Rate: map[string]float64{}, Burst: map[string]float64{},
+		MinuteDollars: 50, Price: map[string]float64{"model": 10}, Drift: 0.03, Users: map[string]judge.UserLimits{}}
 	go func() {
 		for {
 			select {
@@ -136,6 +140,7 @@
 	for i := 1; i <= l.Tenants; i++ {
 		name := fmt.Sprintf("t%d", i)
 		f.record.Limits.Rate[name], f.record.Limits.Burst[name] = l.Rate, float64(l.Burst)
+		f.record.Limits.Users[name] = judge.UserLimits{PerMinute: 600, Lockout: 300 * time.Second, Concurrent: 20, Session: 600 * time.Second, DayTokens: 500_000}
 	}
 	return f, nil
 }
@@ -169,6 +174,9 @@
 		return errors.Wrap(err, "log")
 	}
 	defer out.Close()
+	if m.command != nil {
+		f.note(func(r *judge.Record) { r.Restarts = append(r.Restarts, judge.Restart{At: f.now(), Who: m.Name}) })
+	}
 	m.command = exec.Command(f.Layout.Binary, m.Role, m.settings)
 	m.command.Stdout, m.command.Stderr = out, out
 	m.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -289,6 +297,7 @@
 	if err == nil {
 		err = json.Unmarshal(raw, &taking)
 	}
+	f.noteTaken(mark, basedOn, taking)
 	return taking, status, err
 }
 
@@ -297,6 +306,7 @@
 	driving, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	ended := make(chan struct{})
+	go f.probe(driving)
 	for i := 0; i < f.Layout.Users; i++ {
 		go func() {
 			f.live(driving, fmt.Sprintf("u%d", i), fmt.Sprintf("t%d", i%f.Layout.Tenants+1))
@@ -309,7 +319,8 @@
 }
 
 // Finish judges the run.
-func (f *Fleet) Finish() (*judge.Record, []judge.Breach) {
+func (f *Fleet) Finish(ctx context.Context) (*judge.Record, []judge.Breach) {
+	f.lastLook(ctx)
 	var copied judge.Record
 	f.note(func(r *judge.Record) {
 		copied = *r
--- a/rehearsalkit/fleet/requester.go
+++ b/rehearsalkit/fleet/requester.go
@@ -28,14 +28,14 @@
 }
 
 type asking struct {
-	method, path, key, kind, program, line, mark, once, service string
-	body                                                        map[string]any
-	within                                                      time.Duration
+	method, path, key, kind, user, program, line, mark, once, service string
+	body                                                              map[string]any
+	within                                                            time.Duration
 }
 
 // ask makes one inquiry over HTTP and records what its requester saw.
 func (f *Fleet) ask(ctx context.Context, at *Machine, q asking) (judge.Asked, got) {
-	a := judge.Asked{At: f.now(), Kind: q.kind, Tenant: tenantOf(q.key), Program: q.program, Line: q.line, Mark: q.mark, Once: q.once, Service: q.service, Outcome: judge.Silent}
+	a := judge.Asked{At: f.now(), Kind: q.kind, Node: at.Name, Tenant: tenantOf(q.key), User: q.user, Program: q.program, Line: q.line, Mark: q.mark, Once: q.once, Service: q.service, Outcome: judge.Silent}
 	var last got
 	// An inquiry that is under way when the run ends is seen to its end.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.within+500*time.Millisecond)
@@ -71,6 +71,7 @@
 			a.Outcome = judge.Whole
 			if answer.StatusCode >= 300 {
 				a.Outcome, a.Code, a.Ran = judge.Refused, last.Code, last.Ran
+				a.Wait = time.Duration(last.RetryAfterMS) * time.Millisecond
 			}
 		}
 		answer.Body.Close()
@@ -101,7 +102,7 @@
 func (f *Fleet) live(ctx context.Context, name, tenant string) {
 	key := "key-" + tenant
 	for serial := 0; ctx.Err() == nil; serial++ {
-		a, opened := f.ask(ctx, f.anyNode(), asking{method: "POST", path: "/v1/programs", key: key, kind: "open", body: map[string]any{"user": name}, within: 3 * time.Second})
+		a, opened := f.ask(ctx, f.anyNode(), asking{method: "POST", path: "/v1/programs", key: key, kind: "open", user: name, body: map[string]any{"user": name}, within: 3 * time.Second})
 		if a.Outcome != judge.Whole {
 			pause(ctx, 200*time.Millisecond, time.Second)
 			continue
--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -10,7 +10,6 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/operator"
-	"saffronfall/rehearsalkit/judge"
 )
 
 // Scenarios are what may fail while requesters live.
@@ -247,11 +246,6 @@
 				return
 			}
 			tell(f, "configuration %s based on %d: taken=%v %s", o.mark, base, o.taken, o.code)
-			if o.taken {
-				f.probe(ctx, o.mark, o.version)
-			} else if o.code == "race_lost" {
-				f.probeRefused(ctx, o.mark)
-			}
 			if o.version > version {
 				version = o.version
 			}
@@ -259,31 +253,6 @@
 	}
 }
 
-// probe looks at every node for a version's own key right after it was taken.
-func (f *Fleet) probe(ctx context.Context, mark string, version uint64) {
-	for _, m := range f.nodes {
-		a, _ := f.ask(ctx, m, asking{method: "GET", path: "/v1/programs/none", key: mark, kind: "look", body: map[string]any{}, within: time.Second})
-		if a.Code == "unknown_key" {
-			f.note(func(r *judge.Record) {
-				r.Taken = append(r.Taken, judge.Taken{At: a.At - r.Limits.Late - time.Millisecond, Version: version, Mark: mark})
-				r.Probes = append(r.Probes, judge.Probe{At: a.At, Node: m.Name, Version: version - 1})
-			})
-		}
-	}
-}
-
-func (f *Fleet) probeRefused(ctx context.Context, mark string) {
-	for _, m := range f.nodes {
-		a, _ := f.ask(ctx, m, asking{method: "GET", path: "/v1/programs/none", key: mark, kind: "look", body: map[string]any{}, within: time.Second})
-		if a.Code == "unknown_program" {
-			f.note(func(r *judge.Record) {
-				r.Taken = append(r.Taken, judge.Taken{Version: 1 << 40, Refused: true})
-				r.Probes = append(r.Probes, judge.Probe{At: a.At, Node: "refused", Version: 1 << 40})
-			})
-		}
-	}
-}
-
 // lose takes a core's disk away: it comes back with an empty folder.
 func (f *Fleet) lose(m *Machine) {
 	f.Kill(m)
--- a/rehearsalkit/judge/judge.go
+++ b/rehearsalkit/judge/judge.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"saffronfall/rule/ordered"
@@ -13,6 +15,7 @@
 // Shot is a piece of work that reached a back end.
 type Shot struct {
 	At      time.Duration
+	Ended   time.Duration
 	Service string
 	Replica string
 	Tenant  string
@@ -25,6 +28,8 @@
 	Most    int64
 	Once    string
 	Tool    bool
+	// Overran says that the replica gave more than it was asked for.
+	Overran bool
 }
 
 // Turn is one turn of a history.
@@ -42,7 +47,9 @@
 type Asked struct {
 	At, Ended time.Duration
 	Kind      string
+	Node      string
 	Tenant    string
+	User      string
 	Program   string
 	Line      string
 	Mark      string
@@ -50,6 +57,7 @@
 	Code      string
 	Ran       string
 	Status    int
+	Wait      time.Duration
 	Text      string
 	Tokens    int64
 	Once      string
@@ -65,20 +73,46 @@
 	Keep          time.Duration
 	// Late is how long what was learned may still be ignored.
 	Late time.Duration
+	// DayTokens and Users are the limits of a tenant's day and of its users.
+	DayTokens map[string]int64
+	Users     map[string]UserLimits
+	// MinuteDollars is the breaker's first threshold, Price that of a million
+	// tokens of a service, in dollars.
+	MinuteDollars float64
+	Price         map[string]float64
+	// Drift is by how much clocks may differ in their rates.
+	Drift float64
 }
 
-// Leaving is a replica that said so, and when a node had heard it.
+// UserLimits are what a tenant's users may do.
+type UserLimits struct {
+	PerMinute  int64
+	Lockout    time.Duration
+	Concurrent int64
+	Session    time.Duration
+	DayTokens  int64
+}
+
+// Leaving is a replica that said so, and when the first node got it.
 type Leaving struct {
 	At      time.Duration
 	Replica string
 }
 
-// Probe is one look at which configuration is in force at a node: the newest
-// version whose own key the node takes.
+// Probe is one look at which configuration is in force at a node, whatever its
+// life: the version whose own key the node takes between two moments. The last
+// probes are made when all has been mended for some time.
 type Probe struct {
-	At      time.Duration
-	Node    string
-	Version uint64
+	At, Ended time.Duration
+	Node      string
+	Version   uint64
+	Last      bool
+}
+
+// Restart is a process that was started again.
+type Restart struct {
+	At  time.Duration
+	Who string
 }
 
 // Taken is a configuration that an operator was told is taken, or refused.
@@ -97,6 +131,9 @@
 	Leaving []Leaving
 	Probes  []Probe
 	Taken   []Taken
+	// Nodes are those that must follow the last configuration in the end.
+	Nodes    []string
+	Restarts []Restart
 }
 
 // Breach is a broken rule.
@@ -110,7 +147,8 @@
 // Judge lists the breaches of a run.
 func (r *Record) Judge() []Breach {
 	var all []Breach
-	for _, check := range []func() []Breach{r.spending, r.notRun, r.once, r.gone, r.histories, r.quotas, r.configurations, r.leaving, r.whole} {
+	for _, check := range []func() []Breach{r.spending, r.notRun, r.once, r.gone, r.histories, r.quotas, r.configurations, r.leaving, r.whole,
+		r.allowances, r.tripped, r.starts} {
 		all = append(all, check()...)
 	}
 	return all
@@ -127,7 +165,7 @@
 	for _, s := range r.Shots {
 		if s.Program != "" && !s.Tool {
 			made[s.Program] += s.Tokens
-			if s.Tokens > s.Most {
+			if s.Tokens > s.Most && !s.Overran {
 				list = append(list, breach(1, "replica made %d tokens of %d for %s", s.Tokens, s.Most, s.Mark))
 			}
 		}
@@ -224,25 +262,30 @@
 	return list
 }
 
-// histories is rule 6: each history that a replica got is made of turns of
-// that very conversation, in order, with what replicas really answered, and
-// lacks none that its requester saw whole before the shot.
+// histories is rule 6: each history that a replica got has turns of that very
+// conversation, each once and in order. One that came whole is just what its
+// requester got; one that broke is what a replica gave, and its requester got
+// the beginning of it. No turn that its requester saw whole before is lacking,
+// and what was history once stays so.
 func (r *Record) histories() (list []Breach) {
 	type line struct{ program, line string }
 	said := map[string]Asked{}
+	whole := map[line][]Asked{}
 	for _, a := range r.Asked {
-		if a.Kind == "turn" {
-			said[a.Mark] = a
+		if a.Kind != "turn" {
+			continue
+		}
+		said[a.Mark] = a
+		if a.Outcome == Whole {
+			whole[line{a.Program, a.Line}] = append(whole[line{a.Program, a.Line}], a)
 		}
 	}
-	made := map[string][]string{}
+	made := map[string][]Shot{}
+	lines := map[line][]Shot{}
 	for _, s := range r.Shots {
-		made[s.Mark] = append(made[s.Mark], s.Text)
-	}
-	whole := map[line][]Asked{}
-	for _, a := range r.Asked {
-		if a.Kind == "turn" && a.Outcome == Whole {
-			whole[line{a.Program, a.Line}] = append(whole[line{a.Program, a.Line}], a)
+		made[s.Mark] = append(made[s.Mark], s)
+		if s.Program != "" && !s.Tool {
+			lines[line{s.Program, s.Line}] = append(lines[line{s.Program, s.Line}], s)
 		}
 	}
 	for _, s := range r.Shots {
@@ -254,15 +297,22 @@
 			list = append(list, breach(6, "%s of %s/%s reached a replica as %s/%s", s.Mark, own.Tenant, own.Program, s.Tenant, s.Program))
 		}
 		in := map[string]bool{}
+		before := time.Duration(-1)
 		for _, t := range s.History {
-			in[t.Say] = true
 			a := said[t.Say]
-			if a.Program != s.Program || a.Line != s.Line {
+			switch {
+			case in[t.Say]:
+				list = append(list, breach(6, "history of %s has the turn %s twice", s.Mark, t.Say))
+			case a.Program != s.Program || a.Line != s.Line:
 				list = append(list, breach(6, "history of %s has a turn of %s", s.Mark, a.Program))
+			case a.At < before:
+				list = append(list, breach(6, "history of %s has the turn %s out of order", s.Mark, t.Say))
+			case a.Outcome == Whole && t.Got != a.Text:
+				list = append(list, breach(6, "history of %s has %q for the turn %s, whose requester got %q", s.Mark, t.Got, t.Say, a.Text))
+			case !relayed(t.Got, a.Text, made[t.Say]):
+				list = append(list, breach(6, "history of %s has an answer for %s that no replica gave", s.Mark, t.Say))
 			}
-			if !among(t.Got, made[t.Say]) {
-				list = append(list, breach(6, "history of %s has an answer that no replica gave", s.Mark))
-			}
+			in[t.Say], before = true, a.At
 		}
 		for _, a := range whole[line{s.Program, s.Line}] {
 			if a.Ended < own.At && !in[a.Mark] {
@@ -270,18 +320,33 @@
 			}
 		}
 	}
+	for _, shots := range lines {
+		sort.SliceStable(shots, func(i, j int) bool { return shots[i].At < shots[j].At })
+		for i := 1; i < len(shots); i++ {
+			if !begins(shots[i].History, shots[i-1].History) {
+				list = append(list, breach(6, "history of %s does not go on from that of %s", shots[i].Mark, shots[i-1].Mark))
+			}
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].What < list[j].What })
 	return list
 }
 
-func among(text string, texts []string) bool {
-	for _, t := range texts {
-		if len(t) >= len(text) && t[:len(text)] == text {
+// relayed reports whether a turn is what one replica gave: all of it, or as
+// much as its inquiry had room for.
+func relayed(turn, got string, made []Shot) bool {
+	for _, s := range made {
+		if strings.HasPrefix(turn, got) && (s.Text == turn || s.Overran && strings.HasPrefix(s.Text, turn)) {
 			return true
 		}
 	}
 	return false
 }
 
+func begins(history, with []Turn) bool {
+	return len(history) >= len(with) && slices.Equal(history[:len(with)], with)
+}
+
 // quotas is rule 7: in every window, no more shots of a tenant than its rate
 // and burst allow.
 func (r *Record) quotas() (list []Breach) {
@@ -314,21 +379,27 @@
 func (r *Record) configurations() (list []Breach) {
 	taken := map[uint64]bool{}
 	refused := map[uint64]bool{}
+	last := uint64(0)
 	for _, t := range r.Taken {
 		if t.Refused {
 			refused[t.Version] = true
 		} else {
 			taken[t.Version] = true
+			last = max(last, t.Version)
 		}
 	}
-	newest := map[string]Probe{}
 	probes := append([]Probe(nil), r.Probes...)
 	sort.SliceStable(probes, func(i, j int) bool { return probes[i].At < probes[j].At })
+	byNode := map[string][]Probe{}
+	final := map[string]uint64{}
 	for _, p := range probes {
-		if p.Version < newest[p.Node].Version {
-			list = append(list, breach(8, "node %s slid back from version %d to %d", p.Node, newest[p.Node].Version, p.Version))
+		for _, older := range byNode[p.Node] {
+			if older.Ended < p.At && older.Version > p.Version {
+				list = append(list, breach(8, "node %s slid back from version %d to %d", p.Node, older.Version, p.Version))
+				break
+			}
 		}
-		newest[p.Node] = p
+		byNode[p.Node] = append(byNode[p.Node], p)
 		for _, t := range r.Taken {
 			if !t.Refused && p.Version < t.Version && p.At > t.At+r.Limits.Late {
 				list = append(list, breach(8, "node %s was at version %d %v after %d was taken", p.Node, p.Version, p.At-t.At, t.Version))
@@ -337,6 +408,14 @@
 		if refused[p.Version] && !taken[p.Version] {
 			list = append(list, breach(9, "node %s has refused description %d in force", p.Node, p.Version))
 		}
+		if p.Last {
+			final[p.Node] = max(final[p.Node], p.Version)
+		}
+	}
+	for _, node := range r.Nodes {
+		if final[node] < last {
+			list = append(list, breach(9, "node %s has version %d in force in the end, and %d was taken", node, final[node], last))
+		}
 	}
 	return list
 }
@@ -360,15 +439,18 @@
 		text   string
 		tokens int64
 	}
-	made := map[string]map[answer]bool{}
+	made, overran := map[string]map[answer]bool{}, map[string]string{}
 	for _, s := range r.Shots {
 		if made[s.Mark] == nil {
 			made[s.Mark] = map[answer]bool{}
 		}
+		if s.Overran {
+			overran[s.Mark] = s.Text
+		}
 		made[s.Mark][answer{s.Text, s.Tokens}] = true
 	}
 	for _, a := range r.Asked {
-		if a.Kind == "turn" && a.Outcome == Whole && !made[a.Mark][answer{a.Text, a.Tokens}] {
+		if a.Kind == "turn" && a.Outcome == Whole && !made[a.Mark][answer{a.Text, a.Tokens}] && (overran[a.Mark] == "" || !strings.HasPrefix(overran[a.Mark], a.Text)) {
 			list = append(list, breach(11, "%s came whole with %q (%d tokens), which no replica gave", a.Mark, a.Text, a.Tokens))
 		}
 	}
--- a/rehearsalkit/judge/judge_test.go
+++ b/rehearsalkit/judge/judge_test.go
@@ -9,7 +9,8 @@
 func good() *Record {
 	s := time.Second
 	return &Record{
-		Limits: Limits{ProgramTokens: 100, TurnTokens: 10, Rate: map[string]float64{"t": 1}, Burst: map[string]float64{"t": 2}, Keep: time.Hour, Late: 2 * s},
+		Limits: Limits{ProgramTokens: 100, TurnTokens: 10, Rate: map[string]float64{"t": 1}, Burst: map[string]float64{"t": 2}, Keep: time.Hour, Late: 2 * s,
+			DayTokens: map[string]int64{"t": 1000}, Users: map[string]UserLimits{"t": {PerMinute: 9, Lockout: 10 * s, Concurrent: 9, Session: time.Minute, DayTokens: 10}}, MinuteDollars: 1, Price: map[string]float64{"model": 15}, Drift: 0.02},
 		Shots: []Shot{
 			{At: 1 * s, Service: "model", Replica: "m1", Tenant: "t", Program: "p", Mark: "a", Text: "A", Tokens: 5, Most: 10},
 			{At: 3 * s, Service: "model", Replica: "m1", Tenant: "t", Program: "p", Mark: "b", Text: "B", Tokens: 5, Most: 10, History: []Turn{{"a", "A"}}},
@@ -20,10 +21,15 @@
 			{At: 3 * s, Ended: 4 * s, Kind: "turn", Tenant: "t", Program: "p", Mark: "b", Outcome: Whole, Text: "B", Tokens: 5},
 			{At: 5 * s, Ended: 6 * s, Kind: "action", Tenant: "t", Mark: "o", Once: "o", Outcome: Whole},
 			{At: 7 * s, Ended: 7 * s, Kind: "turn", Tenant: "t", Program: "p", Mark: "c", Outcome: Refused, Code: "come_back", Ran: "no", Status: 503},
+			{At: 0, Ended: s / 10, Kind: "open", Tenant: "t", User: "u", Program: "p", Outcome: Whole, Status: 201},
+			{At: 10 * s, Ended: 10 * s, Kind: "open", Tenant: "t", User: "u", Outcome: Refused, Code: "sessions_per_minute", Ran: "no", Status: 429, Wait: 10 * s},
+			{At: 15 * s, Ended: 15 * s, Kind: "open", Tenant: "t", User: "u", Outcome: Refused, Code: "locked_out", Ran: "no", Status: 429, Wait: 5 * s},
+			{At: 16 * s, Ended: 16 * s, Kind: "open", Tenant: "t", User: "u", Outcome: Refused, Code: "unsure", Ran: "no", Status: 503},
 		},
 		Leaving: []Leaving{{At: 4 * s, Replica: "m1"}},
 		Taken:   []Taken{{At: 2 * s, Version: 2}},
-		Probes:  []Probe{{At: 3 * s, Node: "n", Version: 1}, {At: 5 * s, Node: "n", Version: 2}},
+		Probes:  []Probe{{At: 3 * s, Ended: 3 * s, Node: "n", Version: 1}, {At: 5 * s, Ended: 5 * s, Node: "n", Version: 2, Last: true}},
+		Nodes:   []string{"n"},
 	}
 }
 
@@ -65,6 +71,62 @@
 			r.Probes = append(r.Probes, Probe{At: 6 * time.Second, Node: "n", Version: 7})
 		}},
 		{"work for a leaving replica", 10, func(r *Record) { r.Leaving[0].At = 500 * time.Millisecond }},
+		{"a node slides back in another life", 8, func(r *Record) {
+			r.Taken, r.Nodes = nil, nil
+			r.Probes = []Probe{{At: 3 * time.Second, Ended: 3 * time.Second, Node: "n", Version: 2}, {At: 4 * time.Second, Ended: 5 * time.Second, Node: "n", Version: 1}}
+		}},
+		{"the last taken is not in force in the end", 9, func(r *Record) { r.Probes[1].Last = false }},
+		{"a turn twice in a history", 6, func(r *Record) { r.Shots[1].History = append(r.Shots[1].History, r.Shots[1].History[0]) }},
+		{"part of a whole turn in a history", 6, func(r *Record) {
+			r.Shots[0].Text, r.Asked[0].Text = "AAA", "AAA"
+			r.Shots[1].History[0].Got = "A"
+		}},
+		{"a broken turn that is not what was relayed", 6, func(r *Record) {
+			r.Shots[0].Text, r.Asked[0].Text, r.Asked[0].Outcome = "ABC", "AB", Broken
+			r.Shots[1].History[0].Got = "A"
+		}},
+		{"turns out of order", 6, func(r *Record) {
+			r.Shots = append(r.Shots, Shot{At: 8 * time.Second, Tenant: "t", Program: "p", Mark: "c", Most: 1, History: []Turn{{"b", "B"}, {"a", "A"}}})
+			r.Asked[3].Ran = "maybe"
+		}},
+		{"a history that does not go on from the last", 6, func(r *Record) {
+			r.Asked[0].Outcome, r.Asked[3].Ran = Broken, "maybe"
+			r.Shots = append(r.Shots, Shot{At: 8 * time.Second, Tenant: "t", Program: "p", Mark: "c", Most: 1, History: []Turn{{"b", "B"}}})
+		}},
+		{"a retry at another replica above the quota", 7, func(r *Record) {
+			again := r.Shots[1]
+			again.Replica = "m2"
+			r.Shots = append(r.Shots, again, again, again)
+		}},
+		{"a tenant's day passed", 2, func(r *Record) { r.Limits.DayTokens["t"] = 9 }},
+		{"a breaker's minute passed", 2, func(r *Record) { r.Limits.MinuteDollars = 0.0001 }},
+		{"work long after a trip was told", 2, func(r *Record) {
+			r.Asked[6].Kind, r.Asked[6].Code, r.Asked[6].Ended, r.Asked[6].At, r.Asked[6].Wait = "turn", "breaker_open", 0, 0, time.Minute
+		}},
+		{"work after the allowance was told to be spent", 2, func(r *Record) {
+			r.Asked[3].Code, r.Asked[3].Mark, r.Asked[3].At, r.Asked[3].Ended = "program_tokens_spent", "z", 2*time.Second, 2*time.Second
+		}},
+		{"a session within a lockout", 12, func(r *Record) {
+			r.Asked[7].Outcome, r.Asked[7].Code, r.Asked[7].Program = Whole, "", "q"
+			r.Limits.Users["t"] = UserLimits{PerMinute: 9, Lockout: 10 * time.Second, Concurrent: 9, Session: time.Minute, DayTokens: 100}
+		}},
+		{"a later check within a lockout", 12, func(r *Record) { r.Asked[7].Code = "concurrent_sessions" }},
+		{"a lockout that ends before it was told to", 12, func(r *Record) { r.Asked[6].Wait = time.Second }},
+		{"a lockout longer than one", 12, func(r *Record) { r.Asked[6].Wait = 11 * time.Second }},
+		{"more sessions in a minute", 12, func(r *Record) {
+			r.Asked[5] = r.Asked[4]
+			r.Asked[5].At = time.Second
+			r.Limits.Users["t"] = UserLimits{PerMinute: 1, Concurrent: 9, DayTokens: 100}
+		}},
+		{"more sessions at once", 12, func(r *Record) {
+			r.Asked[5] = r.Asked[4]
+			r.Asked[5].At, r.Asked[5].Ended = time.Second, time.Second
+			r.Limits.Users["t"] = UserLimits{PerMinute: 9, Concurrent: 1, Session: time.Minute, DayTokens: 100}
+		}},
+		{"a session after the day was spent", 12, func(r *Record) {
+			r.Asked[5] = r.Asked[4]
+			r.Asked[5].At, r.Asked[5].Ended = 9*time.Second, 9*time.Second
+		}},
 		{"mixed answers", 11, func(r *Record) { r.Asked[0].Text = "B" }},
 		{"whole and never run", 11, func(r *Record) { r.Shots = r.Shots[1:] }},
 	} {
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -82,7 +82,7 @@
 	f.Drive(ctx, c.For)
 	<-done
 	after := f.Work(ctx)
-	record, breaches := f.Finish()
+	record, breaches := f.Finish(ctx)
 	report(record)
 	if shots := float64(len(record.Shots)); c.Work && shots > 0 {
 		fmt.Printf("  for each shot, all cores: %.1f commands, %.1f writes, %.1f syncs, %.1f messages\n", float64(after.Commands-before.Commands)/shots,
@@ -149,6 +149,10 @@
 	if out := r.Outages(); len(out) > 0 {
 		fmt.Printf("  conversations hindered: %d; served again after: half %v, all %v\n", len(out), out[len(out)/2].Round(time.Millisecond), out[len(out)-1].Round(time.Millisecond))
 	}
+	situations := r.Situations()
+	for _, name := range ordered.Keys(situations) {
+		fmt.Printf("  came about     %-42s %d\n", name, situations[name])
+	}
 	fmt.Printf("  longest time with no whole return: %v\n", r.Gap().Round(time.Millisecond))
 }
 
@@ -163,14 +167,23 @@
 		first = rand.Uint64N(1 << 40)
 	}
 	fmt.Printf("seeds %d to %d\n", first, first+uint64(c.Seeds)-1)
-	broken, whole := 0, int64(0)
+	broken, whole, late := 0, int64(0), time.Duration(0)
+	situations := map[string]int{}
 	simulator.RunSeeds(first, c.Seeds, func(o simulator.Outcome) {
 		whole += o.Whole
+		late = max(late, o.LateTrip)
+		for name, n := range o.Situations {
+			situations[name] += n
+		}
 		for _, b := range o.Breaches {
 			broken++
 			fmt.Printf("BROKEN seed %d: %s\n", o.Seed, b)
 		}
 	})
+	for _, name := range ordered.Keys(situations) {
+		fmt.Printf("  came about %-36s %d\n", name, situations[name])
+	}
+	fmt.Printf("  longest that a node still gated after another told of a trip: %v\n", late.Round(time.Millisecond))
 	fmt.Printf("%d seeds, %d whole turns, %d breaches\n", c.Seeds, whole, broken)
 	if broken > 0 {
 		return errors.Newf("%d breaches", broken)
--- a/rehearsalkit/simulator/backend.go
+++ b/rehearsalkit/simulator/backend.go
@@ -45,10 +45,11 @@
 		w.tickets++
 		ticket := w.tickets
 		w.returns[ticket] = &waiting{node: p, piece: func(piece node.Piece) {
-			if piece.Kind == node.PieceBody && r.Leaving && !w.told(r.ID) {
-				w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
-			}
 		}}
+		if r.Leaving && !w.told(r.ID) {
+			// The first node has it, whatever becomes of that node.
+			w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
+		}
 		p.do(func() { p.takeNode(p.nodeM.Announce(p.now(), ticket, r)) })
 	})
 }
--- a/rehearsalkit/simulator/requester.go
+++ b/rehearsalkit/simulator/requester.go
@@ -12,7 +12,7 @@
 
 // ask sends one inquiry to a node and tells its outcome.
 func (w *World) ask(p *proc, q node.Inquiry, done func(a judge.Asked, last node.Piece)) {
-	a := judge.Asked{At: w.now, Kind: q.Kind, Tenant: tenantOf(q.Key), Program: q.Program, Line: q.Line, Mark: q.Say, Service: q.Service}
+	a := judge.Asked{At: w.now, Kind: q.Kind, Node: p.id, Tenant: tenantOf(q.Key), User: q.User, Program: q.Program, Line: q.Line, Mark: q.Say, Service: q.Service}
 	if q.Kind == node.Action || q.Kind == node.Tool {
 		a.Mark = markOf(q.Arguments)
 		a.Once = q.OnceKey
@@ -56,6 +56,7 @@
 				finish(piece)
 			case node.PieceVerdict:
 				a.Outcome, a.Code, a.Ran, a.Status = judge.Refused, piece.Verdict.Code, string(piece.Verdict.Ran), piece.Status
+				a.Wait = piece.Verdict.RetryAfter
 				finish(piece)
 			case node.PieceBody:
 				a.Outcome, a.Status = judge.Whole, piece.Status
@@ -129,6 +130,9 @@
 	}
 	u.turns++
 	switch {
+	case u.turns > 1 && strict(u.key) && w.chance(0.1):
+		// Some begin anew without an end, and more often than they may.
+		u.live()
 	case u.turns > 14 || w.chance(0.04):
 		w.ask(w.anyNode(), node.Inquiry{Kind: node.Close, Key: u.key, Program: u.program, Budget: 3 * time.Second}, func(judge.Asked, node.Piece) {
 			u.pause(100*time.Millisecond, 600*time.Millisecond, u.live)
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -17,6 +17,12 @@
 
 const tenants = 3
 
+// strictUser are the limits of the users of the last tenant, which are reached
+// often.
+var strictUser = judge.UserLimits{PerMinute: 4, Lockout: 3 * time.Second, Concurrent: 2, Session: 5 * time.Second, DayTokens: 8000}
+
+func strict(key string) bool { return key == fmt.Sprintf("key-t%d", tenants) }
+
 func digestOf(text []byte) string {
 	sum := sha256.Sum256(text)
 	return hex.EncodeToString(sum[:])
@@ -31,17 +37,25 @@
 	role := map[string]any{"sessions_per_minute": 600, "sessions_per_hour": 6000, "sessions_per_day": 60000, "concurrent_sessions": 50,
 		"steps": 40, "program_tokens_soft": 3000, "program_tokens_hard": 6000, "turn_tokens": 1000, "tool_calls": 30, "tool_calls_per_type": 30,
 		"session_seconds": 600, "user_day_tokens_hard": 500_000}
+	narrow := map[string]any{"sessions_per_minute": strictUser.PerMinute, "sessions_per_hour": 6000, "sessions_per_day": 60000, "concurrent_sessions": strictUser.Concurrent,
+		"lockout_seconds": int64(strictUser.Lockout / time.Second), "steps": 4, "program_tokens_soft": 3000, "program_tokens_hard": 6000, "turn_tokens": 1000,
+		"session_seconds": int64(strictUser.Session / time.Second), "user_day_tokens_hard": strictUser.DayTokens, "user_day_tokens_soft": strictUser.DayTokens / 2}
 	list := map[string]any{}
 	for i := 1; i <= tenants; i++ {
 		name := fmt.Sprintf("t%d", i)
-		list[name] = map[string]any{"keys": []any{map[string]any{"sha256": configuration.Sum("key-" + name), "role": "viewer"}},
+		role := "viewer"
+		if strict("key-" + name) {
+			role = "strict"
+		}
+		list[name] = map[string]any{"keys": []any{map[string]any{"sha256": configuration.Sum("key-" + name), "role": role}},
 			"inquiries_per_second": w.Params.Rate, "burst": w.Params.Burst}
 	}
+	list["t2"].(map[string]any)["day_tokens"] = w.Params.DayTokens
 	list["probe"] = map[string]any{"keys": []any{map[string]any{"sha256": configuration.Sum(mark), "role": "viewer"}}}
-	text, _ := json.Marshal(map[string]any{"roles": map[string]any{"viewer": role}, "tenants": list,
+	text, _ := json.Marshal(map[string]any{"roles": map[string]any{"viewer": role, "strict": narrow}, "tenants": list,
 		"services": map[string]any{"model": map[string]any{"kind": "model"}, "alert": map[string]any{"kind": "once", "urgent": true, "past_breaker": true},
 			"search": map[string]any{"kind": "tool", "calls_per_minute": 1000}},
-		"breaker": map[string]any{"minute_dollars": w.Params.MinuteCost, "recovery_seconds": 2}, "approval": map[string]any{"newly_refused_ratio": 1}})
+		"breaker": map[string]any{"minute_dollars": w.Params.MinuteCost, "recovery_seconds": 5}, "approval": map[string]any{"newly_refused_ratio": 1}})
 	return text
 }
 
@@ -49,7 +63,12 @@
 func Run(p Params) (*World, []judge.Breach) {
 	w := New(p)
 	w.Found()
-	w.Record.Limits = judge.Limits{ProgramTokens: 6000, TurnTokens: 1000, Rate: map[string]float64{}, Burst: map[string]float64{}, Keep: time.Hour, Late: 2 * time.Second}
+	w.Record.Limits = judge.Limits{ProgramTokens: 6000, TurnTokens: 1000, Rate: map[string]float64{}, Burst: map[string]float64{}, Keep: time.Hour, Late: 2 * time.Second,
+		DayTokens: map[string]int64{"t2": p.DayTokens}, Users: map[string]judge.UserLimits{fmt.Sprintf("t%d", tenants): strictUser},
+		MinuteDollars: p.MinuteCost, Price: map[string]float64{"model": 10}, Drift: 0.03}
+	for _, n := range w.nodes {
+		w.Record.Nodes = append(w.Record.Nodes, n.id)
+	}
 	for i := 1; i <= tenants; i++ {
 		w.Record.Limits.Rate[fmt.Sprintf("t%d", i)], w.Record.Limits.Burst[fmt.Sprintf("t%d", i)] = p.Rate, float64(p.Burst)
 	}
@@ -65,6 +84,11 @@
 		w.after(w.between(4*time.Second, 6*time.Second), w.operator)
 	}
 	w.after(3*time.Second, w.probe)
+	w.after(p.Length+p.Settle-1500*time.Millisecond, func() {
+		for _, n := range w.nodes {
+			w.look(n, true)
+		}
+	})
 	if p.Faults {
 		w.after(4*time.Second, w.fault)
 	}
@@ -81,7 +105,7 @@
 	}
 	w.hand(at, 0, "probe-first", func(taken bool) {
 		if !taken && w.version == 0 {
-			w.firstHand()
+			w.after(100*time.Millisecond, w.firstHand)
 		}
 	})
 }
@@ -89,8 +113,10 @@
 func (w *World) hand(at *proc, basedOn uint64, mark string, done func(taken bool)) {
 	text := w.describe(mark)
 	h := core.Hand{BasedOn: basedOn, Text: text, Digest: digestOf(text), Within: 8 * time.Second}
+	w.handed[mark] = basedOn + 1
 	w.Operate(at, func(m *core.Machine, now time.Duration, ticket uint64) core.Output { return m.Apply(now, ticket, h) }, func(body any) {
 		t := body.(core.Taking)
+		delete(w.handed, mark)
 		w.logf("configuration %s on %d: %+v", mark, basedOn, t.Code)
 		w.Counts["configuration "+t.Code]++
 		w.version = max(w.version, t.Version)
@@ -133,20 +159,28 @@
 	if w.now > w.Params.Length+w.Params.Settle-3*time.Second {
 		return
 	}
-	p := w.anyNode()
-	for _, v := range ordered.Keys(w.keys) {
-		asked := w.now
-		life := p.life
-		w.ask(p, node.Inquiry{Kind: node.Look, Key: w.keys[v], Program: "none", Budget: time.Second}, func(a judge.Asked, last node.Piece) {
-			if a.Code == "unknown_program" && p.life == life {
-				w.Record.Probes = append(w.Record.Probes, judge.Probe{At: asked, Node: fmt.Sprintf("%s.%d", p.id, life), Version: v})
-				if v >= refusedBase {
-					w.Record.Taken = append(w.Record.Taken, judge.Taken{Version: v, Refused: true})
+	w.look(w.anyNode(), false)
+	w.after(w.between(50*time.Millisecond, 250*time.Millisecond), w.probe)
+}
+
+func (w *World) look(p *proc, last bool) {
+	see := func(key string, version uint64) {
+		w.ask(p, node.Inquiry{Kind: node.Look, Key: key, Program: "none", Budget: time.Second}, func(a judge.Asked, _ node.Piece) {
+			if a.Code == "unknown_program" {
+				w.Record.Probes = append(w.Record.Probes, judge.Probe{At: a.At, Ended: a.Ended, Node: p.id, Version: version, Last: last})
+				if version >= refusedBase {
+					w.Record.Taken = append(w.Record.Taken, judge.Taken{Version: version, Refused: true})
 				}
 			}
 		})
 	}
-	w.after(w.between(50*time.Millisecond, 250*time.Millisecond), w.probe)
+	for _, v := range ordered.Keys(w.keys) {
+		see(w.keys[v], v)
+	}
+	// What became of some descriptions nobody was told: their core died.
+	for _, mark := range ordered.Keys(w.handed) {
+		see(mark, w.handed[mark])
+	}
 }
 
 // fault brings one fault about, and ends it later.
@@ -363,6 +397,9 @@
 	Seed     uint64
 	Breaches []judge.Breach
 	Whole    int64
+	// Situations counts how often what each rule is about came about.
+	Situations map[string]int
+	LateTrip   time.Duration
 }
 
 // RunSeeds runs seeds one after the other on each processor, and tells their
@@ -373,7 +410,7 @@
 		go func() {
 			for seed := range work {
 				w, breaches := Run(Defaults(seed))
-				done <- Outcome{Seed: seed, Breaches: breaches, Whole: w.Counts["asked turn whole"]}
+				done <- Outcome{Seed: seed, Breaches: breaches, Whole: w.Counts["asked turn whole"], Situations: w.Record.Situations(), LateTrip: w.Record.LateAfterTrip()}
 			}
 		}()
 	}
--- a/rehearsalkit/simulator/simulator_test.go
+++ b/rehearsalkit/simulator/simulator_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"testing"
+
+	"saffronfall/rule/ordered"
 )
 
 var (
@@ -14,8 +16,12 @@
 // TestSeeds runs the fleet under all faults, one world a seed.
 func TestSeeds(t *testing.T) {
 	var whole int64
+	situations := map[string]int{}
 	RunSeeds(*first, *seeds, func(o Outcome) {
 		whole += o.Whole
+		for name, n := range o.Situations {
+			situations[name] += n
+		}
 		for _, b := range o.Breaches {
 			t.Errorf("seed %d: %s", o.Seed, b)
 		}
@@ -24,6 +30,12 @@
 		}
 	})
 	fmt.Printf("%d seeds, %d whole turns\n", *seeds, whole)
+	for _, name := range ordered.Keys(situations) {
+		fmt.Printf("  %-36s %d\n", name, situations[name])
+		if situations[name] == 0 && *seeds >= 100 {
+			t.Errorf("%s: never came about, so its rule was not tried", name)
+		}
+	}
 }
 
 func TestCalm(t *testing.T) {
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -35,16 +35,29 @@
 	Rate       float64
 	Burst      int64
 	MinuteCost float64
+	DayTokens  int64
 	Newest     time.Duration
 	// Sync is the longest that a sync of a disk takes that does not stall.
 	Sync time.Duration
 	Logf func(format string, args ...any)
 }
 
-// Defaults are a small fleet under all faults.
+// Defaults are a small fleet under all faults. Every fourth seed has a breaker
+// that trips, others a tenant whose day ends early.
 func Defaults(seed uint64) Params {
+	p := defaults(seed)
+	switch seed % 4 {
+	case 0:
+		p.MinuteCost = 0.9
+	case 1:
+		p.DayTokens = 15_000
+	}
+	return p
+}
+
+func defaults(seed uint64) Params {
 	return Params{Seed: seed, Cores: 5, Nodes: 4, Zones: 3, Replicas: 4, Alerts: 2, Users: 12, Parts: 6, Length: 24 * time.Second,
-		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
+		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, DayTokens: 100_000_000, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
 }
 
 type event struct {
@@ -93,6 +106,7 @@
 	fixed   []part.Group
 	version uint64
 	keys    map[uint64]string
+	handed  map[string]uint64
 }
 
 type proc struct {
@@ -140,7 +154,7 @@
 // New lays out a world.
 func New(p Params) *World {
 	w := &World{Params: p, random: rand.New(rand.NewPCG(p.Seed, 0x5affe0)), procs: map[string]*proc{}, cut: map[[2]string]bool{}, last: map[[2]string]time.Duration{},
-		returns: map[uint64]*waiting{}, Counts: map[string]int64{}, keys: map[uint64]string{}}
+		returns: map[uint64]*waiting{}, Counts: map[string]int64{}, keys: map[uint64]string{}, handed: map[string]uint64{}}
 	zone := func(i int) string { return fmt.Sprintf("zone-%d", i%p.Zones+1) }
 	for i := 0; i < p.Cores; i++ {
 		w.cores = append(w.cores, w.add(fmt.Sprintf("core%d", i+1), zone(i), fmt.Sprintf("10.0.0.%d:7000", i+1)))
@@ -211,6 +225,9 @@
 	w := p.world
 	p.life++
 	p.alive, p.frozen, p.backlog, p.started = true, false, nil, w.now
+	if p.life > 1 {
+		w.Record.Restarts = append(w.Record.Restarts, judge.Restart{At: w.now, Who: p.id})
+	}
 	p.rate = 1 + (w.random.Float64()-0.5)*0.02
 	if p.disk != nil {
 		p.disk.pending, p.disk.held, p.disk.busy, p.disk.issued, p.disk.synced = nil, nil, false, 0, 0
