Replicas are known by their announcements, from node to node, without the cores

Cause: a shot needed news of the back end's part younger than 1.7 s from its owner, so nodes cut off from the cores shot nothing; a leaving counted only once it was durable there; a word that waited for a frozen node counted as new.

Change: an announcement counts from when the node gave out the stamp that it carries, ages on its way between nodes (the age at the sender and the whole time of the pull), and is acted on while younger than newest_ms. A leaving counts at once and outweighs every older word. A new life of a node joins only after the configuration's owner has said how new the news is.

--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -568,7 +568,6 @@
 		m.learn()
 		m.send(from, m.Topology(), false)
 	}
-	fresh := Fresh{Sent: b.Sent, Parts: map[int]Known{}}
 	for n := 0; n < m.founding.Parts; n++ {
 		p := m.parts[n]
 		if p == nil {
@@ -578,7 +577,9 @@
 			continue
 		}
 		upto, _ := p.Committed()
-		fresh.Parts[n] = Known{Upto: upto}
+		if n == ConfigurationPart && b.Fresh {
+			m.send(from, Fresh{Sent: b.Sent, Upto: upto}, false)
+		}
 		after := b.Versions[n]
 		if !after.Less(upto) {
 			continue
@@ -590,9 +591,6 @@
 		news.Entries = p.News(after, NewsPrefixes)
 		m.send(from, news, false)
 	}
-	if len(fresh.Parts) > 0 {
-		m.send(from, fresh, false)
-	}
 }
 
 // Taking follows one description from its hand-over to its being in force.
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -153,8 +153,6 @@
 		Mine   bool          `msgpack:"-"`
 	}
 
-	// ReportReplica tells of a back end's replica.
-	ReportReplica struct{ Replica Replica }
 	// ReadEntries lists entries of a part by prefix.
 	ReadEntries struct {
 		Part   int
@@ -225,18 +223,6 @@
 // Holder names a member's incarnation as a holder of shares.
 func (m Member) Holder() string { return m.ID + "/" + m.Incarnation }
 
-// Replica is one announced replica of a back end.
-type Replica struct {
-	Service  string `msgpack:"s" json:"service"`
-	ID       string `msgpack:"i" json:"id"`
-	Address  string `msgpack:"a" json:"address"`
-	Zone     string `msgpack:"z" json:"zone"`
-	Load     int64  `msgpack:"l" json:"load"`
-	Capacity int64  `msgpack:"c" json:"capacity"`
-	Leaving  bool   `msgpack:"g" json:"leaving"`
-	Ended    bool   `msgpack:"e" json:"ended"`
-}
-
 // Configured is the agreed configuration.
 type Configured struct {
 	Version uint64 `msgpack:"v"`
@@ -295,18 +281,15 @@
 		Versions map[int]part.Stamp
 		Member   string
 		Want     bool
-		Sent     time.Duration
-	}
-	// Fresh says which parts the answering process speaks for, up to where, and
-	// how old its knowledge is. It lets a node know that it has missed nothing.
-	Fresh struct {
+		// Fresh asks the configuration's owner to say how new the news is.
+		Fresh bool
 		Sent  time.Duration
-		Parts map[int]Known
 	}
-	// Known is what is known of one part.
-	Known struct {
-		Upto part.Stamp
-		Age  time.Duration
+	// Fresh says up to where the configuration goes, and how old that knowledge
+	// is. It lets a new life of a node know that it has missed nothing.
+	Fresh struct {
+		Sent, Age time.Duration
+		Upto      part.Stamp
 	}
 	// News answers it, a part at a time.
 	News struct {
@@ -328,7 +311,7 @@
 func init() {
 	message.Register(JoinMember{}, RenewMember{}, LeaveMember{}, Termed{}, OpenUser{}, ChargeUser{}, UserDay{},
 		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, DrawBreaker{}, Shared{},
-		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReportReplica{}, ReadEntries{}, Entries{},
+		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReadEntries{}, Entries{},
 		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Fresh{}, Topology{},
 		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{})
 }
@@ -342,13 +325,12 @@
 	breakerBooks      = "books/breaker"
 	corePrefix        = "core/"
 	memberPrefix      = "member/"
-	backendPrefix     = "backend/"
 	programPrefix     = "program/"
 	oncePrefix        = "once/"
 )
 
 // NewsPrefixes are the kinds of entries that nodes pull.
-var NewsPrefixes = []string{configurationKey, breakerKey, memberPrefix, backendPrefix, corePrefix}
+var NewsPrefixes = []string{configurationKey, breakerKey, memberPrefix, corePrefix}
 
 // PartOf is the part that a name belongs to: configuration and cores have one
 // of their own, all else goes by hash of the name's first segments.
@@ -390,8 +372,6 @@
 		return PartOf(parts, "once", c.Tenant, c.Service, c.Key)
 	case EndOnce:
 		return PartOf(parts, "once", c.Tenant, c.Service, c.Key)
-	case ReportReplica:
-		return PartOf(parts, "backend", c.Replica.Service)
 	case ReadEntries:
 		return c.Part
 	case ChangeSeat:
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -25,8 +25,6 @@
 type Params struct {
 	Part       part.Params
 	MemberTerm time.Duration
-	// ReplicaTerm is how long a replica counts without announcing itself.
-	ReplicaTerm time.Duration
 	// Retry is how long an attempt at a command may take.
 	Retry time.Duration
 	// Pull is how often news is pulled.
@@ -37,19 +35,15 @@
 	params   Params
 	members  map[string]time.Duration
 	versions map[string]uint64
-	replicas map[string]time.Duration
 	seatedAt time.Duration
 }
 
 func (r *rules) Seated(now time.Duration, tx *part.Tx) {
-	r.members, r.versions, r.replicas = map[string]time.Duration{}, map[string]uint64{}, map[string]time.Duration{}
+	r.members, r.versions = map[string]time.Duration{}, map[string]uint64{}
 	r.seatedAt = now
 	for _, key := range tx.Keys(memberPrefix) {
 		r.members[key] = now
 	}
-	for _, key := range tx.Keys(backendPrefix) {
-		r.replicas[key] = now
-	}
 }
 
 func read[T any](tx *part.Tx, key string) (T, bool) {
@@ -141,8 +135,6 @@
 		return r.claimOnce(tx, c)
 	case EndOnce:
 		return r.endOnce(tx, c)
-	case ReportReplica:
-		return r.reportReplica(now, tx, c)
 	case ReadEntries:
 		var list Entries
 		for _, key := range tx.Keys(c.Prefix) {
@@ -252,18 +244,6 @@
 			write(tx, key, m)
 		}
 	}
-	for _, key := range tx.Keys(backendPrefix) {
-		p, _ := read[Replica](tx, key)
-		silent := now - r.replicas[key]
-		switch {
-		case !p.Ended && silent >= r.params.ReplicaTerm:
-			p.Ended = true
-			write(tx, key, p)
-		case p.Ended && silent >= 10*r.params.ReplicaTerm:
-			tx.Remove(key)
-			delete(r.replicas, key)
-		}
-	}
 	clock := tx.Clock()
 	for _, key := range tx.Keys(programPrefix) {
 		if countSlashes(key) != 2 {
@@ -457,23 +437,6 @@
 	return o
 }
 
-func (r *rules) reportReplica(now time.Duration, tx *part.Tx, c ReportReplica) any {
-	key := backendPrefix + c.Replica.Service + "/" + c.Replica.ID
-	r.replicas[key] = now
-	old, ok := read[Replica](tx, key)
-	if ok && old.Leaving && !old.Ended && old.Address == c.Replica.Address {
-		c.Replica.Leaving = true
-	}
-	quiet := old
-	quiet.Load = c.Replica.Load
-	if moved := old.Load - c.Replica.Load; !ok || quiet != c.Replica || moved >= loadStep || moved <= -loadStep {
-		write(tx, key, c.Replica)
-	}
-	return Done{OK: true}
-}
-
-const loadStep = 4
-
 const (
 	handedKept = 16
 	livesKept  = 256
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -54,7 +54,8 @@
 
 	topology core.Topology
 	versions map[int]part.Stamp
-	fresh    map[int]time.Duration
+	freshAt  time.Duration
+	bornAt   time.Duration
 	entries  map[int]map[string]part.Entry
 	pullAt   time.Duration
 	pulls    int
@@ -63,7 +64,7 @@
 	version      uint64
 	tenants      []string
 	members      map[string]core.Member
-	replicas     map[string]map[string]core.Replica
+	replicas     map[string]map[string]announced
 	cores        map[string]core.Core
 	conditions   map[string]*condition
 	breakerState breaker.State
@@ -107,6 +108,7 @@
 	outstanding int64
 	failures    int
 	until       time.Duration
+	usedAt      time.Duration
 }
 
 type held struct {
@@ -131,8 +133,8 @@
 func New(o Options) *Machine {
 	m := &Machine{params: identity{Params: o.Params, ID: o.ID, Zone: o.Zone, Address: o.Address, HTTP: o.HTTP, Seeds: o.Seeds},
 		random: o.Random, incarnation: o.Incarnation, buried: map[string]bool{}, now: o.Now,
-		versions: map[int]part.Stamp{}, fresh: map[int]time.Duration{}, entries: map[int]map[string]part.Entry{},
-		members: map[string]core.Member{}, replicas: map[string]map[string]core.Replica{}, cores: map[string]core.Core{},
+		versions: map[int]part.Stamp{}, freshAt: -1, bornAt: o.Now, entries: map[int]map[string]part.Entry{},
+		members: map[string]core.Member{}, replicas: map[string]map[string]announced{}, cores: map[string]core.Core{},
 		conditions: map[string]*condition{}, waiting: map[uint64]slab.Ticket{}, live: map[slab.Ticket]*shot{},
 		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, breakerState: breaker.Closed}
 	m.Counters.Refusals = map[string]int64{}
@@ -204,6 +206,7 @@
 func (m *Machine) Tick(now time.Duration) Output {
 	m.step(now)
 	m.pull(now)
+	m.forget(now)
 	m.renew(now)
 	m.caller.Tick(now)
 	m.report(now)
@@ -225,7 +228,7 @@
 		versions[n] = v
 	}
 	m.pulls++
-	ask := core.Pull{Sent: now, Versions: versions, Member: m.params.ID, Want: m.pulls%8 == 1 || len(m.topology.Owners) == 0}
+	ask := core.Pull{Sent: now, Versions: versions, Member: m.params.ID, Fresh: m.freshAt < m.bornAt, Want: m.pulls%8 == 1 || len(m.topology.Owners) == 0}
 	targets := m.coreAddresses()
 	if len(targets) == 0 {
 		targets = m.params.Seeds
@@ -233,8 +236,13 @@
 	for _, to := range targets {
 		m.send(to, ask)
 	}
-	if others := m.others(); len(others) > 0 {
-		m.send(others[int(m.random()*float64(len(others)))%len(others)], ask)
+	// Two others a pull carry a replica's word to every node of a fleet well
+	// before it is too old.
+	others := m.others()
+	for i := 0; i < 2 && len(others) > 0; i++ {
+		chosen := int(m.random()*float64(len(others))) % len(others)
+		m.send(others[chosen], ask)
+		others = append(others[:chosen], others[chosen+1:]...)
 	}
 }
 
@@ -257,6 +265,11 @@
 	if m.renewing || now < m.renewAt || len(m.topology.Owners) == 0 || m.version == 0 || (m.leaving && !m.joined) {
 		return
 	}
+	if m.freshAt < m.bornAt {
+		// A life that has not heard from the configuration's owner may be behind
+		// what an earlier life of this node had in force.
+		return
+	}
 	if !m.joined && len(m.former) > 0 {
 		m.bury(now)
 		return
@@ -430,6 +443,8 @@
 		m.onPull(now, from, b)
 	case core.Fresh:
 		m.onFresh(b)
+	case Announced:
+		m.onAnnounced(now, b)
 	case Forward:
 		m.onForward(now, from, b)
 	case Withdraw:
@@ -474,33 +489,19 @@
 	}
 }
 
-// onFresh notes which parts this node has missed nothing of, and as of when.
+// onFresh notes as of when this node has missed nothing of the configuration.
 func (m *Machine) onFresh(b core.Fresh) {
-	for n, known := range b.Parts {
-		if !m.versions[n].Less(known.Upto) {
-			if at, ok := m.fresh[n]; !ok || b.Sent-known.Age > at {
-				m.fresh[n] = b.Sent - known.Age
-			}
-		}
+	if !m.versions[core.ConfigurationPart].Less(b.Upto) {
+		m.freshAt = max(m.freshAt, b.Sent-b.Age)
 	}
 }
 
-// current reports whether news of a part is recent enough to act on.
-func (m *Machine) current(now time.Duration, n int) bool {
-	at, ok := m.fresh[n]
-	return ok && now < at+m.params.Newest
-}
-
 func (m *Machine) onPull(now time.Duration, from string, b core.Pull) {
 	if b.Want && m.topology.Fleet != "" {
 		m.send(from, m.topology)
 	}
-	fresh := core.Fresh{Sent: b.Sent, Parts: map[int]core.Known{}}
 	for _, n := range ordered.Keys(m.versions) {
 		after, upto := b.Versions[n], m.versions[n]
-		if at, ok := m.fresh[n]; ok {
-			fresh.Parts[n] = core.Known{Upto: upto, Age: now - at}
-		}
 		if !after.Less(upto) {
 			continue
 		}
@@ -510,9 +511,7 @@
 		}
 		m.send(from, news)
 	}
-	if len(fresh.Parts) > 0 {
-		m.send(from, fresh)
-	}
+	m.tellAnnounced(now, from, b.Sent)
 }
 
 func (m *Machine) onNews(now time.Duration, b core.News) {
@@ -535,19 +534,6 @@
 }
 
 func (m *Machine) learn(now time.Duration, n int) {
-	if n == core.ConfigurationPart {
-		for _, k := range ordered.Keys(m.entries[n]) {
-			m.learnEntry(now, m.entries[n][k])
-		}
-		return
-	}
-	replicas := map[string]map[string]core.Replica{}
-	for service, list := range m.replicas {
-		if core.PartOf(len(m.topology.Owners), "backend", service) != n {
-			replicas[service] = list
-		}
-	}
-	m.replicas = replicas
 	for _, k := range ordered.Keys(m.entries[n]) {
 		m.learnEntry(now, m.entries[n][k])
 	}
@@ -573,14 +559,6 @@
 			m.members[o.ID] = o
 			m.breakFrom(now, o)
 		}
-	case "backend":
-		var r core.Replica
-		if message.Unmarshal(e.Value, &r) == nil {
-			if m.replicas[r.Service] == nil {
-				m.replicas[r.Service] = map[string]core.Replica{}
-			}
-			m.replicas[r.Service][r.ID] = r
-		}
 	case "core":
 		var c core.Core
 		if message.Unmarshal(e.Value, &c) == nil {
@@ -604,39 +582,13 @@
 	}
 }
 
-// Announce takes a replica's word about itself and passes it on. The ticket's
-// return says whether it was heard; that a replica leaves counts as heard only
-// when it is durable, so that every node knows it in time.
-func (m *Machine) Announce(now time.Duration, ticket uint64, r core.Replica) Output {
-	m.step(now)
-	if r.Leaving {
-		if known, ok := m.replicas[r.Service][r.ID]; ok {
-			known.Leaving = true
-			m.replicas[r.Service][r.ID] = known
-		}
-	} else {
-		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Piece: Piece{Kind: PieceBody, Status: 200}})
-	}
-	m.caller.Call(now, core.ReportReplica{Replica: r}, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
-		if !r.Leaving {
-			return
-		}
-		p := Piece{Kind: PieceBody, Status: 200}
-		if _, ok := o.Answer.(core.Done); !ok {
-			p = Piece{Kind: PieceVerdict, Status: 503, Verdict: unsure("the leaving could not be made known; tell another node")}
-		}
-		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Piece: p})
-	})
-	return *m.out
-}
-
 // choose picks a replica: of two at random the less loaded, near ones first.
-func (m *Machine) choose(now time.Duration, service string, may func(id string) bool) (core.Replica, bool) {
-	var near, far []core.Replica
+func (m *Machine) choose(now time.Duration, service string, may func(id string) bool) (Replica, bool) {
+	var near, far []Replica
 	limit := m.description.Services[service].ShotsPerReplica
-	for _, r := range m.replicas[service] {
+	for _, r := range m.present(now, service) {
 		c := m.conditions[service+"/"+r.ID]
-		if r.Leaving || r.Ended || !may(r.ID) || (c != nil && (now < c.until || c.outstanding >= limit)) {
+		if !may(r.ID) || (c != nil && (now < c.until || c.outstanding >= limit)) {
 			continue
 		}
 		if r.Zone == m.params.Zone {
@@ -650,9 +602,8 @@
 		list = append(near, far...)
 	}
 	if len(list) == 0 {
-		return core.Replica{}, false
+		return Replica{}, false
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	a := list[int(m.random()*float64(len(list)))%len(list)]
 	b := list[int(m.random()*float64(len(list)))%len(list)]
 	if m.load(b) < m.load(a) {
@@ -661,7 +612,7 @@
 	return a, true
 }
 
-func (m *Machine) load(r core.Replica) int64 {
+func (m *Machine) load(r Replica) int64 {
 	load := r.Load
 	if c := m.conditions[r.Service+"/"+r.ID]; c != nil {
 		load += c.outstanding
@@ -669,13 +620,14 @@
 	return load
 }
 
-func (m *Machine) conditionOf(r core.Replica) *condition {
+func (m *Machine) conditionOf(r Replica) *condition {
 	key := r.Service + "/" + r.ID
 	c := m.conditions[key]
 	if c == nil {
 		c = &condition{}
 		m.conditions[key] = c
 	}
+	c.usedAt = m.now
 	return c
 }
 
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -21,7 +21,7 @@
 	way       *way
 	held      *held
 	fenced    bool
-	replica   core.Replica
+	replica   Replica
 	tried     map[string]bool
 	payload   Payload
 	turn      string
@@ -242,10 +242,6 @@
 		m.undo(now, s, late(verdict.No))
 		return
 	}
-	if !m.current(now, core.PartOf(len(m.topology.Owners), "backend", service)) {
-		m.undo(now, s, unsure("news of the service's replicas is too old to act on"))
-		return
-	}
 	r, ok := m.choose(now, service, func(id string) bool { return !s.tried[id] })
 	if !ok {
 		m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "replica", Code: "no_replica", Reason: "no replica of the service has room", Status: 503, RetryAfter: time.Second}))
--- a/peer/node/types.go
+++ b/peer/node/types.go
@@ -162,7 +162,7 @@
 	Patience time.Duration
 	// Report is how often shares are reported while they change.
 	Report time.Duration
-	// Newest is how old news of a back end's part may be when a shot is made.
+	// Newest is how old a replica's announcement may be when a shot is made.
 	Newest time.Duration
 	// UrgentRatio is the part of the buffer kept for urgent services.
 	UrgentRatio float64
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -44,14 +44,13 @@
 
 // Status is the fleet as one core sees it.
 type Status struct {
-	Fleet    string         `json:"fleet"`
-	Cores    []core.Core    `json:"cores"`
-	Parts    []PartStatus   `json:"parts"`
-	Members  []core.Member  `json:"members"`
-	Replicas []core.Replica `json:"replicas"`
-	Version  uint64         `json:"configuration_version"`
-	Breaker  string         `json:"breaker"`
-	Missing  []int          `json:"parts_without_answer"`
+	Fleet   string        `json:"fleet"`
+	Cores   []core.Core   `json:"cores"`
+	Parts   []PartStatus  `json:"parts"`
+	Members []core.Member `json:"members"`
+	Version uint64        `json:"configuration_version"`
+	Breaker string        `json:"breaker"`
+	Missing []int         `json:"parts_without_answer"`
 }
 
 // Handed is a description as it is handed over.
@@ -294,7 +293,7 @@
 	for n := range t.Owners {
 		s.Parts = append(s.Parts, PartStatus{Part: n, Owner: t.Owners[n].Owner, Round: t.Owners[n].Round, Epoch: t.Groups[n].Epoch, Seats: t.Groups[n].Seats})
 		missing := false
-		for _, prefix := range []string{"member/", "backend/", "breaker", "configuration"} {
+		for _, prefix := range []string{"member/", "breaker", "configuration"} {
 			list, ok, err := entries(ctx, p, n, prefix)
 			if err != nil {
 				return s, err
@@ -319,14 +318,11 @@
 
 func (s *Status) add(e part.Entry) {
 	var m core.Member
-	var r core.Replica
 	var b core.BreakerNews
 	var c core.Configured
 	switch {
 	case len(e.Key) > 7 && e.Key[:7] == "member/" && message.Unmarshal(e.Value, &m) == nil:
 		s.Members = append(s.Members, m)
-	case len(e.Key) > 8 && e.Key[:8] == "backend/" && message.Unmarshal(e.Value, &r) == nil:
-		s.Replicas = append(s.Replicas, r)
 	case e.Key == "breaker" && message.Unmarshal(e.Value, &b) == nil:
 		s.Breaker = b.State
 		if b.State == "open" {
--- a/peer/replica/replica_test.go
+++ b/peer/replica/replica_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"saffronfall/peer/core"
 	"saffronfall/peer/node"
 )
 
@@ -63,8 +62,8 @@
 
 // TestAnnouncements: who may announce, and what.
 func TestAnnouncements(t *testing.T) {
-	heard := true
-	handler := Announcements("key", func(context.Context, core.Replica) bool { return heard })
+	var silent error
+	handler := Announcements("key", func(context.Context, node.Replica, string) (node.Heard, error) { return node.Heard{}, silent })
 	for _, c := range []struct {
 		key, body string
 		status    int
@@ -85,12 +84,12 @@
 			t.Errorf("%s: %d %s", c.body, w.Code, w.Body)
 		}
 	}
-	heard = false
+	silent = context.Canceled
 	r := httptest.NewRequest("POST", "/v1/replicas", strings.NewReader(`{"service":"model","id":"m","address":"10.0.0.1:80","leaving":true}`))
 	r.Header.Set("Authorization", "Bearer key")
 	w := httptest.NewRecorder()
 	handler.ServeHTTP(w, r)
 	if w.Code != 503 {
-		t.Errorf("a leaving that could not be made known: %d", w.Code)
+		t.Errorf("a leaving that was not heard: %d", w.Code)
 	}
 }
--- a/rehearsalkit/fleet/backend.go
+++ b/rehearsalkit/fleet/backend.go
@@ -5,12 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
+	"saffronfall/peer/node"
+	"saffronfall/peer/replica"
 	"saffronfall/rehearsalkit/judge"
 )
 
@@ -55,41 +56,64 @@
 	server := &http.Server{Addr: b.address, Handler: mux}
 	context.AfterFunc(b.life, func() { server.Close() })
 	go server.ListenAndServe()
-	go b.announce()
+	for i := 0; i < 2; i++ {
+		go b.announce(b.leave)
+	}
 }
 
-func (b *backend) announce() {
-	leaving := false
-	for {
-		b.tell(leaving)
-		select {
-		case <-b.life.Done():
-			return
-		case <-b.leave:
-			leaving = true
-			b.leave = nil
-		case <-time.After(time.Duration(400+rand.IntN(200)) * time.Millisecond):
+// announce keeps this replica known at two nodes, each again and again with the
+// stamp that it gave. A node that does not answer is left for another.
+func (b *backend) announce(leave <-chan struct{}) {
+	for b.life.Err() == nil {
+		at, stamp := b.fleet.anyNode(), ""
+		for b.life.Err() == nil {
+			leaving := false
+			select {
+			case <-leave:
+				leaving = true
+			default:
+			}
+			heard, ok := b.tell(at, stamp, leaving)
+			if !ok {
+				pause(b.life, 20*time.Millisecond, 50*time.Millisecond)
+				break
+			}
+			stamp = heard.Stamp
+			select {
+			case <-time.After(time.Duration(heard.AgainMS) * time.Millisecond):
+			case <-b.life.Done():
+			case <-unless(leaving, leave):
+			}
 		}
 	}
 }
 
-func (b *backend) tell(leaving bool) {
-	at := b.fleet.nodes[rand.IntN(len(b.fleet.nodes))]
-	body, _ := json.Marshal(map[string]any{"service": b.service, "id": b.id, "address": b.address, "zone": b.zone, "leaving": leaving})
-	ctx, cancel := context.WithTimeout(b.life, 3*time.Second)
+// unless is a channel that is only waited for while nothing came of it yet.
+func unless(already bool, what <-chan struct{}) <-chan struct{} {
+	if already {
+		return nil
+	}
+	return what
+}
+
+func (b *backend) tell(at *Machine, stamp string, leaving bool) (heard replica.Heard, ok bool) {
+	body, _ := json.Marshal(replica.Told{Replica: node.Replica{Service: b.service, ID: b.id, Address: b.address, Zone: b.zone, Leaving: leaving}, Stamp: stamp})
+	ctx, cancel := context.WithTimeout(b.life, 400*time.Millisecond)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+at.requester+"/v1/replicas", bytes.NewReader(body))
 	if err != nil {
-		return
+		return heard, false
 	}
 	r.Header.Set("Authorization", "Bearer "+b.key)
 	got, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return
+		return heard, false
+	}
+	defer got.Body.Close()
+	if got.StatusCode != 200 || json.NewDecoder(got.Body).Decode(&heard) != nil {
+		return heard, false
 	}
-	io.Copy(io.Discard, got.Body)
-	got.Body.Close()
-	if leaving && got.StatusCode == 200 {
+	if leaving {
 		b.fleet.note(func(r *judge.Record) {
 			for _, l := range r.Leaving {
 				if l.Replica == b.id {
@@ -99,6 +123,7 @@
 			r.Leaving = append(r.Leaving, judge.Leaving{At: b.fleet.now(), Replica: b.id})
 		})
 	}
+	return heard, true
 }
 
 func (b *backend) turn(w http.ResponseWriter, r *http.Request) {
--- a/rehearsalkit/simulator/backend.go
+++ b/rehearsalkit/simulator/backend.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"saffronfall/peer/core"
 	"saffronfall/peer/node"
 	"saffronfall/rehearsalkit/judge"
 )
@@ -20,37 +19,52 @@
 	running int64
 	serial  int
 	loses   float64
+	// mute replicas say nothing of themselves any more.
+	mute bool
 }
 
 func (b *backend) name() string    { return fmt.Sprintf("%s.%d", b.id, b.serial) }
 func (b *backend) address() string { return "replica:" + b.service + ":" + b.name() }
 
-// announce tells a node about this replica, again and again.
+// announce keeps a replica known: at two nodes, each again and again with the
+// stamp that it gave. A node that does not answer is left for another.
 func (b *backend) announce() {
-	w := b.world
-	if b.alive {
-		b.tell()
+	for i := 0; i < 2; i++ {
+		b.keepTelling(b.serial)
 	}
-	w.after(w.between(300*time.Millisecond, 500*time.Millisecond), b.announce)
 }
 
-func (b *backend) tell() {
+func (b *backend) keepTelling(serial int) {
+	b.tell(b.world.anyNode(), serial, "")
+}
+
+func (b *backend) tell(p *proc, serial int, stamp string) {
 	w := b.world
-	p := w.nodes[w.random.IntN(len(w.nodes))]
-	r := core.Replica{Service: b.service, ID: b.name(), Address: b.address(), Zone: b.zone, Load: b.running, Leaving: b.leaving}
+	if b.serial != serial || !b.alive || b.mute {
+		return
+	}
+	r := node.Replica{Service: b.service, ID: b.name(), Address: b.address(), Zone: b.zone, Load: b.running, Leaving: b.leaving}
+	over := false
 	w.after(w.between(200*time.Microsecond, 3*time.Millisecond), func() {
-		if !p.alive || p.frozen {
-			return
-		}
-		w.tickets++
-		ticket := w.tickets
-		w.returns[ticket] = &waiting{node: p, piece: func(piece node.Piece) {
-		}}
-		if r.Leaving && !w.told(r.ID) {
-			// The first node has it, whatever becomes of that node.
-			w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
+		p.do(func() {
+			if r.Leaving && !w.told(r.ID) {
+				// The first node has it, whatever becomes of that node.
+				w.Record.Leaving = append(w.Record.Leaving, judge.Leaving{At: w.now, Replica: r.ID})
+			}
+			heard := p.nodeM.Announce(p.now(), r, stamp)
+			w.after(w.between(200*time.Microsecond, 3*time.Millisecond), func() {
+				if !over && p.alive {
+					over = true
+					w.after(heard.Again, func() { b.tell(p, serial, heard.Stamp) })
+				}
+			})
+		})
+	})
+	w.after(300*time.Millisecond, func() {
+		if !over {
+			over = true
+			b.keepTelling(serial)
 		}
-		p.do(func() { p.takeNode(p.nodeM.Announce(p.now(), ticket, r)) })
 	})
 }
 
@@ -72,14 +86,13 @@
 	w := b.world
 	b.leaving = true
 	w.logf("replica %s leaves", b.name())
-	for i := 0; i < 3; i++ {
-		b.tell()
-	}
+	b.announce()
 	w.after(4*time.Second, func() {
 		b.alive = false
 		w.after(300*time.Millisecond, func() {
 			b.serial++
 			b.alive, b.leaving, b.running = true, false, 0
+			b.announce()
 		})
 	})
 }
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -209,7 +209,7 @@
 
 func (w *World) coreParams() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8, Home: 20}, MemberTerm: 2 * time.Second,
-		ReplicaTerm: 3 * time.Second, Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
+		Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
 }
 
 func (w *World) nodeParams() node.Params {
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -315,9 +315,6 @@
 	for _, m := range s.Members {
 		fmt.Printf("member  %-12s %-10s %s ended=%v\n", m.ID, m.Zone, m.HTTP, m.Ended)
 	}
-	for _, r := range s.Replicas {
-		fmt.Printf("replica %-12s %-10s %s load=%d leaving=%v ended=%v\n", r.Service+"/"+r.ID, r.Zone, r.Address, r.Load, r.Leaving, r.Ended)
-	}
 	if len(s.Missing) > 0 {
 		fmt.Printf("no answer from parts %v\n", s.Missing)
 	}
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -15,7 +15,6 @@
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
 
-	"saffronfall/peer/core"
 	"saffronfall/peer/node"
 	"saffronfall/peer/operator"
 	"saffronfall/peer/replica"
@@ -254,23 +253,8 @@
 	}
 }
 
-func (s *process) announce(ctx context.Context, r core.Replica) bool {
-	pieces := make(chan node.Piece, 1)
-	select {
-	case s.calls <- func(now time.Duration) node.Output {
-		s.next++
-		s.waiting[s.next] = pieces
-		return s.machine.Announce(now, s.next, r)
-	}:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case p := <-pieces:
-		return p.Kind == node.PieceBody
-	case <-ctx.Done():
-		return false
-	}
+func (s *process) announce(ctx context.Context, r node.Replica, stamp string) (node.Heard, error) {
+	return look(ctx, s, func(now time.Duration) node.Heard { return s.machine.Announce(now, r, stamp) })
 }
 
 func look[T any](ctx context.Context, s *process, of func(now time.Duration) T) (T, error) {
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -29,20 +29,19 @@
 	RequesterListen   string `json:"requester_listen"`
 	RequesterAdvert   string `json:"requester_advertise"`
 
-	OwnerTermMS   int64   `json:"owner_term_ms"`
-	MemberTermMS  int64   `json:"member_term_ms"`
-	ReplicaTermMS int64   `json:"replica_term_ms"`
-	PullMS        int64   `json:"pull_ms"`
-	NewestMS      int64   `json:"newest_ms"`
-	RetryMS       int64   `json:"retry_ms"`
-	PatienceMS    int64   `json:"patience_ms"`
-	BudgetMS      int64   `json:"budget_ms"`
-	GraceMS       int64   `json:"grace_ms"`
-	Drift         float64 `json:"drift"`
-	Buffer        int64   `json:"buffer"`
-	Largest       int64   `json:"largest_inquiry_bytes"`
-	UrgentRatio   float64 `json:"urgent_ratio"`
-	Verbosity     int64   `json:"log_verbosity"`
+	OwnerTermMS  int64   `json:"owner_term_ms"`
+	MemberTermMS int64   `json:"member_term_ms"`
+	PullMS       int64   `json:"pull_ms"`
+	NewestMS     int64   `json:"newest_ms"`
+	RetryMS      int64   `json:"retry_ms"`
+	PatienceMS   int64   `json:"patience_ms"`
+	BudgetMS     int64   `json:"budget_ms"`
+	GraceMS      int64   `json:"grace_ms"`
+	Drift        float64 `json:"drift"`
+	Buffer       int64   `json:"buffer"`
+	Largest      int64   `json:"largest_inquiry_bytes"`
+	UrgentRatio  float64 `json:"urgent_ratio"`
+	Verbosity    int64   `json:"log_verbosity"`
 }
 
 // Rows is the table of a process's settings.
@@ -62,9 +61,8 @@
 	{Path: "requester_advertise", Type: "text", Default: "", Check: maybeAddress, About: "what requesters are told; empty: as listened on"},
 	{Path: "owner_term_ms", Type: "int", Default: 600, Min: 50, Max: 60000, About: "term of a part's owner"},
 	{Path: "member_term_ms", Type: "int", Default: 2000, Min: 200, Max: 120000, About: "term of a node: how long it may go on alone, and how long its programs wait for a successor"},
-	{Path: "replica_term_ms", Type: "int", Default: 3000, Min: 200, Max: 120000, About: "how long a replica counts without announcing itself"},
 	{Path: "pull_ms", Type: "int", Default: 150, Min: 10, Max: 1000, About: "how often a node pulls news; well below two seconds"},
-	{Path: "newest_ms", Type: "int", Default: 1700, Min: 100, Max: 60000, About: "how old news of a back end may be when a shot is made; below two seconds"},
+	{Path: "newest_ms", Type: "int", Default: 1700, Min: 100, Max: 1900, About: "how old a replica's announcement may be when a shot is made; below two seconds"},
 	{Path: "retry_ms", Type: "int", Default: 150, Min: 10, Max: 10000, About: "how long one attempt at a command may take"},
 	{Path: "patience_ms", Type: "int", Default: 1000, Min: 0, Max: 60000, About: "longest wait of a shot for its tenant's rate"},
 	{Path: "budget_ms", Type: "int", Default: 30000, Min: 100, Max: 600000, About: "budget of inquiries that name none"},
@@ -144,8 +142,8 @@
 // Core are the control plane's bounds.
 func (p Params) Core() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: ms(p.OwnerTermMS), Drift: p.Drift, Renewals: 5, Sweeps: 8, Home: 20},
-		MemberTerm: ms(p.MemberTermMS), ReplicaTerm: ms(p.ReplicaTermMS),
-		Retry: ms(p.RetryMS), Pull: ms(p.PullMS)}
+		MemberTerm: ms(p.MemberTermMS),
+		Retry:      ms(p.RetryMS), Pull: ms(p.PullMS)}
 }
 
 // Node are the data plane's bounds.
