An owner cut off from the cores goes on, with its program held by two mirrors

Cause: every turn's reservation and outcome had to be durable at the cores, so one cut of all cores stopped every turn.

Change: a record names two mirrors, in other zones, and up to where the allowance is charged beforehand. What the cores do not take within one retry is given to both mirrors; what all of them hold is as good as written while the term holds and the charge is covered. A successor asks the mirrors first, seals them against the former owner, and refuses with a time to come back until one of them answers. Owners are looked for at the node that opened the program before any core is asked. Steps wait for twelve retries and no longer for a member's term.

Ruled out: mirrors for every turn (a power loss would take what was confirmed in touch); one mirror (lost with the owner).

--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -115,6 +115,8 @@
 		p.Fence++
 		p.Node, p.Incarnation, p.Address = c.Node, c.Incarnation, c.Address
 		p.Settle()
+		// The owner wrote everything through before it handed the program over.
+		p.Covered, p.Mirrors, p.MirrorsFence = 0, nil, 0
 		write(tx, key, p)
 		return Programmed{Found: true}
 	case ShareTenant:
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -26,6 +26,7 @@
 	over    bool
 	opened  bool
 	passed  bool
+	guessed bool
 	hops    int
 	shot    slab.Ticket
 	asked   slab.Ticket
@@ -214,6 +215,11 @@
 		m.refuse(w, denied(notOwner, "this node leaves", 503))
 		return
 	}
+	if owner, ok := m.opener(w.inquiry.Program); ok && !w.guessed && !w.passed {
+		w.guessed = true
+		m.forward(now, w, owner)
+		return
+	}
 	m.claim(now, w, core.ClaimProgram{})
 }
 
@@ -252,9 +258,14 @@
 // patient is until when a step may take: the budget, but never so long that a
 // fault is sat out instead of told.
 func (m *Machine) patient(now time.Duration, w *way) time.Duration {
-	return min(w.until, now+m.params.Core.MemberTerm)
+	return min(w.until, now+m.patience())
 }
 
+// patientRetries is how many tries at a command are waited for.
+const patientRetries = 12
+
+func (m *Machine) patience() time.Duration { return patientRetries * m.params.Core.Retry }
+
 func (m *Machine) hold(now time.Duration, p core.Programmed) *held {
 	h := &held{record: copyRecord(p.Record), turns: map[string][]program.Turn{}, offset: p.Clock - now, saved: p.Record.Version, usedAt: now}
 	for _, t := range p.Turns {
@@ -265,6 +276,7 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].Number < list[j].Number })
 	}
 	m.programs[p.Record.Tenant+"/"+p.Record.ID] = h
+	m.consult(now, h)
 	return h
 }
 
@@ -478,14 +490,17 @@
 
 func (m *Machine) openDay(now time.Duration, w *way, id string, test int, warnings []verdict.Warning) {
 	s := m.dayOf(w.tenant)
-	m.draw(now, s, 1, m.dayChunk(w.tenant), m.patient(now, w), m.askDay(w.tenant, s), func(now time.Duration, ok bool) {
+	m.draw(now, s, 1, m.dayChunk(w.tenant), m.patient(now, w), m.askDay(w.tenant, s), func(now time.Duration, ok, told bool) {
 		if w.over || !ok {
 			m.closeUser(now, w, id)
-			m.refuse(w, m.dayVerdict())
+			m.refuse(w, m.dayVerdict(told))
 			return
 		}
-		r := program.Record{ID: id, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Node: m.params.ID, Incarnation: m.incarnation, Address: m.params.Address, Test: test,
+		r := program.Record{Fence: 1, ID: id, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Node: m.params.ID, Incarnation: m.incarnation, Address: m.params.Address, Test: test,
 			Keep: time.Duration(m.description.KeepSeconds) * time.Second}
+		fresh := held{record: r}
+		m.cover(&fresh)
+		r = fresh.record
 		m.caller.Call(now, core.OpenProgram{Record: r}, m.patient(now, w), func(now time.Duration, o core.Outcome) {
 			p, ok := o.Answer.(core.Programmed)
 			if !ok || !p.Owned || w.over || p.Record.Incarnation != m.incarnation {
@@ -508,6 +523,9 @@
 	}
 }
 
-func (m *Machine) dayVerdict() verdict.Verdict {
+func (m *Machine) dayVerdict(told bool) verdict.Verdict {
+	if !told {
+		return unsure("no share of the tenant's day could be had in time")
+	}
 	return verdict.Refused(verdict.Refusal{Check: "tenant_day", Code: "tenant_day_tokens_spent", Reason: "the tenant's day is spent, or its shares are all held", Status: 429, RetryAfter: m.params.Core.MemberTerm})
 }
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -82,6 +82,7 @@
 	givingBack      bool
 
 	programs map[string]*held
+	mirrors  map[string]*mirrored
 	owners   map[string]core.Member
 	paces    map[string]*pace
 	days     map[string]*share
@@ -118,9 +119,19 @@
 	saved   uint64
 	unsaved []program.Turn
 	saving  bool
-	waiters []saver
-	lost    bool
-	usedAt  time.Duration
+	// unsavedAt is since when the cores lack something; named and covered are
+	// what the record that they have says; copied is the version that all
+	// mirrors hold.
+	unsavedAt  time.Duration
+	named      []program.Mirror
+	covered    int64
+	copied     uint64
+	acked      map[string]uint64
+	copyAt     time.Duration
+	consulting *consulting
+	waiters    []saver
+	lost       bool
+	usedAt     time.Duration
 }
 
 type saver struct {
@@ -136,7 +147,7 @@
 		versions: map[int]part.Stamp{}, freshAt: -1, bornAt: o.Now, entries: map[int]map[string]part.Entry{},
 		members: map[string]core.Member{}, replicas: map[string]map[string]announced{}, cores: map[string]core.Core{},
 		conditions: map[string]*condition{}, waiting: map[uint64]slab.Ticket{}, live: map[slab.Ticket]*shot{},
-		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, breakerState: breaker.Closed}
+		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, mirrors: map[string]*mirrored{}, breakerState: breaker.Closed}
 	m.Counters.Refusals = map[string]int64{}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
@@ -207,6 +218,7 @@
 	m.step(now)
 	m.pull(now)
 	m.forget(now)
+	m.forgetMirrored(now)
 	m.renew(now)
 	m.caller.Tick(now)
 	m.report(now)
@@ -451,6 +463,14 @@
 		m.onWithdraw(now, from, b)
 	case Pieced:
 		m.onPieced(now, from, b)
+	case Copy:
+		m.onCopy(now, from, b)
+	case Copied:
+		m.onCopied(now, from, b)
+	case AskCopy:
+		m.onAskCopy(now, from, b)
+	case CopyHeld:
+		m.onCopyHeld(now, b)
 	case core.AskSamples:
 		list := append([]rehearsal.Sample(nil), m.samples...)
 		for i := range list {
@@ -634,29 +654,39 @@
 // save makes a program's record durable, then goes on. One save of a program
 // is under way at a time; each carries the newest record.
 func (m *Machine) save(now time.Duration, h *held, until time.Duration, next func(now time.Duration, ok bool)) {
-	h.record.Version++
+	m.change(now, h)
 	h.waiters = append(h.waiters, saver{version: h.record.Version, until: until, next: next})
 	m.pushSave(now, h)
 }
 
 // resave makes a changed record durable, with nobody waiting for it.
 func (m *Machine) resave(now time.Duration, h *held) {
-	h.record.Version++
+	m.change(now, h)
 	m.pushSave(now, h)
 }
 
+func (m *Machine) change(now time.Duration, h *held) {
+	if h.saved >= h.record.Version {
+		h.unsavedAt = now
+	}
+	h.record.Version++
+}
+
 func (m *Machine) pushSave(now time.Duration, h *held) {
-	if h.saving || h.lost || h.saved >= h.record.Version {
-		if h.lost {
-			m.failSaves(now, h)
-		}
+	if h.lost {
+		m.failSaves(now, h)
+		return
+	}
+	m.copyOut(now, h)
+	if h.saving || h.consulting != nil || h.saved >= h.record.Version || m.description == nil {
 		return
 	}
 	h.saving = true
+	m.cover(h)
 	m.Counters.Saves++
 	record := copyRecord(h.record)
 	turns := append([]program.Turn(nil), h.unsaved...)
-	m.caller.Call(now, core.SaveProgram{Record: record, Turns: turns}, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
+	m.caller.Call(now, core.SaveProgram{Record: record, Turns: turns}, now+m.patience(), func(now time.Duration, o core.Outcome) {
 		h.saving = false
 		p, ok := o.Answer.(core.Programmed)
 		switch {
@@ -673,21 +703,29 @@
 			return
 		case ok:
 			h.saved = max(h.saved, p.Version)
+			h.named, h.covered = record.Mirrors, record.Covered
 			h.unsaved = h.unsaved[len(turns):]
+			h.unsavedAt = now
 		}
-		ready := h.waiters
-		h.waiters = nil
-		for _, w := range ready {
-			if w.version <= h.saved {
-				w.next(now, true)
-			} else {
-				h.waiters = append(h.waiters, w)
-			}
-		}
+		m.wakeSaves(now, h)
 		m.pushSave(now, h)
 	})
 }
 
+// wakeSaves goes on with what waited for a version that is now held, by the
+// cores or by all mirrors.
+func (m *Machine) wakeSaves(now time.Duration, h *held) {
+	ready := h.waiters
+	h.waiters = nil
+	for _, w := range ready {
+		if w.version <= max(h.saved, h.copied) {
+			w.next(now, true)
+		} else {
+			h.waiters = append(h.waiters, w)
+		}
+	}
+}
+
 func copyRecord(r program.Record) program.Record {
 	var c program.Record
 	if err := message.Unmarshal(message.Marshal(r), &c); err != nil {
@@ -719,6 +757,7 @@
 		for _, w := range late {
 			w.next(now, false)
 		}
+		m.askMirrors(now, h)
 		m.pushSave(now, h)
 		if now > h.usedAt+h.record.Keep && len(h.record.Running) == 0 && h.saved >= h.record.Version {
 			delete(m.programs, k)
@@ -783,7 +822,7 @@
 	successors := m.successors()
 	for _, key := range ordered.Keys(m.programs) {
 		h := m.programs[key]
-		if len(successors) == 0 || len(h.record.Running) > 0 || len(h.waiters) > 0 || h.saved < h.record.Version {
+		if len(successors) == 0 || h.consulting != nil || len(h.record.Running) > 0 || len(h.waiters) > 0 || h.saved < h.record.Version {
 			continue
 		}
 		to := successors[m.handed%len(successors)]
@@ -878,5 +917,5 @@
 		"programs": len(m.programs), "running": m.running, "waiting": m.ways.Used(), "shares": shares, "refusals": refusals,
 		"inquiries": c.Inquiries, "forwarded": c.Forwarded, "gated": c.Gated, "warned": c.Warned, "refused": c.Refused, "shots": c.Shots,
 		"not_run": c.NotRun, "broken": c.Broken, "whole": c.Whole, "takeovers": c.Takeovers, "joins": c.Joins, "terms_lost": c.TermsLost,
-		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "passed_on": c.PassedOn, "command_tries": m.caller.Tries}
+		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "passed_on": c.PassedOn, "mirrored": c.Mirrored, "mirrors_used": c.MirrorsUsed, "mirrors_lost": c.MirrorsLost, "command_tries": m.caller.Tries}
 }
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -131,10 +131,11 @@
 
 func (m *Machine) holder() string { return m.params.ID + "/" + m.incarnation }
 
-// draw gets a share up to a need, then goes on.
-func (m *Machine) draw(now time.Duration, s *share, need, chunk int64, until time.Duration, ask func(target int64) any, next func(now time.Duration, ok bool)) {
+// draw gets a share up to a need, then goes on; told says whether that is the
+// word of whoever divides the allowance, and not only its silence.
+func (m *Machine) draw(now time.Duration, s *share, need, chunk int64, until time.Duration, ask func(target int64) any, next func(now time.Duration, ok, told bool)) {
 	if s.free() >= need {
-		next(now, true)
+		next(now, true, true)
 		return
 	}
 	s.pending += need
@@ -142,12 +143,12 @@
 	incarnation := m.incarnation
 	m.caller.Call(now, ask(target), until, func(now time.Duration, o core.Outcome) {
 		if incarnation != m.incarnation {
-			next(now, false)
+			next(now, false, false)
 			return
 		}
 		s.pending -= need
 		m.learnShare(now, s, o)
-		next(now, s.free() >= need)
+		next(now, s.free() >= need, !o.Unsure)
 	})
 }
 
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -39,6 +39,10 @@
 // atOwner goes on with an inquiry at the node that owns its program.
 func (m *Machine) atOwner(now time.Duration, w *way, h *held) {
 	h.usedAt = now
+	if h.consulting != nil {
+		m.await(now, w, h)
+		return
+	}
 	switch w.inquiry.Kind {
 	case Turn:
 		m.turn(now, w, h)
@@ -128,14 +132,14 @@
 // then makes its reservation durable, at the program's part and the user's.
 func (m *Machine) drawTurn(now time.Duration, s *shot) {
 	w, day := s.way, m.dayOf(s.way.tenant)
-	m.draw(now, day, s.tokens, m.dayChunk(w.tenant), m.patient(now, w), m.askDay(w.tenant, day), func(now time.Duration, ok bool) {
+	m.draw(now, day, s.tokens, m.dayChunk(w.tenant), m.patient(now, w), m.askDay(w.tenant, day), func(now time.Duration, ok, told bool) {
 		if !ok || w.over || s.held.lost {
 			m.dropTurn(now, s)
-			m.refuse(w, m.dayVerdict())
+			m.refuse(w, m.dayVerdict(told))
 			return
 		}
 		day.reserve(s.tokens)
-		m.draw(now, m.money, s.price, m.moneyChunk(), m.patient(now, w), m.askMoney, func(now time.Duration, ok bool) {
+		m.draw(now, m.money, s.price, m.moneyChunk(), m.patient(now, w), m.askMoney, func(now time.Duration, ok, _ bool) {
 			if !ok || w.over || s.held.lost {
 				day.settle(s.tokens, 0)
 				m.dropTurn(now, s)
@@ -179,15 +183,18 @@
 	}
 }
 
+// reserveTurn makes a turn's reservation durable: at the cores with the user's
+// day charged, or, while they can't be reached, at all mirrors; the user's day is
+// then charged when it can be, before the user's next session start.
 func (m *Machine) reserveTurn(now time.Duration, s *shot) {
 	w, h := s.way, s.held
-	waiting, good := 2, true
-	done := func(now time.Duration, ok bool) {
-		waiting--
-		good = good && ok
-		if waiting > 0 {
+	over, saved, charged, version := false, false, false, uint64(0)
+	goOn := func(now time.Duration, good bool) {
+		alone := h.saved < version
+		if over || (good && !(saved && (charged || alone))) {
 			return
 		}
+		over = true
 		if !good || h.lost || w.over {
 			m.refund(now, s)
 			m.refuse(w, unsure("the reservation could not be made durable in time"))
@@ -195,15 +202,22 @@
 		}
 		m.launch(now, s)
 	}
-	m.save(now, h, m.patient(now, w), done)
-	m.caller.Call(now, core.ChargeUser{Tenant: w.tenant, User: h.record.User, Program: h.record.ID, Charged: h.record.Charged()}, m.patient(now, w), func(now time.Duration, o core.Outcome) {
+	m.save(now, h, m.patient(now, w), func(now time.Duration, ok bool) {
+		saved = ok
+		goOn(now, ok)
+	})
+	version = h.record.Version
+	charge := core.ChargeUser{Tenant: w.tenant, User: h.record.User, Program: h.record.ID, Charged: h.record.Charged()}
+	m.caller.Call(now, charge, now+10*m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		day, ok := o.Answer.(core.UserDay)
 		role := m.description.Roles[h.record.Role]
 		if ok && day.Tokens >= role.UserDayTokensSoft {
 			s.warnings = append(s.warnings, verdict.Warning{Scope: "user_day_tokens", Used: day.Tokens, Of: role.UserDayTokensHard})
 		}
-		done(now, ok)
+		charged = ok
+		goOn(now, true)
 	})
+	m.later.Add(m.patient(now, w), func(now time.Duration) { goOn(now, charged && saved) })
 }
 
 // launch takes the tenant's rate and a replica, and shoots, all in one moment
@@ -352,7 +366,7 @@
 func (m *Machine) eject(now time.Duration, c *condition) {
 	c.failures++
 	if c.failures >= 3 {
-		c.until = now + m.params.Core.MemberTerm*time.Duration(min(c.failures-2, 8))
+		c.until = now + m.params.Newest*time.Duration(min(c.failures-2, 8))
 	}
 }
 
--- a/peer/node/types.go
+++ b/peer/node/types.go
@@ -174,5 +174,6 @@
 type Counters struct {
 	Inquiries, Forwarded, Gated, Warned, Refused, Shots, NotRun, Broken, Whole                   int64
 	Takeovers, Joins, TermsLost, StaleNews, Resets, Fenced, BadMessages, Saves, Handed, PassedOn int64
+	Mirrored, MirrorsUsed, MirrorsLost                                                           int64
 	Refusals                                                                                     map[string]int64
 }
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -198,7 +198,7 @@
 	c := w.cores[w.random.IntN(len(w.cores))]
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	length := w.between(100*time.Millisecond, 4*time.Second)
-	switch w.random.IntN(15) {
+	switch w.random.IntN(17) {
 	case 0:
 		if n.alive {
 			w.logf("kill %s", n.id)
@@ -261,6 +261,10 @@
 				}
 			})
 		}
+	case 15, 16:
+		w.logf("all cores cut from all nodes for %v", length)
+		w.Counts["cores cut off"]++
+		w.coreCut(length)
 	case 11, 12:
 		if c.alive && down == 0 && w.seated() {
 			w.logf("%s loses its disk", c.id)
@@ -294,6 +298,15 @@
 	})
 }
 
+// coreCut cuts all cores from all nodes.
+func (w *World) coreCut(length time.Duration) {
+	for _, c := range w.cores {
+		for _, n := range w.nodes {
+			w.link(c, n, length)
+		}
+	}
+}
+
 func (w *World) cutOff(p *proc, length time.Duration) {
 	for _, other := range w.procs {
 		if other != p {
--- a/rehearsalkit/simulator/touch_test.go
+++ b/rehearsalkit/simulator/touch_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,137 @@
 	}
 	noBreach(t, w)
 }
+
+// apart is a fleet whose nodes have long terms, with a program that has taken a
+// turn at the first node, and all cores cut off.
+func apart(t *testing.T, seed uint64, length time.Duration) (w *World, id, head string) {
+	t.Helper()
+	p := Defaults(seed)
+	p.Cores, p.Nodes, p.Users, p.Describe, p.MemberTerm = 3, 4, 0, design(func(role, tenant, services, breaker tree) {
+		role["steps"], role["session_seconds"] = 1000, 600
+	}), 8*time.Second
+	w = judged(Calm(p))
+	_, opened := open(w, 0, "u")
+	a, first := turn(w, 0, opened.Text, program.Start, 100)
+	want(t, "in touch", a, "")
+	w.Pass(500 * time.Millisecond)
+	for _, c := range w.cores {
+		for _, n := range w.nodes {
+			w.cut[[2]string{c.address, n.address}], w.cut[[2]string{n.address, c.address}] = true, true
+		}
+	}
+	w.after(length, func() { clear(w.cut) })
+	return w, opened.Text, first.Head
+}
+
+// chat takes turns of one program at random nodes for a time, as its requester
+// would, and returns how many came whole.
+func chat(w *World, length time.Duration, id, head string, alive ...int) (whole, asked int, last string) {
+	for end := w.now + length; w.now < end; {
+		asked++
+		a, p := turn(w, alive[w.random.IntN(len(alive))], id, head, 100)
+		switch {
+		case a.Outcome == judge.Whole:
+			whole++
+			head = p.Head
+		case a.Code == "wrong_history":
+			head = p.Verdict.Head
+		}
+		w.Pass(50 * time.Millisecond)
+	}
+	return whole, asked, head
+}
+
+// Cut off from all cores, an owner goes on with its program within its term,
+// whichever node is asked; afterwards everything is there.
+func TestTurnsWithoutCores(t *testing.T) {
+	w, id, head := apart(t, 1, 5*time.Second)
+	whole, asked, head := chat(w, 5*time.Second, id, head, 0, 1, 2, 3)
+	t.Logf("%d of %d turns whole", whole, asked)
+	if whole < 5 || whole < asked*8/10 {
+		t.Errorf("only %d of %d turns came whole", whole, asked)
+	}
+	w.Pass(3 * time.Second)
+	a, _ := turn(w, 2, id, head, 100)
+	want(t, "back in touch", a, "")
+	noBreach(t, w)
+}
+
+// An owner that dies out of touch leaves turns that no core has. Its successor
+// takes them from a mirror, whoever else dies; until then it says when to come
+// back.
+func TestOwnerLostOutOfTouch(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(w *World, mirrors []*proc)
+	}{
+		{"killed", func(w *World, mirrors []*proc) { w.nodes[0].kill() }},
+		{"killed with a mirror", func(w *World, mirrors []*proc) { w.nodes[0].kill(); mirrors[0].kill() }},
+		{"killed with the other mirror, both back empty", func(w *World, mirrors []*proc) {
+			w.nodes[0].kill()
+			mirrors[1].kill()
+			w.after(time.Second, w.nodes[0].boot)
+			w.after(time.Second, mirrors[1].boot)
+		}},
+		{"frozen past its term", func(w *World, mirrors []*proc) {
+			w.nodes[0].freeze()
+			w.after(14*time.Second, w.nodes[0].wake)
+		}},
+		{"cut off from everybody", func(w *World, mirrors []*proc) { w.cutOff(w.nodes[0], 14*time.Second) }},
+		{"killed, and a mirror frozen for long", func(w *World, mirrors []*proc) {
+			w.nodes[0].kill()
+			mirrors[0].freeze()
+			w.after(14*time.Second, mirrors[0].wake)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, id, head := apart(t, 2, 4*time.Second)
+			whole, _, head := chat(w, 2*time.Second, id, head, 0)
+			if whole < 3 {
+				t.Fatalf("only %d turns before", whole)
+			}
+			var mirrors, others []*proc
+			for _, one := range w.nodes[0].nodeM.MirrorsOf("t1", id) {
+				mirrors = append(mirrors, w.procs[one])
+			}
+			c.harm(w, mirrors)
+			var alive []int
+			for i, n := range w.nodes[1:] {
+				if n.alive && !n.frozen {
+					alive = append(alive, i+1)
+					others = append(others, n)
+				}
+			}
+			whole, asked, _ := chat(w, 20*time.Second, id, head, alive...)
+			if whole < 20 {
+				t.Errorf("%d of %d turns came whole afterwards, at %d nodes", whole, asked, len(others))
+			}
+			noBreach(t, w)
+		})
+	}
+}
+
+// Owner and both mirrors die out of touch: what only they had is lost. The
+// program is never called gone; its requester is told the head that is kept, and
+// what was charged beforehand counts as spent.
+func TestOwnerAndMirrorsLost(t *testing.T) {
+	w, id, head := apart(t, 3, 3*time.Second)
+	_, _, head = chat(w, 2*time.Second, id, head, 0)
+	for _, one := range w.nodes[0].nodeM.MirrorsOf("t1", id) {
+		w.procs[one].kill()
+		w.after(5*time.Second, w.procs[one].boot)
+	}
+	w.nodes[0].kill()
+	w.after(5*time.Second, w.nodes[0].boot)
+	w.Pass(16 * time.Second)
+	a, last := turn(w, 1, id, head, 100)
+	want(t, "the lost turn's head", a, "wrong_history")
+	a, _ = turn(w, 2, id, last.Verdict.Head, 100)
+	want(t, "the kept head", a, "")
+	a, look := w.Do(1, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: id})
+	want(t, "look", a, "")
+	var tokens int64
+	if _, err := fmt.Sscanf(string(look.Body[indexAfter(look.Body, `"tokens":`):]), "%d", &tokens); err != nil || tokens < 2000 {
+		t.Errorf("%d tokens charged, %v; 2000 were beforehand", tokens, err)
+	}
+}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -37,13 +37,14 @@
 	MinuteCost float64
 	DayTokens  int64
 	Newest     time.Duration
+	MemberTerm time.Duration
 	// Sync is the longest that a sync of a disk takes that does not stall.
 	Sync time.Duration
 	Logf func(format string, args ...any)
 }
 
 // Defaults are a small fleet under all faults. Every fourth seed has a breaker
-// that trips, others a tenant whose day ends early.
+// that trips, others a tenant whose day ends early, or longer terms.
 func Defaults(seed uint64) Params {
 	p := defaults(seed)
 	switch seed % 4 {
@@ -51,13 +52,15 @@
 		p.MinuteCost = 0.9
 	case 1:
 		p.DayTokens = 15_000
+	case 2:
+		p.MemberTerm, p.Settle = 5*time.Second, p.Settle+6*time.Second
 	}
 	return p
 }
 
 func defaults(seed uint64) Params {
 	return Params{Seed: seed, Cores: 5, Nodes: 4, Zones: 3, Replicas: 4, Alerts: 2, Users: 12, Parts: 6, Length: 24 * time.Second,
-		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, DayTokens: 100_000_000, Newest: 1700 * time.Millisecond, Sync: 4 * time.Millisecond}
+		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, DayTokens: 100_000_000, Newest: 1700 * time.Millisecond, MemberTerm: 2 * time.Second, Sync: 4 * time.Millisecond}
 }
 
 type event struct {
@@ -208,7 +211,7 @@
 }
 
 func (w *World) coreParams() core.Params {
-	return core.Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8, Home: 20}, MemberTerm: 2 * time.Second,
+	return core.Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8, Home: 20}, MemberTerm: w.Params.MemberTerm,
 		Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
 }
 
--- a/rule/program/program.go
+++ b/rule/program/program.go
@@ -63,6 +63,19 @@
 	Running     map[string]Reservation `msgpack:"q"`
 	ToolCalls   int64                  `msgpack:"k"`
 	Tools       map[string]ToolBook    `msgpack:"w"`
+	// Covered is up to where the allowance is charged beforehand, so that the
+	// owner may go on to there while the cores can't be reached. Mirrors then
+	// hold what it does, under the fence that named them.
+	Covered      int64    `msgpack:"g"`
+	Mirrors      []Mirror `msgpack:"m"`
+	MirrorsFence uint64   `msgpack:"j"`
+}
+
+// Mirror is one life of a node that holds copies for an owner.
+type Mirror struct {
+	ID   string `msgpack:"i"`
+	Life string `msgpack:"l"`
+	Peer string `msgpack:"p"`
 }
 
 // Turn is one kept turn of a line: what was said and what came of it.
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	streams, err := stream.Listen(stream.Params{Listen: p.PeerListen, Advertise: p.PeerAdvertise, Secret: p.Secret,
-		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: p.Core().MemberTerm})
+		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: p.Node().Newest})
 	if err != nil {
 		return err
 	}
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	streams, err := stream.Listen(stream.Params{Listen: p.PeerListen, Advertise: p.PeerAdvertise, Secret: p.Secret,
-		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: p.Core().MemberTerm})
+		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: p.Node().Newest})
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 	s := &process{params: p, log: log, streams: streams, start: time.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
 		events: make(chan node.Event, p.Buffer), calls: make(chan func(time.Duration) node.Output, 64),
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
-		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Core().MemberTerm}, p.Largest*16)}
+		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Node().Newest}, p.Largest*16)}
 	s.machine = node.New(node.Options{Params: p.Node(), ID: p.ID, Incarnation: hex.EncodeToString(raw), Zone: p.Zone, Address: p.PeerAdvertise,
 		HTTP: p.RequesterAdvert, Seeds: p.Seeds, Now: s.now(), Random: rand.Float64})
 	log.Info("node started", "id", p.ID, "incarnation", s.machine.Incarnation())
