One package reads the clock, which goes on while a machine sleeps; breaks as a command

Cause: the roles read Go's monotonic clock, which stands still while a machine sleeps, so a woken holder would think that its term still runs; breaks of the code were made by hand.

--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"saffronfall/peer/clock"
 	"saffronfall/rule/message"
 )
 
@@ -114,7 +115,7 @@
 
 func (s *Streams) carry(to string, out chan []byte) {
 	var c net.Conn
-	var dialled time.Time
+	dialled := -s.params.Patience
 	for {
 		var raw []byte
 		select {
@@ -126,16 +127,16 @@
 			return
 		}
 		if c == nil {
-			if time.Since(dialled) < s.params.Patience/10 {
+			if clock.Now()-dialled < s.params.Patience/10 {
 				continue
 			}
-			dialled = time.Now()
+			dialled = clock.Now()
 			if c = s.dial(to); c == nil {
 				continue
 			}
 		}
 		frame := binary.LittleEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
-		c.SetWriteDeadline(time.Now().Add(s.params.Patience))
+		c.SetWriteDeadline(clock.Deadline(s.params.Patience))
 		if _, err := c.Write(append(frame, raw...)); err != nil {
 			c.Close()
 			c = nil
@@ -154,7 +155,7 @@
 	if err != nil {
 		return nil
 	}
-	c.SetDeadline(time.Now().Add(s.params.Patience))
+	c.SetDeadline(clock.Deadline(s.params.Patience))
 	nonce := make([]byte, 32)
 	if _, err := io.ReadFull(c, nonce); err != nil {
 		c.Close()
@@ -222,7 +223,7 @@
 	if _, err := rand.Read(nonce); err != nil {
 		return "", err
 	}
-	c.SetDeadline(time.Now().Add(s.params.Patience))
+	c.SetDeadline(clock.Deadline(s.params.Patience))
 	if _, err := c.Write(nonce); err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/rehearsalkit/breaks/breaks.go
@@ -0,0 +1,110 @@
+// Package breaks breaks the code on purpose, one line at a time in a scratch
+// copy, and wants the judge to name the rule that this breaks.
+package breaks
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Break is one line of the code made wrong.
+type Break struct {
+	Rule     int
+	What     string
+	File     string
+	From, To string
+	// Test names directed tests where seeds would need too long to meet the
+	// situation; empty: seeds must find it.
+	Test string
+}
+
+// All are the breaks, at least one found by seeds for each rule.
+var All = []Break{
+	{Rule: 1, What: "a program's hard limit is not looked at", File: "rule/program/program.go", From: "if charged >= role.ProgramTokensHard {", To: "if false {"},
+	{Rule: 1, What: "what a lost owner had running is forgotten", File: "rule/program/program.go", From: "	r.Spent = r.Charged()\n	r.Running = nil", To: "	r.Running = nil"},
+	{Rule: 1, What: "turns go on alone beyond what was charged beforehand", File: "peer/node/mirror.go", From: " || h.record.Charged() > h.covered {", To: " {", Test: "CoveredOutOfTouch"},
+	{Rule: 2, What: "shares that are out do not count", File: "rule/allowance/ledger.go", From: "left := max(0, limits[i]-out-l.Windows[i].Sum(now))", To: "left := max(0, limits[i]-l.Windows[i].Sum(now))"},
+	{Rule: 2, What: "a node does not look at the breaker", File: "peer/node/inquiry.go", From: "if now < m.openUntil || m.breakerState == breaker.Open {", To: "if m.random() < 0.5 && (now < m.openUntil || m.breakerState == breaker.Open) {"},
+	{Rule: 3, What: "whoever asks may shoot", File: "peer/node/turn.go", From: "case c.Claim == s.claim && c.State == core.OnceIntent:", To: "case c.State == core.OnceIntent:"},
+	{Rule: 3, What: "a lost answer frees the claim", File: "peer/node/turn.go", From: "m.endOnce(now, s, core.OnceMaybe, 0, nil", To: "m.endOnce(now, s, core.OnceFree, 0, nil"},
+	{Rule: 4, What: "a lost answer is told as not run", File: "peer/node/turn.go", From: "the turn may have run and is charged\", Status: 502, Ran: verdict.Maybe}", To: "the turn may have run and is charged\", Status: 502, Ran: verdict.No}"},
+	{Rule: 5, What: "an owner that can't be found out is told as unknown", File: "peer/node/inquiry.go", From: `m.refuse(w, unsure("the program's owner could not be found out in time"))`, To: `m.refuse(w, denied("unknown_program", "", 404))`},
+	{Rule: 6, What: "a successor does not ask the mirrors", File: "peer/node/inquiry.go", From: "	m.consult(now, h)\n", To: "", Test: "OwnerLostOutOfTouch"},
+	{Rule: 6, What: "one mirror is enough for an owner", File: "peer/node/mirror.go", From: "if at := h.acked[one.Peer+\"/\"+one.Life]; i == 0 || at < least {", To: "if at := h.acked[one.Peer+\"/\"+one.Life]; i == 0 || at > least {", Test: "OneMirrorOutOfTouch"},
+	{Rule: 6, What: "a takeover needs no proof", File: "peer/core/rules.go", From: "case p.Node == c.EndedNode && p.Incarnation == c.EndedFormer:", To: "default:"},
+	{Rule: 7, What: "new rate comes with a full bucket", File: "peer/node/share.go", From: "		p.books.Granted = granted\n	}\n}", To: "		p.books.Granted, p.filled = granted, float64(burst)\n	}\n}"},
+	{Rule: 8, What: "a configuration counts as taken at once", File: "peer/core/rules.go", From: "answer.Done = len(answer.Lagging) == 0", To: "answer.Done = true"},
+	{Rule: 8, What: "a member below the floor is renewed", File: "peer/core/rules.go", From: "	if c.Version < floor {\n		return Termed{Floor: floor}\n	}\n	r.members[key], r.versions[key] = now, max(", To: "	r.members[key], r.versions[key] = now, max(1<<40+"},
+	{Rule: 9, What: "the version that a description is based on is not looked at", File: "peer/core/rules.go", From: "if old.Version != c.BasedOn {", To: "if false {"},
+	{Rule: 10, What: "a leaving is not looked at", File: "peer/node/announcement.go", From: "if !a.replica.Leaving && now", To: "if now"},
+	{Rule: 10, What: "an announcement never grows too old", File: "peer/node/announcement.go", From: " && now < a.since+m.params.Newest {", To: " {", Test: "DyingNode"},
+	{Rule: 11, What: "gaps in a passed stream", File: "peer/node/inquiry.go", From: "if b.Number != a.next {", To: "if false {"},
+	{Rule: 12, What: "an active lockout is not looked at", File: "rule/program/user.go", From: "if clock < u.Locked {", To: "if false {"},
+	{Rule: 12, What: "concurrency does not count", File: "rule/program/user.go", From: "if live >= role.ConcurrentSessions {", To: "if false {"},
+}
+
+// Run applies one break to a copy of the tree and reports whether it was found.
+func (b Break) Run(root string, seeds int) (found string, err error) {
+	scratch, err := os.MkdirTemp("", "break-")
+	if err != nil {
+		return "", err
+	}
+	defer os.RemoveAll(scratch)
+	if err := copyTree(root, scratch); err != nil {
+		return "", err
+	}
+	path := filepath.Join(scratch, b.File)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	if n := strings.Count(string(text), b.From); n != 1 {
+		return "", errors.Newf("%s has the line to break %d times: %s", b.File, n, b.From)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(string(text), b.From, b.To, 1)), 0o644); err != nil {
+		return "", err
+	}
+	run := exec.Command("go", "run", "./rehearsalkit", "simulate", "--first", "1", "--seeds", fmt.Sprint(seeds), "--stop")
+	if b.Test != "" {
+		run = exec.Command("go", "test", "-vet=off", "./rehearsalkit/simulator", "-run", b.Test)
+	}
+	run.Dir = scratch
+	out, _ := run.CombinedOutput()
+	line := regexp.MustCompile(fmt.Sprintf(`(?m)^.*rule %d: .*$`, b.Rule)).FindString(string(out))
+	if line == "" {
+		tail := string(out)
+		return "", errors.Newf("not found; the run ended with: %s", tail[max(0, len(tail)-400):])
+	}
+	return strings.TrimSpace(line), nil
+}
+
+func copyTree(from, to string) error {
+	return filepath.WalkDir(from, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		name, err := filepath.Rel(from, path)
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (name == ".git" || name == "bin" || name == "run"):
+			return filepath.SkipDir
+		case d.IsDir():
+			return os.MkdirAll(filepath.Join(to, name), 0o755)
+		case !d.Type().IsRegular():
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(to, name), text, 0o644)
+	})
+}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
+	"saffronfall/rehearsalkit/breaks"
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rehearsalkit/simulator"
@@ -159,6 +160,7 @@
 type simulateCommand struct {
 	Seeds int    `help:"How many seeds." default:"100"`
 	First uint64 `help:"First seed; 0: a random one, which is printed." default:"0"`
+	Stop  bool   `help:"Stop at the first breach."`
 }
 
 func (c *simulateCommand) Run() error {
@@ -179,6 +181,9 @@
 			broken++
 			fmt.Printf("BROKEN seed %d: %s\n", o.Seed, b)
 		}
+		if c.Stop && broken > 0 {
+			os.Exit(1)
+		}
 	})
 	for _, name := range ordered.Keys(situations) {
 		fmt.Printf("  came about %-36s %d\n", name, situations[name])
@@ -191,6 +196,32 @@
 	return nil
 }
 
+type breaksCommand struct {
+	Seeds int    `help:"How many seeds may be needed to find a break." default:"80"`
+	Root  string `help:"The workspace." default:"." type:"path"`
+	Rule  int    `help:"Only the breaks of this rule; 0: all." default:"0"`
+}
+
+func (c *breaksCommand) Run() error {
+	unseen := 0
+	for _, b := range breaks.All {
+		if c.Rule != 0 && b.Rule != c.Rule {
+			continue
+		}
+		found, err := b.Run(c.Root, c.Seeds)
+		if err != nil {
+			unseen++
+			fmt.Printf("UNSEEN rule %d, %s: %v\n", b.Rule, b.What, err)
+			continue
+		}
+		fmt.Printf("rule %d, %s: %s\n", b.Rule, b.What, found)
+	}
+	if unseen > 0 {
+		return errors.Newf("%d breaks unseen", unseen)
+	}
+	return nil
+}
+
 type backendCommand struct {
 	Service string   `help:"Name of the service." default:"model"`
 	ID      string   `help:"Name of the replica." default:"stand-in"`
@@ -209,6 +240,7 @@
 var commands struct {
 	Backend  backendCommand  `cmd:"" help:"Run one stand-in back end."`
 	Fleet    fleetCommand    `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
+	Breaks   breaksCommand   `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
 	Simulate simulateCommand `cmd:"" help:"Run the simulator over seeds."`
 }
 
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -116,20 +116,22 @@
 	w.handed[mark] = basedOn + 1
 	w.Operate(at, func(m *core.Machine, now time.Duration, ticket uint64) core.Output { return m.Apply(now, ticket, h) }, func(body any) {
 		t := body.(core.Taking)
-		delete(w.handed, mark)
 		w.logf("configuration %s on %d: %+v", mark, basedOn, t.Code)
 		w.Counts["configuration "+t.Code]++
 		w.version = max(w.version, t.Version)
 		if t.Taken {
 			w.keys[t.Version] = mark
 			w.Record.Taken = append(w.Record.Taken, judge.Taken{At: w.now, Version: t.Version, Mark: mark})
+			delete(w.handed, mark)
 		}
 		if t.Code == "race_lost" || t.Code == "not_approved" || t.Code == "faulty" {
 			w.keys[refusedBase+uint64(len(w.keys))] = mark
 			w.Record.Taken = append(w.Record.Taken, judge.Taken{At: w.now, Mark: mark, Refused: true})
+			delete(w.handed, mark)
 		}
 		if t.Code == "agreed_not_taken" {
 			w.keys[t.Version] = mark
+			delete(w.handed, mark)
 		}
 		done(t.Taken)
 	})
@@ -177,7 +179,7 @@
 	for _, v := range ordered.Keys(w.keys) {
 		see(w.keys[v], v)
 	}
-	// What became of some descriptions nobody was told: their core died.
+	// What became of some descriptions nobody was told, or not surely.
 	for _, mark := range ordered.Keys(w.handed) {
 		see(mark, w.handed[mark])
 	}
--- a/rehearsalkit/simulator/touch_test.go
+++ b/rehearsalkit/simulator/touch_test.go
@@ -197,3 +197,47 @@
 		t.Errorf("%d tokens charged, %v; 2000 were beforehand", tokens, err)
 	}
 }
+
+// Cut off, an owner takes no turn beyond what is charged beforehand, so that
+// whoever is lost, the program gets no more than its allowance and one turn.
+func TestCoveredOutOfTouch(t *testing.T) {
+	w, id, head := apart(t, 4, 7*time.Second)
+	w.Record.Limits.ProgramTokens, w.Record.Limits.TurnTokens = 2000, 1000
+	tokens, beyond := int64(0), 0
+	for range 12 {
+		a, p := w.Do(0, node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: id, Service: "model", Before: head, Say: w.mark("say")})
+		tokens += a.Tokens
+		if a.Outcome == judge.Whole {
+			head = p.Head
+		} else if beyond++; a.Ran != "no" || p.Verdict.RetryAfter <= 0 {
+			t.Errorf("beyond what is covered: %+v", a)
+		}
+	}
+	if beyond == 0 || tokens == 0 {
+		t.Errorf("%d tokens, %d turns refused", tokens, beyond)
+	}
+	noBreach(t, w)
+}
+
+// A turn that only one mirror holds is not told to be whole: with owner and
+// that mirror gone it would be lost.
+func TestOneMirrorOutOfTouch(t *testing.T) {
+	w, id, head := apart(t, 5, 3*time.Second)
+	mirrors := w.nodes[0].nodeM.MirrorsOf("t1", id)
+	w.procs[mirrors[1]].freeze()
+	a, _ := turn(w, 0, id, head, 100)
+	if a.Outcome == judge.Whole {
+		t.Errorf("%+v", a)
+	}
+	w.nodes[0].kill()
+	w.procs[mirrors[0]].kill()
+	w.Pass(12 * time.Second)
+	w.procs[mirrors[1]].wake()
+	for i, n := range w.nodes {
+		if n.alive {
+			chat(w, 12*time.Second, id, head, i)
+			break
+		}
+	}
+	noBreach(t, w)
+}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
 
+	"saffronfall/peer/clock"
 	"saffronfall/peer/core"
 	"saffronfall/peer/disk"
 	"saffronfall/peer/operator"
@@ -38,7 +39,7 @@
 	log     logr.Logger
 	machine *core.Machine
 	streams *stream.Streams
-	start   time.Time
+	start   time.Duration
 	calls   chan func(now time.Duration) core.Output
 	drain   chan struct{}
 	toDisk  chan batch
@@ -81,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	s := &process{params: p, log: log, streams: streams, start: time.Now(), calls: make(chan func(time.Duration) core.Output, 64),
+	s := &process{params: p, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
 	var image core.Stored
 	image.CopyFrom(stored)
@@ -140,7 +141,7 @@
 	return folder, stored, nil
 }
 
-func (s *process) now() time.Duration { return time.Since(s.start) }
+func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 // own is the one goroutine that drives the machine.
 func (s *process) own(ctx, life context.Context) error {
@@ -269,7 +270,7 @@
 	for {
 		select {
 		case b := <-s.toDisk:
-			began := time.Now()
+			began := clock.Now()
 			err := folder.Append(message.Marshal(b.changes))
 			for _, c := range b.changes {
 				image.Apply(c)
@@ -279,7 +280,7 @@
 				slotSize = max(1<<20, int64(len(state)))
 				err = folder.Replace(state)
 			}
-			s.onDisk <- written{upto: b.upto, took: time.Since(began), err: err}
+			s.onDisk <- written{upto: b.upto, took: clock.Now() - began, err: err}
 		case <-life.Done():
 			return nil
 		}
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
 
+	"saffronfall/peer/clock"
 	"saffronfall/peer/node"
 	"saffronfall/peer/operator"
 	"saffronfall/peer/replica"
@@ -35,7 +36,7 @@
 	machine *node.Machine
 	streams *stream.Streams
 	shooter *replica.Shooter
-	start   time.Time
+	start   time.Duration
 	arrive  chan inquiry
 	gone    chan uint64
 	events  chan node.Event
@@ -68,7 +69,7 @@
 		return err
 	}
 	life, cancel := context.WithCancel(context.Background())
-	s := &process{params: p, log: log, streams: streams, start: time.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
+	s := &process{params: p, log: log, streams: streams, start: clock.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
 		events: make(chan node.Event, p.Buffer), calls: make(chan func(time.Duration) node.Output, 64),
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
 		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Node().Newest}, p.Largest*16)}
@@ -101,7 +102,7 @@
 	return group.Run()
 }
 
-func (s *process) now() time.Duration { return time.Since(s.start) }
+func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 func (s *process) own(ctx context.Context) error {
 	runtime.LockOSThread()
