Nonsense from members and foreign folders are named and harm nothing; kept after restarts

Change: such a message is a bad one; such a folder is named and the process ends, leaving every byte (TestForeign). TestKeptAfterRestarts asks for kept conversations at every node all through twelve seconds after restarts of one node, all nodes, all cores, everything, in touch and cut off.

--- a/peer/disk/disk.go
+++ b/peer/disk/disk.go
@@ -3,6 +3,7 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -17,6 +18,10 @@
 // was cut off, and so counts as lost.
 var ErrLost = errors.New("the copy in this folder is lost")
 
+// ErrForeign says that the folder holds something that this program did not
+// write, or a newer version of it did. It is left as it is.
+var ErrForeign = errors.New("this folder is not this program's, or a newer version's")
+
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 const (
@@ -24,6 +29,19 @@
 	logMagic  = "SFLOG001"
 )
 
+// known checks the first bytes of a file, where they are whole. A beginning of
+// another version is a newer one's. Any other is damage where the folder has a
+// slot of this program's, and else somebody else's.
+func known(name string, raw []byte, magic string, ours bool) error {
+	if len(raw) < len(magic) || string(raw[:len(magic)]) == magic || bytes.Count(raw[:len(magic)], []byte{0}) == len(magic) {
+		return nil
+	}
+	if family := magic[:len(magic)-2]; string(raw[:len(family)]) != family && ours {
+		return nil
+	}
+	return errors.Wrapf(ErrForeign, "%s begins with %q and not with %q", name, raw[:len(magic)], magic)
+}
+
 // Folder is an open folder. It is used by one goroutine.
 type Folder struct {
 	path       string
@@ -49,7 +67,7 @@
 		return nil, Held{}, errors.Wrap(err, "folder")
 	}
 	f := &Folder{path: path}
-	var slots [2][]byte
+	var slots, raws [2][]byte
 	var generations [2]uint64
 	present := false
 	for i := range slots {
@@ -61,14 +79,21 @@
 			return nil, Held{}, errors.Wrap(err, "slot")
 		}
 		present = true
+		raws[i] = raw
 		generations[i], slots[i] = readSlot(raw)
 	}
+	ours := generations[0]+generations[1] > 0
+	for i, raw := range raws {
+		if err := known(f.name("slot", i), raw, slotMagic, ours); err != nil {
+			return nil, Held{}, err
+		}
+	}
 	newest := 0
 	if generations[1] > generations[0] {
 		newest = 1
 	}
 	f.generation = generations[newest]
-	logged, anyLog, err := f.newestLog()
+	logged, anyLog, err := f.newestLog(ours)
 	if err != nil {
 		return nil, Held{}, err
 	}
@@ -120,7 +145,7 @@
 	return filepath.Join(f.path, fmt.Sprintf("%s-%d", kind, i))
 }
 
-func (f *Folder) newestLog() (generation uint64, any bool, err error) {
+func (f *Folder) newestLog(ours bool) (generation uint64, any bool, err error) {
 	for i := 0; i < 2; i++ {
 		file, err := os.Open(f.name("log", i))
 		if os.IsNotExist(err) {
@@ -133,6 +158,11 @@
 		head := make([]byte, len(logMagic)+8)
 		_, err = io.ReadFull(file, head)
 		file.Close()
+		if err == nil {
+			if err := known(f.name("log", i), head, logMagic, ours); err != nil {
+				return 0, any, err
+			}
+		}
 		if err != nil || string(head[:len(logMagic)]) != logMagic {
 			return 0, any, errors.Wrap(ErrLost, "a log's head is damaged")
 		}
--- /dev/null
+++ b/peer/disk/nonsense_test.go
@@ -0,0 +1,50 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// FuzzOpen opens folders whose files are nonsense: they are read, or named and
+// left as they are.
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte(slotMagic+"\x01\x00\x00\x00\x00\x00\x00\x00"), []byte(logMagic+"\x01\x00\x00\x00\x00\x00\x00\x00"))
+	f.Add([]byte("SFSLOT99 of a newer version"), []byte{})
+	f.Add([]byte{}, []byte("#!/bin/sh\necho somebody else's"))
+	f.Fuzz(func(t *testing.T, slot, log []byte) {
+		path := t.TempDir()
+		os.WriteFile(filepath.Join(path, "slot-1"), slot, 0o600)
+		os.WriteFile(filepath.Join(path, "log-1"), log, 0o600)
+		folder, _, err := Open(path)
+		if err == nil {
+			folder.Close()
+			return
+		}
+		if raw, _ := os.ReadFile(filepath.Join(path, "slot-1")); string(raw) != string(slot) {
+			t.Errorf("the slot was changed: %v", err)
+		}
+	})
+}
+
+// TestForeign: somebody else's folder and a newer version's are named, and not
+// one byte of them is changed.
+func TestForeign(t *testing.T) {
+	for _, c := range []struct{ name, file, text string }{
+		{"newer slot", "slot-0", "SFSLOT02 and what follows"}, {"newer log", "log-1", "SFLOG002 and what follows"},
+		{"another program's slot", "slot-1", "PNG or whatever it may be"}, {"another program's log", "log-0", "2026-01-01 started all of it"},
+	} {
+		path := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(path, c.file), []byte(c.text), 0o600))
+		if _, _, err := Open(path); !errors.Is(err, ErrForeign) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if raw, _ := os.ReadFile(filepath.Join(path, c.file)); string(raw) != c.text {
+			t.Errorf("%s was changed", c.name)
+		}
+		if list, _ := os.ReadDir(path); len(list) != 1 {
+			t.Errorf("%s: the folder got %d files", c.name, len(list))
+		}
+	}
+}
--- /dev/null
+++ b/rehearsalkit/simulator/restart_test.go
@@ -0,0 +1,74 @@
+package simulator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/program"
+)
+
+// Kept conversations are asked for at every node all through the twelve seconds
+// after restarts, in touch and cut off from the cores meanwhile: never gone,
+// never unknown, and served again afterwards with their history.
+func TestKeptAfterRestarts(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		nodes, cores int
+		apart        bool
+	}{
+		{"one node", 1, 0, false}, {"all nodes", 4, 0, false}, {"all cores", 0, 3, false}, {"everything", 4, 3, false},
+		{"one node, cut off", 1, 0, true}, {"all nodes, cut off", 4, 0, true}, {"all cores, cut off", 0, 3, true}, {"everything, cut off", 4, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := Defaults(1)
+			p.Cores, p.Nodes, p.Users, p.Describe = 3, 4, 0, design(func(role, tenant, services, breaker tree) { role["session_seconds"] = 600 })
+			w := judged(Calm(p))
+			heads := map[string]string{}
+			for i := 0; i < 6; i++ {
+				_, opened := open(w, i%4, fmt.Sprint("u", i))
+				a, p := turn(w, (i+1)%4, opened.Text, program.Start, 50)
+				want(t, "before", a, "")
+				heads[opened.Text] = p.Head
+			}
+			w.Pass(500 * time.Millisecond)
+			for i := 0; i < c.nodes; i++ {
+				w.nodes[i].kill()
+				w.after(w.between(50*time.Millisecond, 600*time.Millisecond), w.nodes[i].boot)
+			}
+			for i := 0; i < c.cores; i++ {
+				w.cores[i].kill()
+				w.after(w.between(50*time.Millisecond, 600*time.Millisecond), w.cores[i].boot)
+			}
+			if c.apart {
+				w.coreCut(6 * time.Second)
+			}
+			looks := 0
+			for end := w.now + 12*time.Second; w.now < end; w.Pass(150 * time.Millisecond) {
+				for id := range heads {
+					for _, n := range w.nodes {
+						looks++
+						w.ask(n, node.Inquiry{Kind: node.Look, Key: "key-t1", Program: id, Budget: 2 * time.Second}, drop)
+					}
+				}
+			}
+			w.Pass(3 * time.Second)
+			for id, head := range heads {
+				a, _ := turn(w, 3, id, head, 50)
+				want(t, "after", a, "")
+			}
+			whole := 0
+			for _, a := range w.Record.Asked {
+				if a.Kind == node.Look && a.Outcome == judge.Whole {
+					whole++
+				}
+			}
+			if looks < 1500 || whole < looks/10 {
+				t.Errorf("%d looks, %d whole", looks, whole)
+			}
+			noBreach(t, w)
+		})
+	}
+}
--- a/rule/message/message.go
+++ b/rule/message/message.go
@@ -38,8 +38,14 @@
 	return buffer.Bytes()
 }
 
-// Open decodes what Pack made.
-func Open(raw []byte) (any, error) {
+// Open decodes what Pack made. The library may panic on nonsense; that is one
+// more way in which a message can be bad.
+func Open(raw []byte) (body any, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			body, err = nil, errors.Newf("nonsense: %v", fault)
+		}
+	}()
 	decoder := msgpack.NewDecoder(bytes.NewReader(raw))
 	name, err := decoder.DecodeString()
 	if err != nil {
