--- a/rehearsalkit/simulator/backend.go
+++ b/rehearsalkit/simulator/backend.go
@@ -192,7 +192,6 @@
 
 func (b *backend) answer(s node.Shoot, seen judge.Shot, lose bool, done func(time.Duration), back func(delay time.Duration, e node.Event)) {
 	w := b.world
-	seen.At = w.now
 	pieces := 2 + w.random.IntN(4)
 	fail := -1
 	if lose {
