Fleet: a machine's faults befall its core and its node; stalls, re-addressed cores

Cause: in the fleet a core and a node on one machine were killed, frozen and cut apart from each other, which no real machine does.

Change: faults befall a machine; scenarios stalls and readdress.

--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -46,8 +46,8 @@
 }
 
 // Layouts are the fleets that can be rehearsed. The two deployments have the
-// sizes of the brief: nodes stand on the machines that cores do not fill, and
-// beside the cores.
+// sizes of the brief: a node stands on every machine, a core beside it on those
+// with disks, and what befalls a machine befalls both.
 var Layouts = map[string]Layout{
 	"small": {Name: "small", Cores: 3, Nodes: 3, Zones: 3, Models: 3, Alerts: 1, Tenants: 3, Users: 12, Parts: 8, Rate: 40, Burst: 64},
 	"aire":  {Name: "aire", Cores: 6, Nodes: 13, Zones: 3, Models: 11, Alerts: 5, Tenants: 8, Users: 60, Parts: 16, Rate: 60, Burst: 96},
@@ -57,12 +57,14 @@
 // Machine is one process of the fleet.
 type Machine struct {
 	Name, Zone, Role string
-	ip, settings     string
-	requester        string
-	operator         string
-	folder           string
-	command          *exec.Cmd
-	ended            chan struct{}
+	// host is the machine that the process stands on.
+	host         int
+	ip, settings string
+	requester    string
+	operator     string
+	folder       string
+	command      *exec.Cmd
+	ended        chan struct{}
 }
 
 // Fleet is a running fleet.
@@ -116,11 +118,15 @@
 		f.seeds = append(f.seeds, ipOf(i)+":7000")
 	}
 	for i := 0; i < l.Cores+l.Nodes; i++ {
-		role, name := "core", fmt.Sprintf("core%d", i+1)
+		role, name, host := "core", fmt.Sprintf("core%d", i+1), i
 		if i >= l.Cores {
-			role, name = "node", fmt.Sprintf("node%d", i-l.Cores+1)
+			host = i - l.Cores
+			role, name = "node", fmt.Sprintf("node%d", host+1)
+		}
+		m, err := f.machine(name, role, fmt.Sprintf("zone-%d", host%l.Zones+1), i)
+		if err == nil {
+			m.host = host
 		}
-		m, err := f.machine(name, role, fmt.Sprintf("zone-%d", i%l.Zones+1), i)
 		if err != nil {
 			return nil, err
 		}
@@ -198,6 +204,37 @@
 	}
 }
 
+// together lists all processes on the machine that a process stands on.
+func (f *Fleet) together(m *Machine) (list []*Machine) {
+	for _, o := range f.everyone() {
+		if o.host == m.host {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// KillMachine kills all processes on a machine.
+func (f *Fleet) KillMachine(m *Machine) {
+	for _, o := range f.together(m) {
+		f.Kill(o)
+	}
+}
+
+// StartMachine starts all processes on a machine.
+func (f *Fleet) StartMachine(m *Machine) {
+	for _, o := range f.together(m) {
+		f.Start(o)
+	}
+}
+
+// SignalMachine sends a signal to all processes on a machine.
+func (f *Fleet) SignalMachine(m *Machine, s syscall.Signal) {
+	for _, o := range f.together(m) {
+		f.Signal(o, s)
+	}
+}
+
 // Kill kills a process and waits for its end.
 func (f *Fleet) Kill(m *Machine) {
 	f.Signal(m, syscall.SIGKILL)
@@ -206,7 +243,7 @@
 
 // Stop ends every process.
 func (f *Fleet) Stop() {
-	for _, m := range append(append([]*Machine(nil), f.nodes...), f.cores...) {
+	for _, m := range f.everyone() {
 		if m.command != nil {
 			f.Signal(m, syscall.SIGCONT)
 			f.Kill(m)
@@ -240,7 +277,7 @@
 // Up starts everything, founds the fleet and puts a first description in
 // force.
 func (f *Fleet) Up(ctx context.Context) error {
-	for _, m := range append(append([]*Machine(nil), f.cores...), f.nodes...) {
+	for _, m := range f.everyone() {
 		if err := f.Start(m); err != nil {
 			return err
 		}
@@ -332,7 +369,7 @@
 // Logs gathers the changes of state that all processes logged.
 func (f *Fleet) Logs() string {
 	var all strings.Builder
-	for _, m := range append(append([]*Machine(nil), f.cores...), f.nodes...) {
+	for _, m := range f.everyone() {
 		text, _ := os.ReadFile(filepath.Join(f.Layout.Folder, m.Name, "log"))
 		fmt.Fprintf(&all, "== %s\n%s", m.Name, text)
 	}
--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	"drain":     drain,
 	"life":      life,
 	"closing":   closing,
+	"stalls":    stalls,
+	"readdress": readdress,
 	"all":       all,
 }
 
@@ -39,10 +42,10 @@
 	for _, m := range []*Machine{f.cores[rand.IntN(len(f.cores))], f.nodes[rand.IntN(len(f.nodes))]} {
 		pause(ctx, length/5, length/5)
 		tell(f, "kill %s", m.Name)
-		f.Kill(m)
+		f.KillMachine(m)
 		pause(ctx, length/8, length/8)
 		tell(f, "start %s", m.Name)
-		f.Start(m)
+		f.StartMachine(m)
 	}
 }
 
@@ -50,17 +53,17 @@
 	for _, m := range []*Machine{f.nodes[rand.IntN(len(f.nodes))], f.cores[rand.IntN(len(f.cores))]} {
 		pause(ctx, length/6, length/6)
 		tell(f, "freeze %s", m.Name)
-		f.Signal(m, syscall.SIGSTOP)
+		f.SignalMachine(m, syscall.SIGSTOP)
 		pause(ctx, 4*time.Second, 4*time.Second)
 		tell(f, "wake %s", m.Name)
-		f.Signal(m, syscall.SIGCONT)
+		f.SignalMachine(m, syscall.SIGCONT)
 	}
 }
 
 func cut(ctx context.Context, f *Fleet, length time.Duration) {
 	for _, m := range []*Machine{f.nodes[rand.IntN(len(f.nodes))], f.cores[rand.IntN(len(f.cores))]} {
 		pause(ctx, length/6, length/6)
-		f.between(ctx, "cut off "+m.Name, []*Machine{m}, without(f.everyone(), m), 3*time.Second)
+		f.between(ctx, "cut off "+m.Name, f.together(m), without(f.everyone(), f.together(m)), 3*time.Second)
 	}
 }
 
@@ -68,14 +71,8 @@
 	return append(append([]*Machine(nil), f.cores...), f.nodes...)
 }
 
-func without(list []*Machine, m *Machine) []*Machine {
-	var rest []*Machine
-	for _, o := range list {
-		if o != m {
-			rest = append(rest, o)
-		}
-	}
-	return rest
+func without(list, these []*Machine) []*Machine {
+	return slices.DeleteFunc(slices.Clone(list), func(m *Machine) bool { return slices.Contains(these, m) })
 }
 
 // between cuts all links between two sides for a time.
@@ -101,7 +98,7 @@
 	f.lose(m)
 	pause(ctx, length/8, length/8)
 	tell(f, "start %s with an empty folder", m.Name)
-	f.Start(m)
+	f.StartMachine(m)
 }
 
 // sides parts machines into those of the first core's zone and the others.
@@ -173,6 +170,7 @@
 		tell(f, "no new core: %v", err)
 		return
 	}
+	m.host = 250
 	f.Start(m)
 	pause(ctx, 500*time.Millisecond, 500*time.Millisecond)
 	changed, err := f.Caller().AddCore(ctx, f.cores[0].operator, m.operator)
@@ -203,20 +201,53 @@
 	}
 }
 
+// replace lets replicas leave and others come, one by one.
 func replace(ctx context.Context, f *Fleet, length time.Duration) {
-	for i, b := range f.backends {
-		if b.service == "search" || i > len(f.backends)/2 {
-			continue
-		}
-		pause(ctx, length/20, length/20)
-		tell(f, "replica %s leaves", b.id)
-		close(b.leave)
-		pause(ctx, 3*time.Second, 3*time.Second)
-		b.stop()
-		pause(ctx, 200*time.Millisecond, 200*time.Millisecond)
-		b.id += "x"
-		b.run(ctx)
+	replaced := make(chan struct{})
+	some := len(f.backends) / 2
+	for _, b := range f.backends[:some] {
+		pause(ctx, length/time.Duration(2*some), length/time.Duration(2*some))
+		go func() {
+			tell(f, "replica %s leaves", b.id)
+			close(b.leave)
+			pause(ctx, 3*time.Second, 3*time.Second)
+			b.stop()
+			pause(ctx, 200*time.Millisecond, 200*time.Millisecond)
+			b.id += "x"
+			b.run(ctx)
+			replaced <- struct{}{}
+		}()
+	}
+	for range some {
+		<-replaced
+	}
+}
+
+// stalls freezes a core alone, as a disk that hangs would.
+func stalls(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/5, length/5)
+	m := f.cores[rand.IntN(len(f.cores))]
+	tell(f, "%s alone is frozen, as by a disk that stalls", m.Name)
+	f.Signal(m, syscall.SIGSTOP)
+	pause(ctx, length/3, length/3)
+	tell(f, "%s goes on", m.Name)
+	f.Signal(m, syscall.SIGCONT)
+}
+
+// readdress brings a core back at another address.
+func readdress(ctx context.Context, f *Fleet, length time.Duration) {
+	pause(ctx, length/5, length/5)
+	old := f.cores[len(f.cores)-1]
+	f.Kill(old)
+	m, err := f.machine(old.Name, "core", old.Zone, 251)
+	if err != nil {
+		tell(f, "no new address: %v", err)
+		return
 	}
+	m.host = old.host
+	tell(f, "%s comes back at %s", m.Name, m.ip)
+	f.cores[len(f.cores)-1] = m
+	f.Start(m)
 }
 
 func operators(ctx context.Context, f *Fleet, length time.Duration) {
@@ -255,7 +286,7 @@
 
 // lose takes a core's disk away: it comes back with an empty folder.
 func (f *Fleet) lose(m *Machine) {
-	f.Kill(m)
+	f.KillMachine(m)
 	os.RemoveAll(m.folder)
 	os.MkdirAll(m.folder, 0o755)
 }
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -28,7 +28,7 @@
 	Binary   string        `help:"The saffronfall program." default:"bin/saffronfall" type:"path"`
 	Folder   string        `help:"Where settings, data and logs go; empty: a temporary folder."`
 	For      time.Duration `help:"How long requesters live." default:"15s"`
-	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, all." default:"calm"`
+	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, stalls, readdress, all." default:"calm"`
 	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
 	Work     bool          `help:"Measure what the cores do, idle and for each shot."`
 	Logs     bool          `help:"Print the processes' logs."`
