A node is back at once on its machine; an owner is one of its program's mirrors

Change: a member names the address that it has bound on this run of its machine and network; another process's life with the same one proves that the former has ended. At a reset a node keeps what it did for its programs, and successors ask it as they ask the mirrors.

Ruled out: the address alone as a proof (it may stand on a second machine).

--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -206,6 +206,9 @@
 	Version     uint64 `msgpack:"v" json:"version"`
 	Ended       bool   `msgpack:"e" json:"ended"`
 	Leaving     bool   `msgpack:"l" json:"leaving"`
+	// Host is what only one process at a time can hold. Another life with the
+	// same one proves that this one has ended.
+	Host string `msgpack:"o" json:"-"`
 	// Past has the earlier lives, all of which have surely ended. A life that is
 	// neither here nor the present one is not known to have ended: the news may
 	// be older than that life.
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 	"time"
 
 	"saffronfall/rule/allowance"
@@ -186,7 +187,7 @@
 	switch {
 	case ok && m.HasEnded(c.Member.Incarnation):
 		return Termed{Ended: true, Floor: floor}
-	case ok && m.Incarnation != c.Member.Incarnation && !m.Ended:
+	case ok && m.Incarnation != c.Member.Incarnation && !m.Ended && (m.Host == "" || m.Host != c.Member.Host || sameProcess(m, c.Member)):
 		if wait := r.members[key] + r.memberTerm() - now; wait > 0 {
 			return Termed{Wait: wait, Floor: floor}
 		}
@@ -208,6 +209,14 @@
 	return Termed{Granted: true, Floor: floor}
 }
 
+// sameProcess reports whether two lives are terms of one process, which holds
+// its host all along.
+func sameProcess(a, b Member) bool {
+	one, _, _ := strings.Cut(a.Incarnation, "+")
+	other, _, _ := strings.Cut(b.Incarnation, "+")
+	return one == other
+}
+
 func (r *rules) renew(now time.Duration, tx *part.Tx, c RenewMember) any {
 	key := memberPrefix + c.ID
 	floor, _ := read[uint64](tx, floorKey)
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -27,15 +27,18 @@
 	Zone        string
 	Address     string
 	HTTP        string
-	Seeds       []string
-	Now         time.Duration
-	Random      func() float64
+	// Host names what only one process at a time can hold, such as an address
+	// bound on a running machine; empty: nothing.
+	Host   string
+	Seeds  []string
+	Now    time.Duration
+	Random func() float64
 }
 
 type identity struct {
 	Params
-	ID, Zone, Address, HTTP string
-	Seeds                   []string
+	ID, Zone, Address, HTTP, Host string
+	Seeds                         []string
 }
 
 // Machine is one node.
@@ -142,7 +145,7 @@
 
 // New makes a node.
 func New(o Options) *Machine {
-	m := &Machine{params: identity{Params: o.Params, ID: o.ID, Zone: o.Zone, Address: o.Address, HTTP: o.HTTP, Seeds: o.Seeds},
+	m := &Machine{params: identity{Params: o.Params, ID: o.ID, Zone: o.Zone, Address: o.Address, HTTP: o.HTTP, Host: o.Host, Seeds: o.Seeds},
 		random: o.Random, incarnation: o.Incarnation, buried: map[string]bool{}, now: o.Now,
 		versions: map[int]part.Stamp{}, freshAt: -1, bornAt: o.Now, entries: map[int]map[string]part.Entry{},
 		members: map[string]core.Member{}, replicas: map[string]map[string]announced{}, cores: map[string]core.Core{},
@@ -292,7 +295,7 @@
 	var command any = core.RenewMember{ID: m.params.ID, Incarnation: incarnation, Version: m.version}
 	if !m.joined {
 		command = core.JoinMember{Member: core.Member{ID: m.params.ID, Incarnation: incarnation, Zone: m.params.Zone,
-			Peer: m.params.Address, HTTP: m.params.HTTP, Version: m.version}}
+			Peer: m.params.Address, HTTP: m.params.HTTP, Host: m.params.Host, Version: m.version}}
 	}
 	m.caller.Call(now, command, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		m.renewing = false
@@ -400,6 +403,7 @@
 	var lost []*held
 	for _, key := range ordered.Keys(m.programs) {
 		m.programs[key].lost = true
+		m.keepOwn(now, m.programs[key])
 		lost = append(lost, m.programs[key])
 	}
 	var waiters []waiter
--- a/peer/node/mirror.go
+++ b/peer/node/mirror.go
@@ -77,7 +77,7 @@
 	if r.Closed {
 		covered = 0
 	}
-	if r.MirrorsFence != r.Fence || len(mirrors) != mirrorsOfProgram || slices.ContainsFunc(mirrors, m.mirrorEnded) {
+	if r.MirrorsFence != r.Fence || len(mirrors) != mirrorsOfProgram+1 || slices.ContainsFunc(m.without(mirrors), m.mirrorEnded) {
 		mirrors = m.chooseMirrors()
 	}
 	if covered != r.Covered || r.MirrorsFence != r.Fence || !slices.Equal(mirrors, r.Mirrors) {
@@ -86,6 +86,12 @@
 	}
 }
 
+// without are a program's mirrors but for its owner, which is named among them,
+// since it still has what it did when its term has run out.
+func (m *Machine) without(mirrors []program.Mirror) []program.Mirror {
+	return slices.DeleteFunc(slices.Clone(mirrors), func(one program.Mirror) bool { return one.ID == m.params.ID })
+}
+
 // mirrorEnded reports whether what a mirror held is surely lost or unreachable.
 func (m *Machine) mirrorEnded(one program.Mirror) bool {
 	o, ok := m.members[one.ID]
@@ -113,6 +119,7 @@
 			chosen = append(chosen, program.Mirror{ID: o.ID, Life: baseOf(o.Incarnation), Peer: o.Peer})
 		}
 	}
+	chosen = append(chosen, program.Mirror{ID: m.params.ID, Life: baseOf(m.incarnation), Peer: m.params.Address})
 	sort.Slice(chosen, func(i, j int) bool { return chosen[i].ID < chosen[j].ID })
 	return chosen
 }
@@ -124,12 +131,12 @@
 		h.copied >= h.record.Version || !m.termed(now) {
 		return
 	}
-	if len(h.named) != mirrorsOfProgram || !slices.Equal(h.named, h.record.Mirrors) || h.record.Charged() > h.covered {
+	if len(h.named) != mirrorsOfProgram+1 || !slices.Equal(h.named, h.record.Mirrors) || h.record.Charged() > h.covered {
 		return
 	}
 	h.copyAt = now + m.params.Core.Retry
 	c := Copy{Record: copyRecord(h.record), Turns: slices.Clone(h.unsaved)}
-	for _, one := range h.named {
+	for _, one := range m.without(h.named) {
 		m.send(one.Peer, c)
 	}
 }
@@ -151,6 +158,14 @@
 	m.send(from, Copied{Tenant: b.Record.Tenant, Program: b.Record.ID, Fence: b.Record.Fence, Version: b.Record.Version, Life: baseOf(m.incarnation)})
 }
 
+// keepOwn keeps what this node did for a program that is no longer its own, for
+// whoever owns it next.
+func (m *Machine) keepOwn(now time.Duration, h *held) {
+	if h.consulting == nil && h.record.Version > h.saved {
+		m.onCopy(now, "", Copy{Record: copyRecord(h.record), Turns: slices.Clone(h.unsaved)})
+	}
+}
+
 func (m *Machine) onCopied(now time.Duration, from string, b Copied) {
 	h := m.programs[b.Tenant+"/"+b.Program]
 	if h == nil || h.record.Fence != b.Fence || !m.termed(now) {
@@ -161,7 +176,7 @@
 	}
 	h.acked[from+"/"+b.Life] = max(b.Version, h.acked[from+"/"+b.Life])
 	least := uint64(0)
-	for i, one := range h.named {
+	for i, one := range m.without(h.named) {
 		if at := h.acked[one.Peer+"/"+one.Life]; i == 0 || at < least {
 			least = at
 		}
@@ -222,6 +237,10 @@
 	c.askAt = now + m.params.Core.Retry
 	lost := 0
 	for _, one := range c.mirrors {
+		if one.ID == m.params.ID && one.Life == baseOf(m.incarnation) {
+			m.send(one.Peer, AskCopy{Tenant: h.record.Tenant, Program: h.record.ID, Fence: h.record.Fence})
+			continue
+		}
 		if o, ok := m.members[one.ID]; ok && baseOf(o.Incarnation) != one.Life {
 			// The process that held it is no more.
 			lost++
@@ -314,7 +333,7 @@
 // MirrorsOf lists the addresses of a program's mirrors, if this node owns it.
 func (m *Machine) MirrorsOf(tenant, id string) (list []string) {
 	if h := m.programs[tenant+"/"+id]; h != nil {
-		for _, one := range h.named {
+		for _, one := range m.without(h.named) {
 			list = append(list, one.Peer)
 		}
 	}
--- a/rehearsalkit/simulator/restart_test.go
+++ b/rehearsalkit/simulator/restart_test.go
@@ -72,3 +72,31 @@
 		})
 	}
 }
+
+// A node that was killed and started again on its machine is back at once, as
+// it has the address that its former life had. After the machine itself was off,
+// it waits until that life has surely ended.
+func TestBackOnItsMachine(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		harm        func(p *proc)
+		least, most time.Duration
+	}{
+		{"killed", (*proc).kill, 0, 2 * time.Second},
+		{"machine off", (*proc).powerOff, 6 * time.Second, 12 * time.Second},
+	} {
+		p := Defaults(1)
+		p.Cores, p.Nodes, p.Users, p.Describe, p.MemberTerm = 3, 3, 0, design(nil), 8*time.Second
+		w := judged(Calm(p))
+		w.Pass(2 * time.Second)
+		began := w.now
+		c.harm(w.nodes[0])
+		w.nodes[0].boot()
+		for w.now < began+c.most && !w.nodes[0].nodeM.Ready(w.nodes[0].now()) {
+			w.Pass(50 * time.Millisecond)
+		}
+		if took := w.now - began; took < c.least || took >= c.most {
+			t.Errorf("%s: back after %v", c.name, took)
+		}
+	}
+}
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -226,6 +226,9 @@
 	case 0:
 		if n.alive {
 			w.logf("kill %s", n.id)
+			if w.chance(0.5) {
+				n.powerOff()
+			}
 			n.kill()
 			w.after(length, n.boot)
 		}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -137,6 +137,8 @@
 	zone    string
 	address string
 	life    int
+	// runs counts how often the machine was switched on.
+	runs    int
 	alive   bool
 	frozen  bool
 	backlog []func()
@@ -264,7 +266,7 @@
 		return
 	}
 	p.shots = map[uint64]*simShot{}
-	p.nodeM = node.New(node.Options{Params: w.nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Seeds: w.seeds(), Now: p.now(), Random: w.random.Float64})
+	p.nodeM = node.New(node.Options{Params: w.nodeParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.life), Zone: p.zone, Address: p.address, HTTP: p.address, Host: fmt.Sprint(p.address, " run ", p.runs), Seeds: w.seeds(), Now: p.now(), Random: w.random.Float64})
 	p.tick(p.life, 10*time.Millisecond)
 }
 
@@ -330,6 +332,7 @@
 	if p.disk != nil {
 		p.disk.pending = nil
 	}
+	p.runs++
 	p.kill()
 }
 
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +76,7 @@
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
 		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Node().Newest}, p.Largest*16)}
 	s.machine = node.New(node.Options{Params: p.Node(), ID: p.ID, Incarnation: hex.EncodeToString(raw), Zone: p.Zone, Address: p.PeerAdvertise,
-		HTTP: p.RequesterAdvert, Seeds: p.Seeds, Now: s.now(), Random: rand.Float64})
+		HTTP: p.RequesterAdvert, Host: host(p.PeerListen), Seeds: p.Seeds, Now: s.now(), Random: rand.Float64})
 	log.Info("node started", "id", p.ID, "incarnation", s.machine.Incarnation())
 
 	var group run.Group
@@ -102,6 +104,21 @@
 	return group.Run()
 }
 
+// host names the address that this process has bound on this run of its
+// machine: while it is bound here, no other process of the same machine and
+// network has it.
+func host(bound string) string {
+	boot, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	network, err := os.Readlink("/proc/self/ns/net")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(boot)) + " " + network + " " + bound
+}
+
 func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 func (s *process) own(ctx context.Context) error {
