--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -44,8 +44,9 @@
 	// ChargeUser raises what a program has spent of a user's day.
 	ChargeUser struct {
 		Tenant, User, Program string
-		Charged               int64
-		Closed                bool
+		// Charged is spent or running, Covered what may be spent beforehand.
+		Charged, Covered int64
+		Closed           bool
 	}
 	// UserDay answers it.
 	UserDay struct{ Tokens int64 }
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -95,7 +95,7 @@
 		if !ok {
 			u = program.NewUser()
 		}
-		tokens := u.Charge(tx.Clock(), c.Program, c.Charged)
+		tokens := u.Charge(tx.Clock(), c.Program, c.Charged, c.Covered)
 		if c.Closed {
 			u.Close(c.Program)
 		}
--- a/peer/node/inquiry.go
+++ b/peer/node/inquiry.go
@@ -453,9 +453,9 @@
 			v, ok := o.Answer.(verdict.Verdict)
 			switch {
 			case w.over:
-				m.closeUser(now, w, id)
+				m.closeUser(now, w, id, 0)
 			case !ok:
-				m.closeUser(now, w, id)
+				m.closeUser(now, w, id, 0)
 				m.refuse(w, unsure("the user's windows could not be asked"))
 			case v.Refused():
 				m.refuse(w, v)
@@ -484,31 +484,32 @@
 	})
 }
 
-func (m *Machine) closeUser(now time.Duration, w *way, id string) {
-	m.caller.Call(now, core.ChargeUser{Tenant: w.tenant, User: w.inquiry.User, Program: id, Closed: true}, now+10*m.params.Core.MemberTerm, func(time.Duration, core.Outcome) {})
+func (m *Machine) closeUser(now time.Duration, w *way, id string, charged int64) {
+	m.caller.Call(now, core.ChargeUser{Tenant: w.tenant, User: w.inquiry.User, Program: id, Charged: charged, Closed: true}, now+10*m.params.Core.MemberTerm, func(time.Duration, core.Outcome) {})
 }
 
 func (m *Machine) openDay(now time.Duration, w *way, id string, test int, warnings []verdict.Warning) {
 	s := m.dayOf(w.tenant)
 	m.draw(now, s, 1, m.dayChunk(w.tenant), m.patient(now, w), m.askDay(w.tenant, s), func(now time.Duration, ok, told bool) {
 		if w.over || !ok {
-			m.closeUser(now, w, id)
+			m.closeUser(now, w, id, 0)
 			m.refuse(w, m.dayVerdict(told))
 			return
 		}
 		r := program.Record{Fence: 1, ID: id, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Node: m.params.ID, Incarnation: m.incarnation, Address: m.params.Address, Test: test,
 			Keep: time.Duration(m.description.KeepSeconds) * time.Second}
 		fresh := held{record: r}
+		covered := program.Cover(m.description.Roles[w.role], 0)
 		m.cover(&fresh)
 		r = fresh.record
 		m.caller.Call(now, core.OpenProgram{Record: r}, m.patient(now, w), func(now time.Duration, o core.Outcome) {
 			p, ok := o.Answer.(core.Programmed)
 			if !ok || !p.Owned || w.over || p.Record.Incarnation != m.incarnation {
-				m.closeUser(now, w, id)
+				m.closeUser(now, w, id, 0)
 				m.refuse(w, unsure("the program's record could not be made durable in time"))
 				return
 			}
-			m.hold(now, p)
+			m.hold(now, p).dayCovered = covered
 			m.count(warnings)
 			m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Kind: Open})
 			m.end(w, Piece{Kind: PieceBody, Status: 201, Head: program.Start, Verdict: verdict.Gated(verdict.Yes, warnings), Text: id})
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -90,6 +90,7 @@
 	paces    map[string]*pace
 	days     map[string]*share
 	money    *share
+	rooms    map[string]*room
 	buffered int
 	running  int
 
@@ -125,9 +126,11 @@
 	// unsavedAt is since when the cores lack something; named and covered are
 	// what the record that they have says; copied is the version that all
 	// mirrors hold.
-	unsavedAt  time.Duration
-	named      []program.Mirror
-	covered    int64
+	unsavedAt time.Duration
+	named     []program.Mirror
+	covered   int64
+	// dayCovered is up to where the user's day is charged beforehand.
+	dayCovered int64
 	copied     uint64
 	acked      map[string]uint64
 	copyAt     time.Duration
@@ -150,7 +153,7 @@
 		versions: map[int]part.Stamp{}, freshAt: -1, bornAt: o.Now, entries: map[int]map[string]part.Entry{},
 		members: map[string]core.Member{}, replicas: map[string]map[string]announced{}, cores: map[string]core.Core{},
 		conditions: map[string]*condition{}, waiting: map[uint64]slab.Ticket{}, live: map[slab.Ticket]*shot{},
-		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, mirrors: map[string]*mirrored{}, breakerState: breaker.Closed}
+		open: map[slab.Ticket]*asked{}, served: map[string]*servedWay{}, mirrors: map[string]*mirrored{}, rooms: map[string]*room{}, breakerState: breaker.Closed}
 	m.Counters.Refusals = map[string]int64{}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
@@ -226,6 +229,7 @@
 	m.caller.Tick(now)
 	m.report(now)
 	m.tickWays(now)
+	m.freeRoom(now)
 	m.tickPrograms(now)
 	m.later.Tick(now)
 	m.tickPassed(now)
@@ -411,7 +415,9 @@
 		waiters = append(waiters, m.paces[name].waiting...)
 		m.paces[name].waiting = nil
 	}
-	m.buffered = 0
+	for range waiters {
+		m.buffered--
+	}
 	m.clear()
 	for _, t := range m.liveShots() {
 		if s, ok := m.shots.Look(t); ok && s.fenced {
@@ -423,7 +429,7 @@
 		m.failSaves(now, h)
 	}
 	for _, w := range waiters {
-		w.next(now, false)
+		w.next(now, false, m.params.Core.Retry)
 	}
 }
 
@@ -785,6 +791,13 @@
 	return verdict.Later("unsure", reason, time.Second)
 }
 
+// Adopt takes those bounds that may change while the node runs.
+func (m *Machine) Adopt(p Params) Output {
+	m.step(m.now)
+	m.params.Buffer, m.params.Patience, m.params.Newest, m.params.UrgentRatio, m.params.Budget = p.Buffer, p.Patience, p.Newest, p.UrgentRatio, p.Budget
+	return *m.out
+}
+
 // Leave begins to drain this node: it is not ready, what runs ends, programs
 // go to named successors, shares back, and the term ends last.
 func (m *Machine) Leave(now time.Duration) Output {
@@ -916,9 +929,15 @@
 	for name, s := range m.days {
 		shares[name+"/day"] = map[string]int64{"held": s.books.Held(), "reserved": s.reserved, "spent": s.books.Spent}
 	}
+	replicas := map[string]any{}
+	for service := range m.replicas {
+		for id, a := range m.replicas[service] {
+			replicas[service+"/"+id] = map[string]any{"address": a.replica.Address, "zone": a.replica.Zone, "load": a.replica.Load, "leaving": a.replica.Leaving, "age_ms": (now - a.since).Milliseconds()}
+		}
+	}
 	shares["money"] = map[string]int64{"held": m.money.books.Held(), "reserved": m.money.reserved, "spent": m.money.books.Spent}
 	return map[string]any{"id": m.params.ID, "incarnation": m.incarnation, "version": m.version, "ready": m.Ready(now), "breaker": m.breakerState,
-		"programs": len(m.programs), "running": m.running, "waiting": m.ways.Used(), "shares": shares, "refusals": refusals,
+		"programs": len(m.programs), "running": m.running, "waiting": m.ways.Used(), "shares": shares, "replicas": replicas, "term_left_ms": max(0, m.termUntil-now).Milliseconds(), "refusals": refusals,
 		"inquiries": c.Inquiries, "forwarded": c.Forwarded, "gated": c.Gated, "warned": c.Warned, "refused": c.Refused, "shots": c.Shots,
 		"not_run": c.NotRun, "broken": c.Broken, "whole": c.Whole, "takeovers": c.Takeovers, "joins": c.Joins, "terms_lost": c.TermsLost,
 		"stale_news": c.StaleNews, "resets": c.Resets, "fenced": c.Fenced, "bad_messages": c.BadMessages, "saves": c.Saves, "handed": c.Handed, "passed_on": c.PassedOn, "mirrored": c.Mirrored, "mirrors_used": c.MirrorsUsed, "mirrors_lost": c.MirrorsLost, "command_tries": m.caller.Tries}
--- a/peer/node/mirror.go
+++ b/peer/node/mirror.go
@@ -62,10 +62,6 @@
 // cores don't, so that any one of them is enough for a successor.
 const mirrorsOfProgram = 2
 
-// coveredTurns is how many of the greatest turns an owner has charged
-// beforehand, to be taken without the cores.
-const coveredTurns = 2
-
 // cover makes a record ready to be written: what is charged beforehand never
 // shrinks while the program is open, and mirrors are living members. A record
 // that this changes is a new version, so that two of one version never differ
@@ -73,7 +69,7 @@
 func (m *Machine) cover(h *held) {
 	r := &h.record
 	role := m.description.Roles[r.Role]
-	covered, mirrors := max(r.Covered, min(role.ProgramTokensHard, r.Charged()+coveredTurns*role.TurnTokens)), r.Mirrors
+	covered, mirrors := max(r.Covered, program.Cover(role, r.Charged())), r.Mirrors
 	if r.Closed {
 		covered = 0
 	}
@@ -131,7 +127,7 @@
 		h.copied >= h.record.Version || !m.termed(now) {
 		return
 	}
-	if len(h.named) != mirrorsOfProgram+1 || !slices.Equal(h.named, h.record.Mirrors) || h.record.Charged() > h.covered {
+	if len(h.named) != mirrorsOfProgram+1 || !slices.Equal(h.named, h.record.Mirrors) || h.record.Charged() > min(h.covered, h.dayCovered) {
 		return
 	}
 	h.copyAt = now + m.params.Core.Retry
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -55,7 +55,7 @@
 
 type waiter struct {
 	until time.Duration
-	next  func(now time.Duration, ok bool)
+	next  func(now time.Duration, ok bool, wait time.Duration)
 }
 
 func (p *pace) fill(now time.Duration, rate float64, burst int64) {
@@ -294,18 +294,28 @@
 		if ok {
 			p.filled--
 		}
-		w.next(now, ok)
+		w.next(now, ok, m.rateWait(p, rate, burst))
 	}
 }
 
+// rateWait is how long it takes until the rate's bucket has a place for one
+// more.
+func (m *Machine) rateWait(p *pace, rate float64, burst int64) time.Duration {
+	speed := float64(p.books.Held()) / float64(wholeOf(burst)) * rate
+	if speed <= 0 {
+		return 2 * m.params.Report
+	}
+	return max(m.params.Core.Pull, time.Duration((float64(len(p.waiting)+1)-p.filled)/speed*float64(time.Second)))
+}
+
 // pass takes one inquiry's place in a tenant's rate, now or after a short wait.
-func (m *Machine) pass(now time.Duration, tenant string, urgent bool, until time.Duration, next func(now time.Duration, ok bool)) {
+func (m *Machine) pass(now time.Duration, tenant string, urgent bool, until time.Duration, next func(now time.Duration, ok bool, wait time.Duration)) {
 	p, rate, burst := m.paceOf(tenant, urgent)
 	p.demand++
 	p.fill(now, rate, burst)
 	if len(p.waiting) == 0 && p.filled >= 1 {
 		p.filled--
-		next(now, true)
+		next(now, true, 0)
 		return
 	}
 	if urgent {
@@ -314,19 +324,13 @@
 		if common.fill(now, rate, burst); common.filled >= 1 {
 			common.filled--
 			common.demand++
-			next(now, true)
+			next(now, true, 0)
 			return
 		}
 	}
-	room := m.params.Buffer
-	if !urgent {
-		room = int(float64(room) * (1 - m.params.UrgentRatio))
-	}
-	speed := float64(p.books.Held()) / float64(wholeOf(burst)) * rate
 	until = min(until, now+m.params.Patience)
-	wait := time.Duration((float64(len(p.waiting)+1) - p.filled) / speed * float64(time.Second))
-	if m.buffered >= room || (speed > 0 && now+wait > until) {
-		next(now, false)
+	if wait := m.rateWait(p, rate, burst); m.buffered >= m.roomFor(urgent) || now+wait > until {
+		next(now, false, wait)
 		return
 	}
 	m.buffered++
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -22,6 +22,7 @@
 	held      *held
 	fenced    bool
 	replica   Replica
+	firedAt   time.Duration
 	tried     map[string]bool
 	payload   Payload
 	turn      string
@@ -61,7 +62,7 @@
 			}
 			q := w.inquiry
 			q.User = h.record.User
-			m.closeUser(now, &way{tenant: w.tenant, inquiry: q}, h.record.ID)
+			m.closeUser(now, &way{tenant: w.tenant, inquiry: q}, h.record.ID, h.record.Charged())
 			m.end(w, Piece{Kind: PieceBody, Status: 200, Body: []byte(`{"closed":true}`)})
 		})
 	}
@@ -185,7 +186,7 @@
 
 // reserveTurn makes a turn's reservation durable: at the cores with the user's
 // day charged, or, while they can't be reached, at all mirrors; the user's day is
-// then charged when it can be, before the user's next session start.
+// then charged later, and counts meanwhile as charged beforehand.
 func (m *Machine) reserveTurn(now time.Duration, s *shot) {
 	w, h := s.way, s.held
 	over, saved, charged, version := false, false, false, uint64(0)
@@ -207,7 +208,7 @@
 		goOn(now, ok)
 	})
 	version = h.record.Version
-	charge := core.ChargeUser{Tenant: w.tenant, User: h.record.User, Program: h.record.ID, Charged: h.record.Charged()}
+	charge := core.ChargeUser{Tenant: w.tenant, User: h.record.User, Program: h.record.ID, Charged: h.record.Charged(), Covered: h.record.Covered}
 	m.caller.Call(now, charge, now+10*m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		day, ok := o.Answer.(core.UserDay)
 		role := m.description.Roles[h.record.Role]
@@ -215,6 +216,9 @@
 			s.warnings = append(s.warnings, verdict.Warning{Scope: "user_day_tokens", Used: day.Tokens, Of: role.UserDayTokensHard})
 		}
 		charged = ok
+		if ok {
+			h.dayCovered = max(h.dayCovered, charge.Covered)
+		}
 		goOn(now, true)
 	})
 	m.later.Add(m.patient(now, w), func(now time.Duration) { goOn(now, charged && saved) })
@@ -223,13 +227,13 @@
 // launch takes the tenant's rate and a replica, and shoots, all in one moment
 // if the term still holds then.
 func (m *Machine) launch(now time.Duration, s *shot) {
-	m.pass(now, s.way.tenant, m.description.Services[s.way.inquiry.Service].Urgent, s.way.until, func(now time.Duration, ok bool) {
+	m.pass(now, s.way.tenant, m.description.Services[s.way.inquiry.Service].Urgent, s.way.until, func(now time.Duration, ok bool, wait time.Duration) {
 		if s.way.over {
 			m.undo(now, s, verdict.Verdict{})
 			return
 		}
 		if !ok {
-			m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "rate", Code: "too_many", Reason: "the tenant's inquiries come faster than its rate", Status: 429, RetryAfter: m.params.Patience}))
+			m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "rate", Code: "too_many", Reason: "the tenant's inquiries come faster than its rate", Status: 429, RetryAfter: wait}))
 			return
 		}
 		m.fire(now, s)
@@ -256,11 +260,14 @@
 		m.undo(now, s, late(verdict.No))
 		return
 	}
-	r, ok := m.choose(now, service, func(id string) bool { return !s.tried[id] })
+	r, ok := m.choose(now, service, s.untried)
 	if !ok {
-		m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "replica", Code: "no_replica", Reason: "no replica of the service has room", Status: 503, RetryAfter: time.Second}))
+		if !m.awaitRoom(now, s) {
+			m.undo(now, s, m.noReplica(now, service))
+		}
 		return
 	}
+	s.firedAt = now
 	s.replica = r
 	s.tried[r.ID] = true
 	m.conditionOf(r).outstanding++
@@ -308,6 +315,7 @@
 	}
 	if e.Kind != EventChunk {
 		m.endShot(now, t, e)
+		m.freeRoom(now)
 		return *m.out
 	}
 	w := s.way
@@ -338,6 +346,8 @@
 	switch e.Kind {
 	case EventDone:
 		c.failures = 0
+		r := m.roomOf(s.way.inquiry.Service)
+		r.took = (7*r.took + now - s.firedAt) / 8
 	case EventNotRun:
 		m.Counters.NotRun++
 		m.eject(now, c)
@@ -347,7 +357,7 @@
 			m.launch(now, s)
 			return
 		}
-		m.undo(now, s, verdict.Refused(verdict.Refusal{Check: "replica", Code: "no_replica", Reason: "no replica could be reached", Status: 503, RetryAfter: time.Second}))
+		m.undo(now, s, m.noReplica(now, s.way.inquiry.Service))
 		return
 	case EventBroken:
 		m.Counters.Broken++
--- a/peer/operator/call.go
+++ b/peer/operator/call.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,27 @@
 	HTTP *http.Client
 }
 
+// Refused is what a process said that did not do what it was asked for.
+type Refused struct {
+	Status int
+	Code   string `json:"code"`
+	Reason string `json:"reason"`
+}
+
+func (r *Refused) Error() string { return r.Code + ": " + r.Reason }
+
+// Refusal reads a return that is no success.
+func Refusal(status int, raw []byte) error {
+	r := &Refused{Status: status}
+	if json.Unmarshal(raw, r) != nil || r.Code == "" {
+		r.Code, r.Reason = "malformed", string(raw)
+	}
+	return r
+}
+
+// ErrUnreachable says that an address gave no return.
+var ErrUnreachable = errors.New("no return from this address")
+
 // Do makes one call and decodes its return. A status of 400 or above comes
 // back with no error, so that the caller can tell what was refused.
 func (c Caller) Do(ctx context.Context, method, address, path string, body, target any) (int, []byte, error) {
@@ -42,7 +64,7 @@
 	}
 	got, err := client.Do(r)
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "call")
+		return 0, nil, errors.Mark(errors.Wrapf(err, "%s", address), ErrUnreachable)
 	}
 	defer got.Body.Close()
 	raw, err := io.ReadAll(got.Body)
@@ -71,7 +93,7 @@
 			return core.Founding{}, errors.Wrapf(err, "core at %s", address)
 		}
 		if status != 200 {
-			return core.Founding{}, errors.Newf("core at %s: %s", address, raw)
+			return core.Founding{}, errors.Wrapf(Refusal(status, raw), "core at %s", address)
 		}
 		if _, twice := at[who.Core.ID]; twice {
 			return core.Founding{}, errors.Newf("two cores are called %s", who.Core.ID)
@@ -98,7 +120,7 @@
 			return f, errors.Wrapf(err, "core %s; run found again with the same cores to carry on", one.ID)
 		}
 		if status != 200 {
-			return f, errors.Newf("core %s: %s", one.ID, raw)
+			return f, errors.Wrapf(Refusal(status, raw), "core %s", one.ID)
 		}
 	}
 	return f, nil
@@ -108,18 +130,24 @@
 func (c Caller) AddCore(ctx context.Context, any, fresh string) (core.Changed, error) {
 	var changed core.Changed
 	var who Identity
-	if status, raw, err := c.Do(ctx, "GET", fresh, "/v1/identity", nil, &who); err != nil || status != 200 {
-		return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", fresh, raw))
+	if status, raw, err := c.Do(ctx, "GET", fresh, "/v1/identity", nil, &who); err != nil {
+		return changed, err
+	} else if status != 200 {
+		return changed, errors.Wrapf(Refusal(status, raw), "core at %s", fresh)
 	}
 	var t core.Topology
-	if status, raw, err := c.Do(ctx, "GET", any, "/v1/topology", nil, &t); err != nil || status != 200 {
-		return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", any, raw))
+	if status, raw, err := c.Do(ctx, "GET", any, "/v1/topology", nil, &t); err != nil {
+		return changed, err
+	} else if status != 200 {
+		return changed, errors.Wrapf(Refusal(status, raw), "core at %s", any)
 	}
 	if !who.Founded {
 		f := core.Founding{Fleet: t.Fleet, Parts: len(t.Groups), Cores: t.Cores, Groups: make([]part.Group, len(t.Groups))}
 		f.Cores[who.Core.ID] = who.Core
-		if status, raw, err := c.Do(ctx, "POST", fresh, "/v1/found", f, nil); err != nil || status != 200 {
-			return changed, errors.CombineErrors(err, errors.Newf("core at %s: %s", fresh, raw))
+		if status, raw, err := c.Do(ctx, "POST", fresh, "/v1/found", f, nil); err != nil {
+			return changed, err
+		} else if status != 200 {
+			return changed, errors.Wrapf(Refusal(status, raw), "core at %s", fresh)
 		}
 	}
 	return c.Change(ctx, any, Life{Kind: core.AddCore, ID: who.Core.ID, New: &who.Core})
@@ -136,7 +164,39 @@
 		case status == 200:
 			return changed, nil
 		case status != 202:
-			return changed, errors.Newf("%s", raw)
+			return changed, Refusal(status, raw)
+		}
+	}
+}
+
+// Nodes asks each living member what it counts and holds; one that gives no
+// return has none here.
+func (c Caller) Nodes(ctx context.Context, members []core.Member) map[string]map[string]any {
+	type told struct {
+		id     string
+		counts map[string]any
+	}
+	all, asked := make(chan told), 0
+	for _, one := range members {
+		if one.Ended {
+			continue
+		}
+		asked++
+		go func() {
+			t := told{id: one.ID}
+			ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			defer cancel()
+			if status, _, err := c.Do(ctx, "GET", one.HTTP, "/counters", nil, &t.counts); err != nil || status != 200 {
+				t.counts = nil
+			}
+			all <- t
+		}()
+	}
+	nodes := map[string]map[string]any{}
+	for ; asked > 0; asked-- {
+		if t := <-all; t.counts != nil {
+			nodes[t.id] = t.counts
 		}
 	}
+	return nodes
 }
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -239,6 +239,34 @@
 	return nil
 }
 
+type loadsCommand struct {
+	Seeds uint64 `help:"Seeds for each." default:"5"`
+}
+
+func (c *loadsCommand) Run() error {
+	broken := 0
+	for seed := uint64(1); seed <= c.Seeds; seed++ {
+		m := simulator.MeasureCrowd(seed)
+		broken += len(m.Breaches)
+		fmt.Printf("crowd, seed %d: alerts through in calm %d of %d (half %v, nine of ten %v), in the crowd %d of %d (half %v, nine of ten %v); turns whole %d of %d\n", seed,
+			m.Through[0], m.Alerts[0], m.Half[0].Round(time.Millisecond), m.NineOfTen[0].Round(time.Millisecond),
+			m.Through[1], m.Alerts[1], m.Half[1].Round(time.Millisecond), m.NineOfTen[1].Round(time.Millisecond), m.TurnsWhole, m.Turns)
+	}
+	for _, where := range []string{"all nodes", "one node", "moving"} {
+		fmt.Printf("quota used by one large tenant, %s:", where)
+		for seed := uint64(1); seed <= c.Seeds; seed++ {
+			m := simulator.MeasureShares(seed, where)
+			broken += len(m.Breaches)
+			fmt.Printf(" %.2f", m.Used)
+		}
+		fmt.Println()
+	}
+	if broken > 0 {
+		return errors.Newf("%d breaches", broken)
+	}
+	return nil
+}
+
 type breaksCommand struct {
 	Seeds int    `help:"How many seeds may be needed to find a break." default:"80"`
 	Root  string `help:"The workspace." default:"." type:"path"`
@@ -284,6 +312,7 @@
 	Backend  backendCommand  `cmd:"" help:"Run one stand-in back end."`
 	Fleet    fleetCommand    `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
 	Breaks   breaksCommand   `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
+	Loads    loadsCommand    `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
 	Terms    termsCommand    `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
 	Crash    crashCommand    `cmd:"" help:"Lose each process concerned after each message and round each sync of each operation, and judge."`
 	Simulate simulateCommand `cmd:"" help:"Run the simulator over seeds."`
--- /dev/null
+++ b/rehearsalkit/simulator/load_test.go
@@ -0,0 +1,54 @@
+package simulator
+
+import (
+	"testing"
+	"time"
+
+	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rule/program"
+)
+
+// With all places at replicas taken, a turn waits for one within its budget; a
+// waiting room that is too long is told at once, with a time that grows with it.
+func TestRoomAtReplicas(t *testing.T) {
+	p := Defaults(7)
+	p.Cores, p.Nodes, p.Users, p.Replicas, p.Rate, p.Burst, p.MemberTerm, p.Zones = 3, 3, 0, 1, 500, 900, 2*time.Second, 3
+	p.Describe = design(func(role, tenant, services, breaker tree) {
+		role["sessions_per_minute"], role["concurrent_sessions"] = 1000, 1000
+		tenant["inquiries_per_second"], tenant["burst"] = 500, 900
+		services["model"] = tree{"kind": "model", "shots_per_replica": 1}
+	})
+	w := judged(Calm(p))
+	w.Record.Limits.Rate["t1"], w.Record.Limits.Burst["t1"] = 500, 900
+	var ids []string
+	for i := 0; i < 24; i++ {
+		_, opened := open(w, 0, w.mark("u"))
+		ids = append(ids, opened.Text)
+	}
+	w.Pass(time.Second)
+	whole, refused := 0, 0
+	var waits []time.Duration
+	began := w.now
+	for _, id := range ids {
+		w.ask(w.nodes[0], node.Inquiry{Kind: node.Turn, Key: "key-t1", Program: id, Service: "model", Before: program.Start, Say: w.mark("say"), MaxTokens: 20, Budget: 4 * time.Second}, func(a judge.Asked, last node.Piece) {
+			switch {
+			case a.Outcome == judge.Whole:
+				whole++
+			case a.Code == "no_replica":
+				refused++
+				waits = append(waits, last.Verdict.RetryAfter)
+			}
+		})
+	}
+	w.Pass(4 * time.Second)
+	if whole < 3 || refused < 8 || whole+refused != len(ids) {
+		t.Errorf("%d whole, %d refused of %d within %v", whole, refused, len(ids), w.now-began)
+	}
+	for _, wait := range waits {
+		if wait <= 0 || wait > 10*time.Second {
+			t.Errorf("told to come back in %v", wait)
+		}
+	}
+	noBreach(t, w)
+}
--- /dev/null
+++ b/rehearsalkit/simulator/loads.go
@@ -0,0 +1,131 @@
+package simulator
+
+import (
+	"sort"
+	"time"
+
+	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/judge"
+)
+
+// Crowded is what became of alerts in calm and under a crowd.
+type Crowded struct {
+	Alerts, Through   [2]int
+	Half, NineOfTen   [2]time.Duration
+	Turns, TurnsWhole int
+	Breaches          []judge.Breach
+}
+
+// MeasureCrowd lets requesters live in calm, then ten times as many of one
+// tenant with a burst of alerts every second, and compares what alerts of that
+// tenant get.
+func MeasureCrowd(seed uint64) Crowded {
+	p := defaults(seed)
+	p.Cores, p.Nodes, p.Zones, p.Replicas, p.Alerts, p.Users, p.Parts = 6, 13, 3, 11, 5, 12, 16
+	p.Faults, p.Operators, p.Loss, p.Rate, p.Burst, p.MemberTerm = false, 0, 0, 40, 64, 5*time.Second
+	w := Calm(p)
+	w.limits()
+	w.Record.Nodes, w.Record.Limits.Users = nil, nil
+	const phase = 8 * time.Second
+	calm, crowd := w.now+3*time.Second, w.now+3*time.Second+phase
+	var c Crowded
+	var took [2][]time.Duration
+	told := func(at time.Duration, ok bool) {
+		if at >= crowd {
+			c.Turns++
+			if ok {
+				c.TurnsWhole++
+			}
+		}
+	}
+	for i := 0; i < p.Users; i++ {
+		w.chat(i, crowd+phase, told)
+	}
+	for i := 0; i < 10*p.Users; i++ {
+		w.after(crowd-w.now+time.Duration(i)*5*time.Millisecond, func() { w.chat(0, crowd+phase, told) })
+	}
+	alert := func(period int) {
+		mark := w.mark("alert")
+		c.Alerts[period]++
+		w.ask(w.anyNode(), node.Inquiry{Kind: node.Action, Key: "key-t1", User: "u", Service: "alert", OnceKey: mark, Arguments: []byte(`{"mark":"` + mark + `"}`), Budget: 2 * time.Second}, func(a judge.Asked, _ node.Piece) {
+			if a.Outcome == judge.Whole {
+				c.Through[period]++
+				took[period] = append(took[period], a.Ended-a.At)
+			}
+		})
+	}
+	for s := time.Duration(0); s < phase; s += time.Second {
+		for i := 0; i < 6; i++ {
+			w.after(calm+s-w.now+w.between(0, 500*time.Millisecond), func() { alert(0) })
+			w.after(crowd+s-w.now+w.between(0, 500*time.Millisecond), func() { alert(1) })
+		}
+	}
+	w.run(crowd + phase + 4*time.Second)
+	for i := range took {
+		sort.Slice(took[i], func(a, b int) bool { return took[i][a] < took[i][b] })
+		if n := len(took[i]); n > 0 {
+			c.Half[i], c.NineOfTen[i] = took[i][n/2], took[i][n*9/10]
+		}
+	}
+	c.Breaches = w.Record.Judge()
+	return c
+}
+
+// Shared is how much of one large tenant's quota was used.
+type Shared struct {
+	// Used is the part of the quota that reached replicas in steady state,
+	// Wanted how many times the quota was asked for.
+	Used, Wanted float64
+	Breaches     []judge.Breach
+}
+
+// MeasureShares lets one tenant ask for a good deal more than its quota, at all
+// nodes, at one node, or at one node after another, the other tenants a tenth of
+// it.
+func MeasureShares(seed uint64, where string) Shared {
+	p := defaults(seed)
+	p.Nodes, p.Users, p.Faults, p.Operators, p.Loss, p.Rate, p.Burst, p.MemberTerm = 6, 0, false, 0, 0, 40, 64, 5*time.Second
+	w := Calm(p)
+	w.limits()
+	w.Record.Nodes = nil
+	from, until := w.now+4*time.Second, w.now+16*time.Second
+	asked, moved := 0, 0
+	ask := func(key string, at *proc) {
+		mark := w.mark("load")
+		w.ask(at, node.Inquiry{Kind: node.Action, Key: key, User: "u", Service: "alert", OnceKey: mark, Arguments: []byte(`{"mark":"` + mark + `"}`), Budget: 2 * time.Second}, drop)
+	}
+	var load func()
+	load = func() {
+		if w.now >= until {
+			return
+		}
+		at := w.nodes[0]
+		switch where {
+		case "all nodes":
+			at = w.anyNode()
+		case "moving":
+			at = w.nodes[moved%len(w.nodes)]
+		}
+		if w.now >= from {
+			asked++
+		}
+		ask("key-t1", at)
+		if w.chance(0.1) {
+			ask("key-t2", w.anyNode())
+		}
+		w.after(time.Second/60, load)
+	}
+	load()
+	var move func()
+	move = func() { moved++; w.after(2*time.Second, move) }
+	w.after(2*time.Second, move)
+	w.run(until + 3*time.Second)
+	shots := 0
+	for _, s := range w.Record.Shots {
+		if s.Tenant == "t1" && s.At >= from && s.At < until {
+			shots++
+		}
+	}
+	quota := p.Rate * (until - from).Seconds()
+	return Shared{Used: float64(shots) / quota, Wanted: float64(asked) / quota, Breaches: w.Record.Judge()}
+}
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -222,7 +222,12 @@
 	c := w.cores[w.random.IntN(len(w.cores))]
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	length := w.between(100*time.Millisecond, 4*time.Second)
-	switch w.random.IntN(24) {
+	kind := w.random.IntN(24)
+	switch kind {
+	case 2, 3, 5, 6, 7, 10, 11, 12, 14, 19, 20, 22, 23:
+		w.cutUntil = max(w.cutUntil, w.now+length)
+	}
+	switch kind {
 	case 0:
 		if n.alive {
 			w.logf("kill %s", n.id)
@@ -304,7 +309,8 @@
 			w.replaceCore(c)
 		}
 	case 21:
-		// Out of touch, what only an owner and its mirrors hold is lost with them.
+		// With the cores out of reach, what only an owner and its mirrors hold is
+		// lost with them.
 		if !w.closed && len(w.cut) == 0 && w.now > w.cutUntil+2*time.Second {
 			w.closed = true
 			w.logf("everything is killed")
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -114,7 +114,7 @@
 	spare  *proc
 	moved  bool
 	closed bool
-	// cutUntil is until when cores are cut off from nodes.
+	// cutUntil is until when cores may be out of nodes' reach.
 	cutUntil time.Duration
 	models   []*backend
 	cut      map[[2]string]bool
--- a/rule/program/program.go
+++ b/rule/program/program.go
@@ -112,6 +112,16 @@
 // Charged is what counts as spent: output and running reservations.
 func (r *Record) Charged() int64 { return r.Spent + r.Reserved() }
 
+// coveredTurns is how many of the greatest turns an owner has charged
+// beforehand, to be taken while nobody can be asked.
+const coveredTurns = 2
+
+// Cover is up to where an allowance is charged beforehand, of which something
+// is charged already.
+func Cover(role configuration.Role, charged int64) int64 {
+	return min(role.ProgramTokensHard, charged+coveredTurns*role.TurnTokens)
+}
+
 // Line finds a line; one that has no turns yet begins at Start.
 func (r *Record) Line(name string) Line {
 	if l, ok := r.Lines[name]; ok {
--- a/rule/program/user.go
+++ b/rule/program/user.go
@@ -13,6 +13,8 @@
 	Until   time.Duration `msgpack:"u"`
 	Charged int64         `msgpack:"c"`
 	Closed  bool          `msgpack:"d"`
+	// Covered is up to where the program may spend before it can be asked again.
+	Covered int64 `msgpack:"v"`
 }
 
 // Opening is the outcome of a recent try to open a session, kept so that a
@@ -96,14 +98,14 @@
 	if live >= role.ConcurrentSessions {
 		return refuse("concurrency", "concurrent_sessions", "the user has as many sessions open as the role may", 429, soonest)
 	}
-	spent := u.Tokens.Sum(clock)
+	spent := u.day(clock)
 	if spent >= role.UserDayTokensHard {
 		return refuse("day_tokens", "user_day_tokens_spent", "the user's day is spent", 429, u.Tokens.Until(clock, 1, role.UserDayTokensHard))
 	}
 	if u.Sessions == nil {
 		u.Sessions = map[string]Session{}
 	}
-	u.Sessions[program] = Session{Until: clock + time.Duration(role.SessionSeconds)*time.Second}
+	u.Sessions[program] = Session{Until: clock + time.Duration(role.SessionSeconds)*time.Second, Covered: Cover(role, 0)}
 	var warnings []verdict.Warning
 	if spent >= role.UserDayTokensSoft {
 		warnings = append(warnings, verdict.Warning{Scope: "user_day_tokens", Used: spent, Of: role.UserDayTokensHard})
@@ -114,13 +116,25 @@
 	return verdict.Gated(verdict.No, warnings)
 }
 
-// Charge raises what a program of this user has spent, cumulatively, and
-// returns the user's day.
-func (u *User) Charge(clock time.Duration, program string, charged int64) int64 {
+// day is what the user's day holds: what was charged, and what open sessions
+// may spend before they can be asked.
+func (u *User) day(clock time.Duration) int64 {
+	spent := u.Tokens.Sum(clock)
+	for _, s := range u.Sessions {
+		if !s.Closed && clock < s.Until+u.Minute.Width {
+			spent += max(0, s.Covered-s.Charged)
+		}
+	}
+	return spent
+}
+
+// Charge raises what a program of this user has spent and may spend
+// beforehand, cumulatively, and returns what of the user's day is charged.
+func (u *User) Charge(clock time.Duration, program string, charged, covered int64) int64 {
 	s := u.Sessions[program]
-	if charged > s.Charged {
-		u.Tokens.Add(clock, charged-s.Charged)
-		s.Charged = charged
+	if charged > s.Charged || covered > s.Covered {
+		u.Tokens.Add(clock, max(0, charged-s.Charged))
+		s.Charged, s.Covered = max(charged, s.Charged), max(covered, s.Covered)
 		if u.Sessions == nil {
 			u.Sessions = map[string]Session{}
 		}
--- a/rule/rehearsal/rehearsal.go
+++ b/rule/rehearsal/rehearsal.go
@@ -132,7 +132,7 @@
 		}
 		return ""
 	case "turn":
-		u.Charge(at, id, s.Tokens)
+		u.Charge(at, id, s.Tokens, 0)
 		if s.Steps > role.Steps {
 			return "steps"
 		}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -36,6 +36,7 @@
 
 type process struct {
 	params  params.Params
+	adopt   <-chan params.Params
 	log     logr.Logger
 	machine *core.Machine
 	streams *stream.Streams
@@ -69,7 +70,7 @@
 }
 
 // Run runs the role until the context ends, then hands its parts over.
-func Run(ctx context.Context, p params.Params, log logr.Logger) error {
+func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
 	if p.Folder == "" {
 		return errors.New("a core needs a folder")
 	}
@@ -82,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	s := &process{params: p, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
+	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
 	var image core.Stored
 	image.CopyFrom(stored)
@@ -171,6 +172,7 @@
 			s.syncs++
 			s.syncTime += w.took
 			s.flushHeld()
+		case s.params = <-s.adopt:
 		case c := <-s.streams.Counts:
 			s.bad += c.BadStreams
 		case <-ticker.C:
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -20,6 +20,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/peer/operator"
 	"saffronfall/rule/configuration"
+	"saffronfall/rule/ordered"
 	"saffronfall/saffronfall/coreprocess"
 	"saffronfall/saffronfall/nodeprocess"
 	"saffronfall/saffronfall/params"
@@ -29,7 +30,7 @@
 	Settings string `arg:"" type:"path" help:"Settings file (JSON)."`
 }
 
-func (r role) start(run func(ctx context.Context, p params.Params, log logr.Logger) error) error {
+func (r role) start(run func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error) error {
 	p, err := params.ReadFile(r.Settings)
 	if err != nil {
 		return err
@@ -38,12 +39,14 @@
 	logger := stdr.New(log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reread(ctx, r.Settings, p, logger)
-	return run(ctx, p, logger)
+	adopt := make(chan params.Params, 1)
+	go reread(ctx, r.Settings, p, adopt, logger)
+	return run(ctx, p, adopt, logger)
 }
 
-// reread tells on SIGHUP what has changed in the settings file.
-func reread(ctx context.Context, path string, running params.Params, logger logr.Logger) {
+// reread takes on SIGHUP what may change while the process runs, and says what
+// needs a restart.
+func reread(ctx context.Context, path string, running params.Params, adopt chan<- params.Params, logger logr.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	for {
@@ -52,22 +55,24 @@
 			return
 		case <-hangups:
 		}
-		fresh, err := params.ReadFile(path)
+		text, err := os.ReadFile(path)
+		var next params.Params
+		var taken, restart []string
+		if err == nil {
+			next, taken, restart, err = params.Adopt(running, text)
+		}
 		if err != nil {
-			logger.Info("settings not taken", "faults", err.Error())
+			logger.Info("settings not taken; the old ones stay whole", "faults", err.Error())
 			continue
 		}
-		a, _ := json.Marshal(running)
-		b, _ := json.Marshal(fresh)
-		before, after := configuration.Flatten(a), configuration.Flatten(b)
-		changed := 0
-		for name, value := range after {
-			if before[name] != value {
-				changed++
-				logger.Info("setting changed; it needs a restart", "setting", name)
-			}
+		running = next
+		stdr.SetVerbosity(int(running.Verbosity))
+		select {
+		case adopt <- running:
+		case <-ctx.Done():
+			return
 		}
-		logger.Info("settings read again", "changed", changed)
+		logger.Info("settings read again", "taken", taken, "need a restart", restart)
 	}
 }
 
@@ -211,7 +216,7 @@
 	} else {
 		var now struct{ Version uint64 }
 		if status, raw, err := c.do("GET", "/v1/configuration", nil, &now); err != nil || status != 200 {
-			return status, raw, taking, errors.CombineErrors(err, errors.Newf("%s", raw))
+			return status, raw, taking, err
 		}
 		h.BasedOn = now.Version
 	}
@@ -225,7 +230,7 @@
 		return err
 	}
 	if status != 200 {
-		return errors.Newf("not taken: %s", raw)
+		return errors.Wrap(operator.Refusal(status, raw), "not taken")
 	}
 	fmt.Printf("version %d taken: in force on every member\n", taking.Version)
 	return nil
@@ -242,7 +247,7 @@
 		return err
 	}
 	if status != 200 {
-		return errors.Newf("no plan: %s", raw)
+		return errors.Wrap(operator.Refusal(status, raw), "no plan")
 	}
 	if c.JSON {
 		fmt.Println(strings.TrimSpace(string(raw)))
@@ -281,7 +286,7 @@
 		return err
 	}
 	if status != 202 {
-		return errors.Newf("%s", raw)
+		return operator.Refusal(status, raw)
 	}
 	fmt.Println("draining")
 	return nil
@@ -299,7 +304,7 @@
 		return err
 	}
 	if status != 200 {
-		return errors.Newf("%s", raw)
+		return operator.Refusal(status, raw)
 	}
 	if c.JSON {
 		fmt.Println(strings.TrimSpace(string(raw)))
@@ -312,8 +317,25 @@
 	for _, p := range s.Parts {
 		fmt.Printf("part    %-3d owner %s term %d epoch %d seats %s\n", p.Part, p.Owner, p.Round, p.Epoch, strings.Join(p.Seats, " "))
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
+	defer cancel()
+	nodes := operator.Caller{Key: c.Key}.Nodes(ctx, s.Members)
 	for _, m := range s.Members {
-		fmt.Printf("member  %-12s %-10s %s ended=%v\n", m.ID, m.Zone, m.HTTP, m.Ended)
+		told, ok := nodes[m.ID]
+		switch {
+		case m.Ended:
+			fmt.Printf("member  %-12s %-10s %s ended\n", m.ID, m.Zone, m.HTTP)
+		case !ok:
+			fmt.Printf("member  %-12s %-10s %s gives no return here: cut off, frozen or dead\n", m.ID, m.Zone, m.HTTP)
+		default:
+			fmt.Printf("member  %-12s %-10s %s version=%v ready=%v term_left_ms=%v breaker=%v programs=%v running=%v\n", m.ID, m.Zone, m.HTTP,
+				told["version"], told["ready"], told["term_left_ms"], told["breaker"], told["programs"], told["running"])
+			printTree("share", told["shares"])
+		}
+	}
+	for _, id := range ordered.Keys(nodes) {
+		printTree("replica", nodes[id]["replicas"])
+		break
 	}
 	if len(s.Missing) > 0 {
 		fmt.Printf("no answer from parts %v\n", s.Missing)
@@ -321,6 +343,14 @@
 	return nil
 }
 
+func printTree(what string, tree any) {
+	list, _ := tree.(map[string]any)
+	for _, name := range ordered.Keys(list) {
+		raw, _ := json.Marshal(list[name])
+		fmt.Printf("  %-8s %-24s %s\n", what, name, raw)
+	}
+}
+
 type settingsCommand struct{}
 
 func (settingsCommand) Run() error {
@@ -351,14 +381,29 @@
 func main() {
 	parser := kong.Parse(&commands, kong.Name("saffronfall"), kong.Description("A serving tier for agent programs."))
 	err := parser.Run()
+	if err == nil {
+		return
+	}
 	var faults configuration.Faults
-	switch {
-	case err == nil:
-	case errors.As(err, &faults):
+	if errors.As(err, &faults) {
 		fmt.Fprintln(os.Stderr, faults.Error())
-		os.Exit(2)
-	default:
+	} else {
 		fmt.Fprintln(os.Stderr, "saffronfall:", err)
-		os.Exit(1)
 	}
+	os.Exit(exitCode(err))
+}
+
+// exitCode tells scripts what became of a command.
+func exitCode(err error) int {
+	var faults configuration.Faults
+	var refused *operator.Refused
+	switch {
+	case errors.As(err, &faults):
+		return 2
+	case errors.As(err, &refused):
+		return max(1, map[string]int{"faulty": 2, "unsure": 3, "agreed_not_taken": 3, "not_finished": 3, "unknown_key": 4, "race_lost": 5, "not_approved": 6, "unknown_core": 7, "no_room": 8}[refused.Code])
+	case errors.Is(err, operator.ErrUnreachable):
+		return 9
+	}
+	return 1
 }
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -34,6 +34,7 @@
 
 type process struct {
 	params  params.Params
+	adopt   <-chan params.Params
 	log     logr.Logger
 	machine *node.Machine
 	streams *stream.Streams
@@ -60,7 +61,7 @@
 }
 
 // Run runs the role until the context ends, then drains it.
-func Run(ctx context.Context, p params.Params, log logr.Logger) error {
+func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
 	raw := make([]byte, 6)
 	if _, err := crypto.Read(raw); err != nil {
 		return err
@@ -71,7 +72,7 @@
 		return err
 	}
 	life, cancel := context.WithCancel(context.Background())
-	s := &process{params: p, log: log, streams: streams, start: clock.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
+	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
 		events: make(chan node.Event, p.Buffer), calls: make(chan func(time.Duration) node.Output, 64),
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
 		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Node().Newest}, p.Largest*16)}
@@ -152,6 +153,8 @@
 			}
 		case call := <-s.calls:
 			s.take(call(s.now()))
+		case s.params = <-s.adopt:
+			s.take(s.machine.Adopt(s.params.Node()))
 		case c := <-s.streams.Counts:
 			s.bad += c.BadStreams
 		case <-ticker.C:
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -2,6 +2,7 @@
 package params
 
 import (
+	"encoding/json"
 	"net"
 	"os"
 	"time"
@@ -9,6 +10,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/peer/node"
 	"saffronfall/rule/configuration"
+	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
 )
 
@@ -44,6 +46,37 @@
 	Verbosity    int64   `json:"log_verbosity"`
 }
 
+// live names the settings that are taken while a process runs.
+var live = map[string]bool{"newest_ms": true, "patience_ms": true, "budget_ms": true, "grace_ms": true, "buffer": true, "urgent_ratio": true, "log_verbosity": true}
+
+// Adopt compares a settings text that was read again with what runs. It returns
+// what runs from now on and, by name, which settings were taken and which need a
+// restart. A faulty text changes nothing.
+func Adopt(running Params, text []byte) (next Params, taken, restart []string, err error) {
+	fresh, err := Read(text)
+	if err != nil {
+		return running, nil, nil, err
+	}
+	flat := func(p Params) map[string]string {
+		raw, _ := json.Marshal(p)
+		return configuration.Flatten(raw)
+	}
+	before, after := flat(running), flat(fresh)
+	for _, name := range ordered.Keys(after) {
+		switch {
+		case before[name] == after[name]:
+		case live[name]:
+			taken = append(taken, name)
+		default:
+			restart = append(restart, name)
+		}
+	}
+	next = running
+	next.NewestMS, next.PatienceMS, next.BudgetMS, next.GraceMS = fresh.NewestMS, fresh.PatienceMS, fresh.BudgetMS, fresh.GraceMS
+	next.Buffer, next.UrgentRatio, next.Verbosity = fresh.Buffer, fresh.UrgentRatio, fresh.Verbosity
+	return next, taken, restart, nil
+}
+
 // Rows is the table of a process's settings.
 var Rows = []configuration.Row{
 	{Path: "id", Type: "text", Required: true, Check: name, About: "this process's name; no other process of the fleet has it"},
--- a/saffronfall/params/params_test.go
+++ b/saffronfall/params/params_test.go
@@ -65,3 +65,22 @@
 		t.Errorf("faults between settings: %v", faults)
 	}
 }
+
+// TestAdopt: what may change while running is taken, what needs a restart is
+// named, and a faulty text changes nothing.
+func TestAdopt(t *testing.T) {
+	text := func(more string) []byte {
+		return []byte(`{"id":"n","fleet_secret":"a secret of some length","seeds":[]` + more + `}`)
+	}
+	running, err := Read(text(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, taken, restart, err := Adopt(running, text(`,"patience_ms":50,"pull_ms":99`))
+	if err != nil || len(taken) != 1 || taken[0] != "patience_ms" || len(restart) != 1 || restart[0] != "pull_ms" || next.PatienceMS != 50 || next.PullMS != running.PullMS {
+		t.Errorf("%v %v %v %+v", err, taken, restart, next)
+	}
+	if next, _, _, err := Adopt(running, text(`,"patience_ms":50,"pull_ms":-1`)); err == nil || next.PatienceMS != running.PatienceMS {
+		t.Errorf("a faulty text: %v, patience %d", err, next.PatienceMS)
+	}
+}
