Alerts wait within their own budget; a rate's demand is measured by time

Cause: a node that was told to give units back reported again at once and took the few inquiries since for its demand, so its wish decayed and its units went; what was urgent and found the common rate empty did not count there as demand; urgent inquiries gave up after the common patience.

--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -40,6 +40,7 @@
 	at       time.Duration
 	demand   int64
 	recent   int64
+	rolledAt time.Duration
 	target   int64
 	reportAt time.Duration
 	asking   bool
@@ -246,7 +247,10 @@
 	if p.asking || now < p.reportAt {
 		return
 	}
-	p.recent, p.demand = (p.recent*3+p.demand*demandWeight)/4, 0
+	if now >= p.rolledAt+m.params.Report {
+		// A report that follows on the last one says nothing of the demand.
+		p.recent, p.demand, p.rolledAt = (p.recent+p.demand*demandWeight)/2, 0, now
+	}
 	want := core.IdleWeight + p.recent
 	steady := want-p.want <= p.want/4 && p.want-want <= p.want/4
 	if held > 0 && held == p.target && steady && now < p.reportAt+m.params.Report && p.reportAt > 0 {
@@ -321,14 +325,16 @@
 	if urgent {
 		// What is urgent may also take of the rate that is nobody's reserve.
 		common, rate, burst := m.paceOf(tenant, false)
+		common.demand++
 		if common.fill(now, rate, burst); common.filled >= 1 {
 			common.filled--
-			common.demand++
 			next(now, true, 0)
 			return
 		}
 	}
-	until = min(until, now+m.params.Patience)
+	if !urgent {
+		until = min(until, now+m.params.Patience)
+	}
 	if wait := m.rateWait(p, rate, burst); m.buffered >= m.roomFor(urgent) || now+wait > until {
 		next(now, false, wait)
 		return
