Versions side by side: one goes with the one before and the one after it

Cause: a message of an unknown type closed the stream, and members of any version were taken.

Change: members say their version; a message that this version has no word for is counted and passed over; a version further off is refused and named in the log. Scenario rollout starts all processes again, one by one, with the next program under traffic.

--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,11 @@
 // Counters are sent over a channel as they happen.
 type Counters struct {
 	Sent, Dropped, Received, BadStreams int64
+	// Unknown counts messages of types that this version does not have, Version
+	// members of a version that does not go with this one: which, and theirs.
+	Unknown, Version int64
+	Other            string
+	Theirs           byte
 }
 
 // Streams is one process's end of all its streams. Send belongs to one
@@ -161,7 +167,7 @@
 		c.Close()
 		return nil
 	}
-	hello := append(s.proof(nonce, s.params.Advertise), byte(len(s.params.Advertise)))
+	hello := append(s.proof(nonce, s.params.Advertise), version(), byte(len(s.params.Advertise)))
 	if _, err := c.Write(append(hello, s.params.Advertise...)); err != nil {
 		c.Close()
 		return nil
@@ -206,6 +212,11 @@
 			return
 		}
 		body, err := message.Open(raw)
+		if errors.Is(err, message.ErrUnknown) {
+			// A member of the next version may say what this one has no word for.
+			s.count(Counters{Unknown: 1})
+			continue
+		}
 		if err != nil {
 			s.count(Counters{BadStreams: 1})
 			return
@@ -227,17 +238,34 @@
 	if _, err := c.Write(nonce); err != nil {
 		return "", err
 	}
-	hello := make([]byte, 33)
+	hello := make([]byte, 34)
 	if _, err := io.ReadFull(c, hello); err != nil {
 		return "", err
 	}
-	address := make([]byte, hello[32])
+	address := make([]byte, hello[33])
 	if _, err := io.ReadFull(c, address); err != nil {
 		return "", err
 	}
 	if !hmac.Equal(hello[:32], s.proof(nonce, string(address))) {
 		return "", errors.New("wrong secret")
 	}
+	if theirs := hello[32]; theirs+1 < version() || theirs > version()+1 {
+		s.count(Counters{Version: 1, Other: string(address), Theirs: theirs})
+		return "", errors.Newf("version %d at %s does not go with version %d", theirs, address, version())
+	}
 	c.SetDeadline(time.Time{})
 	return string(address), nil
 }
+
+// Version is what processes say of themselves to each other. One version goes
+// with the one before it and the one after it, so that a fleet can be changed
+// process by process. A build may set it, to rehearse that.
+var Version = "2"
+
+func version() byte {
+	n, err := strconv.ParseUint(Version, 10, 8)
+	if err != nil {
+		panic("version " + Version)
+	}
+	return byte(n)
+}
--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -29,18 +29,20 @@
 
 // Layout is what a fleet is made of.
 type Layout struct {
-	Name     string
-	Cores    int
-	Nodes    int
-	Zones    int
-	Models   int
-	Alerts   int
-	Tenants  int
-	Users    int
-	Parts    int
-	Rate     float64
-	Burst    int64
-	Binary   string
+	Name    string
+	Cores   int
+	Nodes   int
+	Zones   int
+	Models  int
+	Alerts  int
+	Tenants int
+	Users   int
+	Parts   int
+	Rate    float64
+	Burst   int64
+	Binary  string
+	// Next is the program that a roll-out brings.
+	Next     string
 	Folder   string
 	Settings map[string]any
 }
--- a/rehearsalkit/fleet/scenarios.go
+++ b/rehearsalkit/fleet/scenarios.go
@@ -31,6 +31,7 @@
 	"closing":   closing,
 	"stalls":    stalls,
 	"readdress": readdress,
+	"rollout":   rollout,
 	"all":       all,
 }
 
@@ -223,6 +224,20 @@
 	}
 }
 
+// rollout starts one process after the other again with the next program, while
+// requesters live.
+func rollout(ctx context.Context, f *Fleet, length time.Duration) {
+	all := f.everyone()
+	f.Layout.Binary = f.Layout.Next
+	for _, m := range all {
+		pause(ctx, length/time.Duration(2*len(all)), length/time.Duration(2*len(all)))
+		f.Signal(m, syscall.SIGTERM)
+		<-m.ended
+		f.Start(m)
+	}
+	tell(f, "%d processes run the next program", len(all))
+}
+
 // stalls freezes a core alone, as a disk that hangs would.
 func stalls(ctx context.Context, f *Fleet, length time.Duration) {
 	pause(ctx, length/5, length/5)
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -26,9 +26,10 @@
 type fleetCommand struct {
 	Layout   string        `help:"Which fleet: small, aire or mahoe." default:"small"`
 	Binary   string        `help:"The saffronfall program." default:"bin/saffronfall" type:"path"`
+	Next     string        `help:"The program that scenario rollout brings; empty: the same." type:"path"`
 	Folder   string        `help:"Where settings, data and logs go; empty: a temporary folder."`
 	For      time.Duration `help:"How long requesters live." default:"15s"`
-	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, stalls, readdress, all." default:"calm"`
+	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, stalls, readdress, rollout, all." default:"calm"`
 	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
 	Work     bool          `help:"Measure what the cores do, idle and for each shot."`
 	Logs     bool          `help:"Print the processes' logs."`
@@ -52,7 +53,10 @@
 	if err != nil {
 		return err
 	}
-	layout.Binary, layout.Folder = binary, folder
+	layout.Binary, layout.Folder, layout.Next = binary, folder, c.Next
+	if c.Next == "" {
+		layout.Next = binary
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f, err := fleet.New(ctx, layout)
--- a/rehearsalkit/simulator/simulator_test.go
+++ b/rehearsalkit/simulator/simulator_test.go
@@ -10,6 +10,7 @@
 
 var (
 	seeds = flag.Int("seeds", 200, "how many fixed seeds to run")
+	every = flag.Int("every", 60, "make one in so many runs of crash points")
 	first = flag.Uint64("first", 1, "first seed")
 )
 
@@ -80,3 +81,18 @@
 		}
 	}
 }
+
+// TestCrashPoints makes one in so many of the runs of rehearsalkit crash.
+func TestCrashPoints(t *testing.T) {
+	points, runs := 0, 0
+	CrashPoints(*every, func(c Crash) {
+		points, runs = points+c.Points, runs+c.Runs
+		for _, f := range c.Faults {
+			t.Error(f)
+		}
+	})
+	fmt.Printf("%d crash points, %d runs\n", points, runs)
+	if points < 500 || runs < points/(*every) {
+		t.Errorf("%d crash points, %d runs", points, runs)
+	}
+}
--- a/rule/message/message.go
+++ b/rule/message/message.go
@@ -10,6 +10,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// ErrUnknown says that a message is of a type that this version does not have,
+// and perhaps a newer one.
+var ErrUnknown = errors.New("unknown type")
+
 var types = map[string]reflect.Type{}
 
 // Register makes types known. It is called while packages are initialised.
@@ -53,7 +57,7 @@
 	}
 	t, ok := types[name]
 	if !ok {
-		return nil, errors.Newf("unknown type %q", name)
+		return nil, errors.Wrapf(ErrUnknown, "%q", name)
 	}
 	value := reflect.New(t)
 	if err := decoder.DecodeValue(value); err != nil {
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -37,6 +37,7 @@
 type process struct {
 	params  params.Params
 	adopt   <-chan params.Params
+	others  map[string]byte
 	log     logr.Logger
 	machine *core.Machine
 	streams *stream.Streams
@@ -83,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
+	s := &process{params: p, adopt: adopt, others: map[string]byte{}, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
 	var image core.Stored
 	image.CopyFrom(stored)
@@ -142,6 +143,15 @@
 	return folder, stored, nil
 }
 
+// refuseVersion says once of each member that its version does not go with this
+// one.
+func (s *process) refuseVersion(c stream.Counters) {
+	if s.others[c.Other] != c.Theirs {
+		s.others[c.Other] = c.Theirs
+		s.log.Info("member of another version refused; change a fleet one version at a time", "member", c.Other, "its version", c.Theirs, "own version", stream.Version)
+	}
+}
+
 func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 // own is the one goroutine that drives the machine.
@@ -175,6 +185,9 @@
 		case s.params = <-s.adopt:
 		case c := <-s.streams.Counts:
 			s.bad += c.BadStreams
+			if c.Version > 0 {
+				s.refuseVersion(c)
+			}
 		case <-ticker.C:
 			s.take(s.machine.Tick(s.now()))
 			s.watch()
--- a/saffronfall/nodeprocess/process.go
+++ b/saffronfall/nodeprocess/process.go
@@ -35,6 +35,7 @@
 type process struct {
 	params  params.Params
 	adopt   <-chan params.Params
+	others  map[string]byte
 	log     logr.Logger
 	machine *node.Machine
 	streams *stream.Streams
@@ -72,7 +73,7 @@
 		return err
 	}
 	life, cancel := context.WithCancel(context.Background())
-	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
+	s := &process{params: p, adopt: adopt, others: map[string]byte{}, log: log, streams: streams, start: clock.Now(), life: life, drain: make(chan struct{}, 1), breaker: "closed", arrive: make(chan inquiry, p.Buffer), gone: make(chan uint64, p.Buffer),
 		events: make(chan node.Event, p.Buffer), calls: make(chan func(time.Duration) node.Output, 64),
 		waiting: map[uint64]chan node.Piece{}, shots: map[uint64]context.CancelFunc{},
 		shooter: replica.NewShooter(&net.Dialer{Timeout: p.Node().Newest}, p.Largest*16)}
@@ -120,6 +121,15 @@
 	return strings.TrimSpace(string(boot)) + " " + network + " " + bound
 }
 
+// refuseVersion says once of each member that its version does not go with this
+// one.
+func (s *process) refuseVersion(c stream.Counters) {
+	if s.others[c.Other] != c.Theirs {
+		s.others[c.Other] = c.Theirs
+		s.log.Info("member of another version refused; change a fleet one version at a time", "member", c.Other, "its version", c.Theirs, "own version", stream.Version)
+	}
+}
+
 func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 func (s *process) own(ctx context.Context) error {
@@ -157,6 +167,9 @@
 			s.take(s.machine.Adopt(s.params.Node()))
 		case c := <-s.streams.Counts:
 			s.bad += c.BadStreams
+			if c.Version > 0 {
+				s.refuseVersion(c)
+			}
 		case <-ticker.C:
 			s.take(s.machine.Tick(s.now()))
 			s.report()
