--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -90,6 +90,10 @@
 		Members                 int64
 		Ended                   []string
 	}
+	// ShareRates does so for both rates of a tenant at once.
+	ShareRates struct{ Rates []ShareTenant }
+	// SharedRates answers it, in the same order.
+	SharedRates struct{ Rates []Shared }
 	// DrawBreaker does the same for money.
 	DrawBreaker struct {
 		Holder                  string
@@ -314,7 +318,7 @@
 
 func init() {
 	message.Register(JoinMember{}, RenewMember{}, LeaveMember{}, Termed{}, OpenUser{}, ChargeUser{}, UserDay{},
-		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, DrawBreaker{}, Shared{},
+		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, ShareRates{}, SharedRates{}, DrawBreaker{}, Shared{},
 		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReadEntries{}, Entries{},
 		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Fresh{}, Topology{},
 		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{})
@@ -370,6 +374,8 @@
 		return PartOf(parts, "program", c.Tenant, c.ID)
 	case ShareTenant:
 		return PartOf(parts, "tenant", c.Tenant)
+	case ShareRates:
+		return PartOf(parts, "tenant", c.Rates[0].Tenant)
 	case DrawBreaker, AdmitTest, ResultTest:
 		return PartOf(parts, "breaker")
 	case ClaimOnce:
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -122,6 +122,12 @@
 		return Programmed{Found: true}
 	case ShareTenant:
 		return r.shareTenant(tx, c)
+	case ShareRates:
+		var all SharedRates
+		for _, one := range c.Rates {
+			all.Rates = append(all.Rates, r.shareTenant(tx, one).(Shared))
+		}
+		return all
 	case DrawBreaker:
 		return r.drawBreaker(tx, c)
 	case AdmitTest:
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -892,12 +892,13 @@
 		m.caller.Call(now, command, now+m.params.Core.MemberTerm/2, done)
 	}
 	for _, tenant := range m.tenants {
-		for _, kind := range []string{"rate", "urgent"} {
-			urgent := kind == "urgent"
+		var back core.ShareRates
+		for _, urgent := range []bool{false, true} {
 			p, rate, burst := m.paceOf(tenant, urgent)
 			p.give(now, p.books.Held(), rate, burst)
-			ask(core.ShareTenant{Tenant: tenant, Kind: kind, Holder: m.holder(), Returned: p.books.Returned, Whole: wholeOf(burst), Chunk: core.Chunk})
+			back.Rates = append(back.Rates, m.askPace(tenant, urgent, 0))
 		}
+		ask(back)
 		s := m.dayOf(tenant)
 		s.books.Returned += s.free()
 		ask(m.askDay(tenant, s)(0))
--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -193,9 +193,7 @@
 		return
 	}
 	for _, tenant := range m.tenants {
-		for _, urgent := range []bool{false, true} {
-			m.reportPace(now, tenant, urgent)
-		}
+		m.reportPaces(now, tenant)
 		s := m.dayOf(tenant)
 		m.reportShare(now, s, m.askDay(tenant, s), m.dayChunk(tenant))
 	}
@@ -239,13 +237,26 @@
 	})
 }
 
-func (m *Machine) reportPace(now time.Duration, tenant string, urgent bool) {
+// askPace is a report of one of a tenant's rates, and what is wanted of it.
+func (m *Machine) askPace(tenant string, urgent bool, want int64) core.ShareTenant {
+	p, _, burst := m.paceOf(tenant, urgent)
+	kind := "rate"
+	if urgent {
+		kind = "urgent"
+	}
+	return core.ShareTenant{Tenant: tenant, Kind: kind, Holder: m.holder(), Returned: p.books.Returned, Target: want,
+		Whole: wholeOf(burst), Chunk: core.Chunk, Members: int64(len(m.others()) + 1), Ended: m.ended(p.others)}
+}
+
+// paceDue reports whether one of a tenant's rates is to be reported, and notes
+// what is wanted of it.
+func (m *Machine) paceDue(now time.Duration, tenant string, urgent bool) bool {
 	p, rate, burst := m.paceOf(tenant, urgent)
 	p.fill(now, rate, burst)
 	m.release(now, p, rate, burst)
 	held := p.books.Held()
 	if p.asking || now < p.reportAt {
-		return
+		return false
 	}
 	if now >= p.rolledAt+m.params.Report {
 		// A report that follows on the last one says nothing of the demand.
@@ -254,33 +265,45 @@
 	want := core.IdleWeight + p.recent
 	steady := want-p.want <= p.want/4 && p.want-want <= p.want/4
 	if held > 0 && held == p.target && steady && now < p.reportAt+m.params.Report && p.reportAt > 0 {
+		return false
+	}
+	p.want, p.reportAt, p.asking = want, now+m.params.Report, true
+	return true
+}
+
+// reportPaces reports a tenant's rates, those that are due in one command.
+func (m *Machine) reportPaces(now time.Duration, tenant string) {
+	var due []bool
+	var ask core.ShareRates
+	for _, urgent := range []bool{false, true} {
+		if m.paceDue(now, tenant, urgent) {
+			p, _, _ := m.paceOf(tenant, urgent)
+			due = append(due, urgent)
+			ask.Rates = append(ask.Rates, m.askPace(tenant, urgent, p.want))
+		}
+	}
+	if len(due) == 0 {
 		return
 	}
-	p.want = want
-	p.reportAt = now + m.params.Report
-	p.asking = true
 	incarnation := m.incarnation
-	kind := "rate"
-	if urgent {
-		kind = "urgent"
-	}
-	ask := core.ShareTenant{Tenant: tenant, Kind: kind, Holder: m.holder(), Returned: p.books.Returned, Target: want,
-		Whole: wholeOf(burst), Chunk: core.Chunk, Members: int64(len(m.others()) + 1), Ended: m.ended(p.others)}
 	m.caller.Call(now, ask, now+m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
 		if incarnation != m.incarnation {
 			return
 		}
-		p.asking = false
-		r, ok := o.Answer.(core.Shared)
-		if !ok {
-			return
-		}
-		_, rate, burst := m.paceOf(tenant, urgent)
-		p.gain(now, r.Granted, rate, burst)
-		p.others, p.target = r.Others, r.Target
-		if over := p.books.Held() - r.Target; over > 0 {
-			p.give(now, over, rate, burst)
-			p.reportAt = now
+		r, _ := o.Answer.(core.SharedRates)
+		for i, urgent := range due {
+			p, rate, burst := m.paceOf(tenant, urgent)
+			p.asking = false
+			if i >= len(r.Rates) {
+				continue
+			}
+			told := r.Rates[i]
+			p.gain(now, told.Granted, rate, burst)
+			p.others, p.target = told.Others, told.Target
+			if over := p.books.Held() - told.Target; over > 0 {
+				p.give(now, over, rate, burst)
+				p.reportAt = now
+			}
 		}
 	})
 }
--- a/rehearsalkit/simulator/crash.go
+++ b/rehearsalkit/simulator/crash.go
@@ -107,7 +107,7 @@
 	switch name {
 	case "Renew", "Renewed", "Stand", "RenewMember":
 		return ""
-	case "ShareTenant", "DrawBreaker", "Shared", "Termed", "JoinMember", "LeaveMember":
+	case "ShareTenant", "ShareRates", "DrawBreaker", "Shared", "SharedRates", "Termed", "JoinMember", "LeaveMember":
 		if !shares {
 			return ""
 		}
