--- a/peer/core/life.go
+++ b/peer/core/life.go
@@ -104,39 +104,48 @@
 	})
 }
 
-// Change gives a new core its even part of the seats, or empties one and
-// retires it, for whoever has room or for one named core.
-func (m *Machine) Change(now time.Duration, ticket uint64, kind, id, by string, within time.Duration) Output {
-	m.out = &Output{}
-	m.learn()
-	until := now + within
-	c, ok := m.cores[id]
+// PlanChange lists the moves of a change in a core's life, or says why there can
+// be none.
+func PlanChange(cores map[string]Core, groups []part.Group, kind, id, by string) Changed {
+	c, ok := cores[id]
 	if !ok {
-		m.answer(ticket, Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + id})
-		return *m.out
+		return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + id}
 	}
 	var moves []Move
 	switch kind {
 	case AddCore:
-		moves = PlanAdd(m.cores, m.groups, c)
+		moves = PlanAdd(cores, groups, c)
 	case ReplaceCore:
-		fresh, ok := m.cores[by]
+		fresh, ok := cores[by]
 		if !ok || fresh.Retired {
-			m.answer(ticket, Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by})
-			return *m.out
+			return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by}
 		}
-		for n, g := range m.groups {
+		for n, g := range groups {
 			if g.Has(c.Seat()) {
 				moves = append(moves, Move{Part: n, Add: fresh.Seat(), Remove: c.Seat()})
 			}
 		}
 	case RetireCore:
 		var short bool
-		if moves, short = PlanRetire(m.cores, m.groups, c); short {
-			m.answer(ticket, Changed{Moves: moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"})
-			return *m.out
+		if moves, short = PlanRetire(cores, groups, c); short {
+			return Changed{Moves: moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"}
 		}
 	}
+	return Changed{Moves: moves}
+}
+
+// Change gives a new core its even part of the seats, or empties one and
+// retires it, for whoever has room or for one named core.
+func (m *Machine) Change(now time.Duration, ticket uint64, kind, id, by string, within time.Duration) Output {
+	m.out = &Output{}
+	m.learn()
+	until := now + within
+	plan := PlanChange(m.cores, m.groups, kind, id, by)
+	if plan.Code != "" {
+		m.answer(ticket, plan)
+		return *m.out
+	}
+	moves, c := plan.Moves, m.cores[id]
 	m.move(now, moves, 0, until, func(now time.Duration, made int) {
 		if made < len(moves) {
 			m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "not all moves were made in time; ask again to go on"})
--- a/peer/operator/call.go
+++ b/peer/operator/call.go
@@ -169,6 +169,31 @@
 	}
 }
 
+// Plan lists what a change in a core's life would move, and changes nothing. A
+// new core is asked who it is at its address.
+func (c Caller) Plan(ctx context.Context, any string, life Life, fresh string) (core.Changed, error) {
+	var t core.Topology
+	if status, raw, err := c.Do(ctx, "GET", any, "/v1/topology", nil, &t); err != nil {
+		return core.Changed{}, err
+	} else if status != 200 {
+		return core.Changed{}, Refusal(status, raw)
+	}
+	if fresh != "" {
+		var who Identity
+		if status, raw, err := c.Do(ctx, "GET", fresh, "/v1/identity", nil, &who); err != nil {
+			return core.Changed{}, err
+		} else if status != 200 {
+			return core.Changed{}, errors.Wrapf(Refusal(status, raw), "core at %s", fresh)
+		}
+		life.ID, t.Cores[who.Core.ID] = who.Core.ID, who.Core
+	}
+	plan := core.PlanChange(t.Cores, t.Groups, life.Kind, life.ID, life.By)
+	if plan.Code != "" {
+		return plan, &Refused{Code: plan.Code, Reason: plan.Reason}
+	}
+	return plan, nil
+}
+
 // Nodes asks each living member what it counts and holds; one that gives no
 // return has none here.
 func (c Caller) Nodes(ctx context.Context, members []core.Member) map[string]map[string]any {
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -84,49 +84,62 @@
 }
 
 type coreAdd struct {
-	calling
+	changing
 	New string `arg:"" help:"Operator address of the new core."`
 }
 
 func (c *coreAdd) Run() error {
-	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
-		return o.AddCore(ctx, c.Core, c.New)
-	})
+	return c.change(operator.Life{Kind: core.AddCore}, c.New)
 }
 
 type coreRetire struct {
-	calling
+	changing
 	ID string `arg:"" help:"Name of the core."`
 }
 
 func (c *coreRetire) Run() error {
-	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
-		return o.Change(ctx, c.Core, operator.Life{Kind: core.RetireCore, ID: c.ID})
-	})
+	return c.change(operator.Life{Kind: core.RetireCore, ID: c.ID}, "")
 }
 
 type coreReplace struct {
-	calling
+	changing
 	ID string `arg:"" help:"Name of the core that goes."`
 	By string `arg:"" help:"Name of the core that takes its seats."`
 }
 
 func (c *coreReplace) Run() error {
-	return c.change(func(ctx context.Context, o operator.Caller) (core.Changed, error) {
-		return o.Change(ctx, c.Core, operator.Life{Kind: core.ReplaceCore, ID: c.ID, By: c.By})
-	})
+	return c.change(operator.Life{Kind: core.ReplaceCore, ID: c.ID, By: c.By}, "")
+}
+
+type changing struct {
+	calling
+	Plan bool `help:"Show which seats would move; change nothing."`
 }
 
-func (c calling) change(ask func(ctx context.Context, o operator.Caller) (core.Changed, error)) error {
+func (c changing) change(life operator.Life, fresh string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
 	defer cancel()
-	changed, err := ask(ctx, operator.Caller{Key: c.Key})
+	o := operator.Caller{Key: c.Key}
+	var changed core.Changed
+	var err error
+	switch {
+	case c.Plan:
+		changed, err = o.Plan(ctx, c.Core, life, fresh)
+	case fresh != "":
+		changed, err = o.AddCore(ctx, c.Core, fresh)
+	default:
+		changed, err = o.Change(ctx, c.Core, life)
+	}
 	if err != nil {
 		return err
 	}
 	for _, m := range changed.Moves {
 		fmt.Printf("part %d: %s comes, %s goes\n", m.Part, m.Add, m.Remove)
 	}
+	if c.Plan {
+		fmt.Printf("%d seats would move; nothing was changed\n", len(changed.Moves))
+		return nil
+	}
 	fmt.Printf("done: %d moves\n", changed.Made)
 	return nil
 }
