--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -63,6 +63,7 @@
 			q := w.inquiry
 			q.User = h.record.User
 			m.closeUser(now, &way{tenant: w.tenant, inquiry: q}, h.record.ID, h.record.Charged())
+			m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, Program: h.record.ID, User: h.record.User, Role: h.record.Role, Kind: Close})
 			m.end(w, Piece{Kind: PieceBody, Status: 200, Body: []byte(`{"closed":true}`)})
 		})
 	}
@@ -412,7 +413,7 @@
 		}
 		m.Counters.Whole++
 		m.count(s.warnings)
-		m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, User: h.record.User, Role: h.record.Role, Kind: Turn, Service: w.inquiry.Service, Tokens: s.relayed, Steps: h.record.Steps, Charged: h.record.Charged()})
+		m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, Program: h.record.ID, User: h.record.User, Role: h.record.Role, Kind: Turn, Service: w.inquiry.Service, Tokens: s.relayed, Steps: h.record.Steps, Charged: h.record.Charged()})
 		end := "complete"
 		if e.Text != "" {
 			end = e.Text
--- a/rule/rehearsal/rehearsal.go
+++ b/rule/rehearsal/rehearsal.go
@@ -16,6 +16,7 @@
 // Sample is one recent inquiry.
 type Sample struct {
 	Tenant  string        `msgpack:"t" json:"tenant"`
+	Program string        `msgpack:"p" json:"program"`
 	User    string        `msgpack:"u" json:"user"`
 	Role    string        `msgpack:"r" json:"role"`
 	Kind    string        `msgpack:"k" json:"kind"`
@@ -47,6 +48,11 @@
 	d     *configuration.Description
 	users map[string]*program.User
 	rates map[string]*bucket
+	days  map[string]int64
+}
+
+func begin(d *configuration.Description) *run {
+	return &run{d: d, users: map[string]*program.User{}, rates: map[string]*bucket{}, days: map[string]int64{}}
 }
 
 type bucket struct {
@@ -60,8 +66,8 @@
 	list := append([]Sample(nil), samples...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].Age > list[j].Age })
 	f := Figures{ByCheck: map[string]int64{}, ByTenant: map[string]int64{}, Allowed: after.Approval.NewlyRefusedRatio, Least: after.Approval.LeastInquiries}
-	old := &run{d: before, users: map[string]*program.User{}, rates: map[string]*bucket{}}
-	fresh := &run{d: after, users: map[string]*program.User{}, rates: map[string]*bucket{}}
+	old := begin(before)
+	fresh := begin(after)
 	var start time.Duration
 	if len(list) > 0 {
 		start = list[0].Age
@@ -125,22 +131,37 @@
 		u = &fresh
 		r.users[name] = u
 	}
+	if s.Program != "" {
+		id = s.Program
+	}
 	switch s.Kind {
 	case "open":
 		v := u.Open(at, id, role, r.d.WarnRatio)
-		u.Close(id)
-		if v.Refused() {
+		if s.Program == "" {
+			// It was refused, so it left no session open.
+			u.Close(id)
+		}
+		switch {
+		case v.Refused():
 			return v.Check
+		case r.days[s.Tenant] >= t.DayTokens:
+			return "tenant_day"
 		}
 		return ""
+	case "close":
+		u.Close(id)
+		return ""
 	case "turn":
-		u.Charge(at, id, s.Tokens, 0)
-		if s.Steps > role.Steps {
+		switch {
+		case s.Steps > role.Steps:
 			return "steps"
-		}
-		if s.Charged-s.Tokens >= role.ProgramTokensHard {
+		case s.Charged-s.Tokens >= role.ProgramTokensHard:
 			return "program_tokens"
+		case r.days[s.Tenant]+s.Tokens > t.DayTokens:
+			return "tenant_day"
 		}
+		u.Charge(at, id, s.Charged, 0)
+		r.days[s.Tenant] += s.Tokens
 	}
 	b := r.rates[s.Tenant]
 	if b == nil {
--- a/rule/rehearsal/rehearsal_test.go
+++ b/rule/rehearsal/rehearsal_test.go
@@ -34,3 +34,40 @@
 	}
 	goldie.New(t).Assert(t, "plan", []byte(Run(before, after, samples).Text(7)))
 }
+
+// TestRealOrder: a rehearsal counts open sessions, users' days, programs'
+// allowances and tenants' days as nodes do, and names the first check that
+// refuses.
+func TestRealOrder(t *testing.T) {
+	key := configuration.Sum("clerk")
+	for _, c := range []struct{ role, tenant, want string }{
+		{`"concurrent_sessions":1,"sessions_per_minute":9`, `"burst":9`, "concurrency"},
+		{`"concurrent_sessions":9,"sessions_per_minute":2`, `"burst":9`, "window_minute"},
+		{`"concurrent_sessions":9,"sessions_per_minute":9,"turn_tokens":1,"user_day_tokens_soft":50,"user_day_tokens_hard":150`, `"burst":9`, "day_tokens"},
+		{`"concurrent_sessions":9,"sessions_per_minute":9`, `"burst":9,"day_tokens":200`, "tenant_day"},
+		{`"concurrent_sessions":9,"sessions_per_minute":9,"steps":1`, `"burst":9`, "steps"},
+		{`"concurrent_sessions":9,"sessions_per_minute":9,"program_tokens_soft":50,"program_tokens_hard":90`, `"burst":9`, "program_tokens"},
+		{`"concurrent_sessions":9,"sessions_per_minute":9`, `"burst":9`, ""},
+	} {
+		d, faults := configuration.Parse([]byte(`{"roles":{"viewer":{` + c.role + `}},"services":{"model":{"kind":"model"}},
+			"tenants":{"parish":{"keys":[{"sha256":"` + key + `"}],` + c.tenant + `}}}`))
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		s := func(kind, id string, steps, charged int64, age time.Duration) Sample {
+			return Sample{Tenant: "parish", User: "ana", Role: "viewer", Program: id, Kind: kind, KeySum: key, Steps: steps, Tokens: 100, Charged: charged, Age: age * time.Second}
+		}
+		recent := []Sample{s("open", "a", 0, 0, 9), s("turn", "a", 1, 100, 8), s("turn", "a", 2, 200, 7), s("open", "b", 0, 0, 6), s("close", "a", 0, 0, 5), s("close", "b", 0, 0, 4), s("open", "c", 0, 0, 3)}
+		figures := Run(nil, d, recent)
+		first := begin(d)
+		got := ""
+		for i, one := range recent {
+			if check := first.check(one, time.Duration(i)*time.Second, "x"); check != "" && got == "" {
+				got = check
+			}
+		}
+		if got != c.want || (figures.RefusedAfter == 0) != (c.want == "") {
+			t.Errorf("%s, %s: %q, want %q; %+v", c.role, c.tenant, got, c.want, figures)
+		}
+	}
+}
