status tells lockouts and cores without a vote

Cause: operators could not see who is locked out, or which core has no vote yet.

Change: each part lists its locked users, soonest free first, at most 100; a core with no seat is told as one without a vote. TestLockout asks for them.

--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -158,6 +158,16 @@
 		Mine   bool          `msgpack:"-"`
 	}
 
+	// ReadLocked lists the users of a part that are locked out, soonest free
+	// first, and no more than operators can read.
+	ReadLocked struct{ Part int }
+	// LockedUsers answers it.
+	LockedUsers struct{ Users []LockedUser }
+	// LockedUser is a user that is locked out, and for how long.
+	LockedUser struct {
+		Name string        `json:"user"`
+		Left time.Duration `json:"left"`
+	}
 	// ReadEntries lists entries of a part by prefix.
 	ReadEntries struct {
 		Part   int
@@ -319,7 +329,7 @@
 func init() {
 	message.Register(JoinMember{}, RenewMember{}, LeaveMember{}, Termed{}, OpenUser{}, ChargeUser{}, UserDay{},
 		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, ShareRates{}, SharedRates{}, DrawBreaker{}, Shared{},
-		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReadEntries{}, Entries{},
+		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReadEntries{}, Entries{}, ReadLocked{}, LockedUsers{},
 		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Fresh{}, Topology{},
 		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{})
 }
@@ -384,6 +394,8 @@
 		return PartOf(parts, "once", c.Tenant, c.Service, c.Key)
 	case ReadEntries:
 		return c.Part
+	case ReadLocked:
+		return c.Part
 	case ChangeSeat:
 		return c.Part
 	case SetFloor:
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -151,6 +152,8 @@
 			list.Entries = append(list.Entries, part.Entry{Key: key, Value: raw})
 		}
 		return list
+	case ReadLocked:
+		return readLocked(tx)
 	case AgreeConfiguration:
 		old, _ := read[Configured](tx, configurationKey)
 		for _, past := range old.Past {
@@ -287,6 +290,21 @@
 	}
 }
 
+// lockedTold is how many locked users are told of a part.
+const lockedTold = 100
+
+func readLocked(tx *part.Tx) LockedUsers {
+	var list LockedUsers
+	for _, key := range tx.Keys("user/") {
+		if u, _ := read[program.User](tx, key); u.Locked > tx.Clock() {
+			list.Users = append(list.Users, LockedUser{Name: strings.TrimPrefix(key, "user/"), Left: u.Locked - tx.Clock()})
+		}
+	}
+	slices.SortFunc(list.Users, func(a, b LockedUser) int { return int(a.Left - b.Left) })
+	list.Users = list.Users[:min(len(list.Users), lockedTold)]
+	return list
+}
+
 func countSlashes(s string) int {
 	n := 0
 	for i := range s {
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -44,13 +44,14 @@
 
 // Status is the fleet as one core sees it.
 type Status struct {
-	Fleet   string        `json:"fleet"`
-	Cores   []core.Core   `json:"cores"`
-	Parts   []PartStatus  `json:"parts"`
-	Members []core.Member `json:"members"`
-	Version uint64        `json:"configuration_version"`
-	Breaker string        `json:"breaker"`
-	Missing []int         `json:"parts_without_answer"`
+	Fleet   string            `json:"fleet"`
+	Cores   []core.Core       `json:"cores"`
+	Parts   []PartStatus      `json:"parts"`
+	Members []core.Member     `json:"members"`
+	Locked  []core.LockedUser `json:"locked_out"`
+	Version uint64            `json:"configuration_version"`
+	Breaker string            `json:"breaker"`
+	Missing []int             `json:"parts_without_answer"`
 }
 
 // Handed is a description as it is handed over.
@@ -306,6 +307,12 @@
 				s.add(e)
 			}
 		}
+		if told, err := p.Call(ctx, func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
+			return m.Ask(now, ticket, core.ReadLocked{Part: n}, time.Second)
+		}); err == nil && !missing {
+			locked, _ := told.(core.Outcome).Answer.(core.LockedUsers)
+			s.Locked = append(s.Locked, locked.Users...)
+		}
 		if missing {
 			s.Missing = append(s.Missing, n)
 		}
--- a/rehearsalkit/simulator/conformance_test.go
+++ b/rehearsalkit/simulator/conformance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"saffronfall/peer/core"
 	"saffronfall/peer/node"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rule/configuration"
@@ -130,6 +131,23 @@
 	w.Pass(515 * time.Second)
 	a, _ = open(w, 1, "u")
 	want(t, "after the lockout", a, "")
+	locked := 0
+	for n := range w.Params.Parts {
+		w.Operate(w.cores[0], func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
+			return m.Ask(now, ticket, core.ReadLocked{Part: n}, time.Second)
+		}, func(body any) {
+			list, _ := body.(core.Outcome).Answer.(core.LockedUsers)
+			for _, u := range list.Users {
+				if locked++; u.Left <= 0 || u.Left > 600*time.Second {
+					t.Errorf("%s is locked out for %v", u.Name, u.Left)
+				}
+			}
+		})
+	}
+	w.Pass(time.Second)
+	if locked != 1 {
+		t.Errorf("operators are told of %d lockouts", locked)
+	}
 }
 
 // TestWindows: 20 an hour for viewers, and come back when the oldest leaves.
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -307,8 +307,21 @@
 		return nil
 	}
 	fmt.Printf("fleet %s, configuration %d, breaker %s\n", s.Fleet, s.Version, s.Breaker)
+	seats := map[string]int{}
+	for _, p := range s.Parts {
+		for _, seat := range p.Seats {
+			seats[seat]++
+		}
+	}
 	for _, one := range s.Cores {
-		fmt.Printf("core    %-12s %-10s %s\n", one.ID, one.Zone, one.Peer)
+		note := fmt.Sprintf("votes in %d parts", seats[one.Seat()])
+		switch {
+		case one.Retired:
+			note = "retired"
+		case seats[one.Seat()] == 0:
+			note = "has no vote"
+		}
+		fmt.Printf("core    %-12s %-10s %s %s\n", one.ID, one.Zone, one.Peer, note)
 	}
 	for _, p := range s.Parts {
 		fmt.Printf("part    %-3d owner %s term %d epoch %d seats %s\n", p.Part, p.Owner, p.Round, p.Epoch, strings.Join(p.Seats, " "))
@@ -333,6 +346,9 @@
 		printTree("replica", nodes[id]["replicas"])
 		break
 	}
+	for _, u := range s.Locked {
+		fmt.Printf("locked out %s for %v more\n", u.Name, u.Left.Round(time.Second))
+	}
 	if len(s.Missing) > 0 {
 		fmt.Printf("no answer from parts %v\n", s.Missing)
 	}
