--- a/peer/node/share.go
+++ b/peer/node/share.go
@@ -258,9 +258,8 @@
 	if p.asking || now < p.reportAt {
 		return false
 	}
-	if now >= p.rolledAt+m.params.Core.Pull {
+	if now >= p.rolledAt+m.params.Report {
 		// A report that follows on the last one says nothing of the demand.
-		p.demand = p.demand * int64(m.params.Report) / int64(min(now-p.rolledAt, 4*m.params.Report))
 		p.recent, p.demand, p.rolledAt = (p.recent+p.demand*demandWeight)/2, 0, now
 	}
 	want := core.IdleWeight + p.recent
@@ -359,8 +358,6 @@
 	if !urgent {
 		until = min(until, now+m.params.Patience)
 	}
-	// Who finds nothing here asks for more at once.
-	p.reportAt = min(p.reportAt, max(now, p.rolledAt+m.params.Core.Pull))
 	if wait := m.rateWait(p, rate, burst); m.buffered >= m.roomFor(urgent) || now+wait > until {
 		next(now, false, wait)
 		return
