--- a/rehearsalkit/simulator/conformance_test.go
+++ b/rehearsalkit/simulator/conformance_test.go
@@ -30,7 +30,7 @@
 }
 
 func small(change func(role, tenant, services, breaker tree)) *World {
-	p := Defaults(7)
+	p := defaults(7)
 	p.Cores, p.Nodes, p.Users = 3, 3, 0
 	p.Describe = design(change)
 	return Calm(p)
--- a/rehearsalkit/simulator/load_test.go
+++ b/rehearsalkit/simulator/load_test.go
@@ -12,7 +12,7 @@
 // With all places at replicas taken, a turn waits for one within its budget; a
 // waiting room that is too long is told at once, with a time that grows with it.
 func TestRoomAtReplicas(t *testing.T) {
-	p := Defaults(7)
+	p := defaults(7)
 	p.Cores, p.Nodes, p.Users, p.Replicas, p.Rate, p.Burst, p.MemberTerm, p.Zones = 3, 3, 0, 1, 500, 900, 2*time.Second, 3
 	p.Describe = design(func(role, tenant, services, breaker tree) {
 		role["sessions_per_minute"], role["concurrent_sessions"] = 1000, 1000
