One place says which process an incarnation belongs to, and finds a mirror's copy

Cause: the plus sign of an incarnation was cut off in three places, and a mirror's copy looked up or made in two.

Change: core.LifeOf and mirroredOf; behaviour is the same.

--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -196,7 +196,7 @@
 	switch {
 	case ok && m.HasEnded(c.Member.Incarnation):
 		return Termed{Ended: true, Floor: floor}
-	case ok && m.Incarnation != c.Member.Incarnation && !m.Ended && (m.Host == "" || m.Host != c.Member.Host || sameProcess(m, c.Member)):
+	case ok && m.Incarnation != c.Member.Incarnation && !m.Ended && (m.Host == "" || m.Host != c.Member.Host || LifeOf(m.Incarnation) == LifeOf(c.Member.Incarnation)):
 		if wait := r.members[key] + r.memberTerm() - now; wait > 0 {
 			return Termed{Wait: wait, Floor: floor}
 		}
@@ -218,12 +218,10 @@
 	return Termed{Granted: true, Floor: floor}
 }
 
-// sameProcess reports whether two lives are terms of one process, which holds
-// its host all along.
-func sameProcess(a, b Member) bool {
-	one, _, _ := strings.Cut(a.Incarnation, "+")
-	other, _, _ := strings.Cut(b.Incarnation, "+")
-	return one == other
+// LifeOf is the process that an incarnation belongs to: its terms have one each.
+func LifeOf(incarnation string) string {
+	life, _, _ := strings.Cut(incarnation, "+")
+	return life
 }
 
 func (r *rules) renew(now time.Duration, tx *part.Tx, c RenewMember) any {
--- a/peer/node/announcement.go
+++ b/peer/node/announcement.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"saffronfall/peer/core"
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
 )
@@ -87,12 +88,7 @@
 }
 
 // lifeOf names this process's life, whatever terms it had.
-func (m *Machine) lifeOf() string { return m.params.ID + "/" + baseOf(m.incarnation) }
-
-func baseOf(incarnation string) string {
-	base, _, _ := strings.Cut(incarnation, "+")
-	return base
-}
+func (m *Machine) lifeOf() string { return m.params.ID + "/" + core.LifeOf(m.incarnation) }
 
 func (m *Machine) hear(now time.Duration, r Replica, since time.Duration) {
 	list := m.replicas[r.Service]
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -401,8 +401,7 @@
 	m.Counters.Resets++
 	m.births++
 	m.former = append(m.former, m.incarnation)
-	base, _, _ := strings.Cut(m.incarnation, "+")
-	m.incarnation = fmt.Sprintf("%s+%d", base, m.births)
+	m.incarnation = fmt.Sprintf("%s+%d", core.LifeOf(m.incarnation), m.births)
 	m.joined, m.termUntil, m.renewing, m.renewAt = false, 0, false, now
 	var lost []*held
 	for _, key := range ordered.Keys(m.programs) {
--- a/peer/node/mirror.go
+++ b/peer/node/mirror.go
@@ -91,7 +91,7 @@
 // mirrorEnded reports whether what a mirror held is surely lost or unreachable.
 func (m *Machine) mirrorEnded(one program.Mirror) bool {
 	o, ok := m.members[one.ID]
-	return !ok || baseOf(o.Incarnation) != one.Life || o.Ended
+	return !ok || core.LifeOf(o.Incarnation) != one.Life || o.Ended
 }
 
 // chooseMirrors picks members in other zones than this node's and each other's,
@@ -112,10 +112,10 @@
 				continue
 			}
 			zones[o.Zone] = true
-			chosen = append(chosen, program.Mirror{ID: o.ID, Life: baseOf(o.Incarnation), Peer: o.Peer})
+			chosen = append(chosen, program.Mirror{ID: o.ID, Life: core.LifeOf(o.Incarnation), Peer: o.Peer})
 		}
 	}
-	chosen = append(chosen, program.Mirror{ID: m.params.ID, Life: baseOf(m.incarnation), Peer: m.params.Address})
+	chosen = append(chosen, program.Mirror{ID: m.params.ID, Life: core.LifeOf(m.incarnation), Peer: m.params.Address})
 	sort.Slice(chosen, func(i, j int) bool { return chosen[i].ID < chosen[j].ID })
 	return chosen
 }
@@ -137,13 +137,16 @@
 	}
 }
 
-func (m *Machine) onCopy(now time.Duration, from string, b Copy) {
-	key := b.Record.Tenant + "/" + b.Record.ID
-	c := m.mirrors[key]
-	if c == nil {
-		c = &mirrored{}
-		m.mirrors[key] = c
+func (m *Machine) mirroredOf(tenant, id string) *mirrored {
+	key := tenant + "/" + id
+	if m.mirrors[key] == nil {
+		m.mirrors[key] = &mirrored{}
 	}
+	return m.mirrors[key]
+}
+
+func (m *Machine) onCopy(now time.Duration, from string, b Copy) {
+	c := m.mirroredOf(b.Record.Tenant, b.Record.ID)
 	if b.Record.Fence < c.fence {
 		return
 	}
@@ -151,7 +154,7 @@
 		c.fence, c.found, c.record, c.turns = b.Record.Fence, true, b.Record, b.Turns
 	}
 	c.until = now + b.Record.Keep
-	m.send(from, Copied{Tenant: b.Record.Tenant, Program: b.Record.ID, Fence: b.Record.Fence, Version: b.Record.Version, Life: baseOf(m.incarnation)})
+	m.send(from, Copied{Tenant: b.Record.Tenant, Program: b.Record.ID, Fence: b.Record.Fence, Version: b.Record.Version, Life: core.LifeOf(m.incarnation)})
 }
 
 // keepOwn keeps what this node did for a program that is no longer its own, for
@@ -185,13 +188,8 @@
 }
 
 func (m *Machine) onAskCopy(now time.Duration, from string, b AskCopy) {
-	key := b.Tenant + "/" + b.Program
-	c := m.mirrors[key]
-	if c == nil {
-		c = &mirrored{}
-		m.mirrors[key] = c
-	}
-	held := CopyHeld{Tenant: b.Tenant, Program: b.Program, Fence: b.Fence, Life: baseOf(m.incarnation), Found: c.found}
+	c := m.mirroredOf(b.Tenant, b.Program)
+	held := CopyHeld{Tenant: b.Tenant, Program: b.Program, Fence: b.Fence, Life: core.LifeOf(m.incarnation), Found: c.found}
 	if c.found {
 		held.Record, held.Turns = c.record, c.turns
 	}
@@ -233,11 +231,11 @@
 	c.askAt = now + m.params.Core.Retry
 	lost := 0
 	for _, one := range c.mirrors {
-		if one.ID == m.params.ID && one.Life == baseOf(m.incarnation) {
+		if one.ID == m.params.ID && one.Life == core.LifeOf(m.incarnation) {
 			m.send(one.Peer, AskCopy{Tenant: h.record.Tenant, Program: h.record.ID, Fence: h.record.Fence})
 			continue
 		}
-		if o, ok := m.members[one.ID]; ok && baseOf(o.Incarnation) != one.Life {
+		if o, ok := m.members[one.ID]; ok && core.LifeOf(o.Incarnation) != one.Life {
 			// The process that held it is no more.
 			lost++
 			continue
