--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -334,13 +334,7 @@
 				most = one
 			}
 		}
-		if most.alive && down == 0 && w.seated() {
-			w.logf("%s, which writes most, loses its disk", most.id)
-			w.Counts["disks lost"]++
-			most.kill()
-			most.loseDisk()
-			w.after(length, most.boot)
-		}
+		w.takeDisk(most, down, length)
 	case 13:
 		if n.alive && !n.frozen {
 			w.logf("%s drains", n.id)
@@ -364,13 +358,7 @@
 		w.Counts["cores cut off"]++
 		w.coreCut(length)
 	case 11, 12:
-		if c.alive && down == 0 && w.seated() {
-			w.logf("%s loses its disk", c.id)
-			w.Counts["disks lost"]++
-			c.kill()
-			c.loseDisk()
-			w.after(length, c.boot)
-		}
+		w.takeDisk(c, down, length)
 	case 10:
 		w.logf("split core zone %s", c.zone)
 		for _, other := range w.cores {
@@ -381,6 +369,17 @@
 	}
 }
 
+// takeDisk lets a core lose its disk, if that is a loss which must be borne.
+func (w *World) takeDisk(c *proc, down int, length time.Duration) {
+	if c.alive && down == 0 && w.seated() {
+		w.logf("%s loses its disk", c.id)
+		w.Counts["disks lost"]++
+		c.kill()
+		c.loseDisk()
+		w.after(length, c.boot)
+	}
+}
+
 func (w *World) link(a, b *proc, length time.Duration) {
 	pairs := [][2]string{{a.address, b.address}}
 	if w.chance(0.8) {
