--- a/peer/core/life.go
+++ b/peer/core/life.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"strings"
+	"maps"
 	"time"
 
 	"saffronfall/rule/ordered"
@@ -17,9 +17,9 @@
 
 // Kinds of changes in a core's life.
 const (
-	AddCore     = "add"
-	RetireCore  = "retire"
-	ReplaceCore = "replace"
+	Add     = "add"
+	Retire  = "retire"
+	Replace = "replace"
 )
 
 // Changed is the outcome of a change in a core's life.
@@ -31,16 +31,31 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// returnTo brings a core whose folder is empty back into the fleet that knows
-// its name. It has no vote until groups have changed to admit it.
+// returnTo brings a core whose folder is empty into the fleet that told its
+// topology, whether or not that knows its name. It has no vote until groups have
+// changed to admit it. One that has seats already waits for its founding.
 func (m *Machine) returnTo(now time.Duration, t Topology) {
 	known, ok := t.Cores[m.self.ID]
-	if !ok || known.Retired || known.Incarnation == m.self.Incarnation || len(t.Groups) == 0 {
+	if len(t.Groups) == 0 || known.Retired {
 		return
 	}
-	f := Founding{Fleet: t.Fleet, Parts: len(t.Groups), Cores: t.Cores, Groups: make([]part.Group, len(t.Groups))}
-	m.Counters.Returns++
+	for _, g := range t.Groups {
+		if g.Has(m.self.Seat()) {
+			return
+		}
+	}
+	f := Founding{Fleet: t.Fleet, Parts: len(t.Groups), Cores: maps.Clone(t.Cores), Groups: make([]part.Group, len(t.Groups)), Size: t.Size}
+	if f.Cores == nil {
+		f.Cores = map[string]Core{}
+	}
+	m.self.Version = known.Version + 1
+	f.Cores[m.self.ID] = m.self
+	if ok {
+		m.Counters.Returns++
+	}
 	m.Join(now, f)
+	m.adopt(t)
+	m.tellAll()
 }
 
 // Join makes this core, which has no vote anywhere yet, one of a fleet.
@@ -51,39 +66,38 @@
 	m.begin(now, s)
 }
 
-// mend makes what the fleet knows of this core true again: its entry, and the
-// seats that an earlier incarnation of it still has in groups.
+// mend makes the fleet's entry of this core true again. The owners of parts
+// then give it the places that an earlier incarnation of it has in groups.
 func (m *Machine) mend(now time.Duration) {
-	if m.mending || m.self.Retired || m.leaving || m.stalled {
-		return
-	}
-	var moves []Move
-	for n, g := range m.groups {
-		for _, seat := range g.Seats {
-			if strings.HasPrefix(seat, m.self.ID+".") && seat != m.self.Seat() {
-				moves = append(moves, Move{Part: n, Add: m.self.Seat(), Remove: seat})
-			}
-		}
-	}
-	if len(moves) == 0 && !m.unknown {
+	if m.mending || m.self.Retired || m.leaving || m.stalled || !m.unknown || m.superseded() {
 		return
 	}
 	m.mending = true
-	until := now + 10*m.params.MemberTerm
-	m.caller.Call(now, PutCore{Core: m.self}, until, func(now time.Duration, o Outcome) {
-		if d, ok := o.Answer.(Done); !ok || !d.OK {
-			if ok {
-				m.self.Version++
-				m.cores[m.self.ID] = m.self
-			}
-			m.mending = false
-			return
+	told := m.self
+	m.caller.Call(now, PutCore{Core: told}, now+10*m.params.MemberTerm, func(now time.Duration, o Outcome) {
+		m.mending = false
+		d, ok := o.Answer.(Done)
+		switch {
+		case !ok || m.superseded():
+		case d.OK:
+			m.unknown = m.self != told
+		default:
+			m.self.Version++
+			m.cores[m.self.ID] = m.self
+			m.changed = true
 		}
-		m.unknown = false
-		m.move(now, moves, 0, until, func(now time.Duration, made int) { m.mending = false })
 	})
 }
 
+// tellAll makes this core known at once to all others.
+func (m *Machine) tellAll() {
+	for _, id := range ordered.Keys(m.cores) {
+		if c := m.cores[id]; id != m.self.ID {
+			m.send(c.Peer, m.present(), false)
+		}
+	}
+}
+
 // move makes moves one after the other.
 func (m *Machine) move(now time.Duration, moves []Move, made int, until time.Duration, next func(now time.Duration, made int)) {
 	if made == len(moves) || now >= until {
@@ -113,9 +127,9 @@
 	}
 	var moves []Move
 	switch kind {
-	case AddCore:
+	case Add:
 		moves = PlanAdd(cores, groups, c)
-	case ReplaceCore:
+	case Replace:
 		fresh, ok := cores[by]
 		if !ok || fresh.Retired {
 			return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by}
@@ -125,7 +139,7 @@
 				moves = append(moves, Move{Part: n, Add: fresh.Seat(), Remove: c.Seat()})
 			}
 		}
-	case RetireCore:
+	case Retire:
 		var short bool
 		if moves, short = PlanRetire(cores, groups, c); short {
 			return Changed{Moves: moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"}
@@ -151,7 +165,7 @@
 			m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "not all moves were made in time; ask again to go on"})
 			return
 		}
-		if kind == AddCore {
+		if kind == Add {
 			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
 			return
 		}
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -21,12 +22,14 @@
 	Cores map[string]Core `msgpack:"c" json:"cores"`
 	// Groups has the first group of each part.
 	Groups []part.Group `msgpack:"g" json:"groups"`
+	// Size is how many seats a group is to have.
+	Size int `msgpack:"s" json:"size"`
 }
 
 // Plan divides parts over cores: groups of a size, in different zones where it
 // can be done, first seats spread evenly.
 func Plan(fleet string, parts, size int, cores []Core) Founding {
-	f := Founding{Fleet: fleet, Parts: parts, Cores: map[string]Core{}}
+	f := Founding{Fleet: fleet, Parts: parts, Cores: map[string]Core{}, Size: size}
 	sort.Slice(cores, func(i, j int) bool { return cores[i].ID < cores[j].ID })
 	seats, firsts := map[string]int{}, map[string]int{}
 	for _, c := range cores {
@@ -171,8 +174,18 @@
 	unknown  bool
 	gathered uint64
 	samples  map[string][]rehearsal.Sample
+	bornAt   time.Duration
+	heard    map[string]heard
+	changed  bool
+	tellAt   time.Duration
+	beatAt   time.Duration
+	movedAt  map[int]time.Duration
+	moveAt   time.Duration
 }
 
+// heard is when a core was last heard, and since when without a long silence.
+type heard struct{ last, since time.Duration }
+
 type origin struct {
 	from    string
 	id      uint64
@@ -211,13 +224,15 @@
 	}
 	m.learnCoresOf(s.Copies[ConfigurationPart])
 	m.assert()
+	m.unknown = true
+	m.heard, m.bornAt = map[string]heard{}, now
 	for _, n := range ordered.Keys(s.Copies) {
 		m.seat(now, n, s.Copies[n])
 	}
 }
 
 func (m *Machine) seat(now time.Duration, n int, c part.Copy) *part.Machine {
-	m.parts[n] = part.New(part.Options{Params: m.params.Part, Seat: m.self.Seat(), Number: n, Rules: &rules{params: m.params}, Copy: c, Now: now, Random: m.random})
+	m.parts[n] = part.New(part.Options{Params: m.params.Part, Seat: m.self.Seat(), Number: n, Rules: &rules{params: m.params, fleet: m.fleet}, Copy: c, Now: now, Random: m.random})
 	return m.parts[n]
 }
 
@@ -225,6 +240,10 @@
 // its incarnation may have changed while it was away.
 func (m *Machine) assert() {
 	known, ok := m.cores[m.self.ID]
+	if named := m.founding.Cores[m.self.ID]; ok && known.Incarnation != m.self.Incarnation && named.Incarnation == m.self.Incarnation {
+		m.self.Version = named.Version
+		return
+	}
 	fresh := m.self
 	fresh.Retired, fresh.Version = known.Retired, known.Version
 	if ok && fresh == known {
@@ -253,14 +272,28 @@
 	}
 }
 
+// learnCore takes the newest that is told of a core. What is retired once stays
+// so, whatever is told later.
 func (m *Machine) learnCore(c Core) {
-	if old, ok := m.cores[c.ID]; !ok || old.Version < c.Version {
+	old, ok := m.cores[c.ID]
+	c.Retired = c.Retired || old.Retired
+	switch {
+	case !ok || old.Version < c.Version:
 		m.cores[c.ID] = c
+		m.changed = true
+	case c.Retired && !old.Retired:
+		old.Retired = true
+		m.cores[c.ID] = old
+		m.changed = true
 	}
-	if c.ID != m.self.ID || c.Incarnation != m.self.Incarnation || c.Version < m.self.Version {
+	if c.ID != m.self.ID || c.Incarnation != m.self.Incarnation {
 		return
 	}
 	m.self.Retired = c.Retired
+	if c.Version < m.self.Version {
+		m.cores[m.self.ID] = m.self
+		return
+	}
 	if same := m.self; same.Version != c.Version {
 		if same.Version = c.Version; same == c {
 			m.self = c
@@ -272,6 +305,12 @@
 	}
 }
 
+// superseded reports whether the fleet knows a later incarnation of this core.
+func (m *Machine) superseded() bool {
+	known := m.cores[m.self.ID]
+	return known.Incarnation != m.self.Incarnation && known.Version > m.self.Version
+}
+
 func (m *Machine) send(to string, body any, synced bool) {
 	m.out.Sends = append(m.out.Sends, Send{To: to, Body: body, Synced: synced})
 }
@@ -291,11 +330,61 @@
 	if m.Founded() {
 		return *m.out, m.founding.Fleet == f.Fleet
 	}
+	return *m.out, m.found(now, f)
+}
+
+func (m *Machine) found(now time.Duration, f Founding) bool {
 	if mine, ok := f.Cores[m.self.ID]; !ok || mine.Incarnation != m.self.Incarnation || f.Parts < 1 || len(f.Groups) != f.Parts {
-		return *m.out, false
+		return false
 	}
 	m.Join(now, f)
-	return *m.out, true
+	for _, id := range ordered.Keys(f.Cores) {
+		if id != m.self.ID {
+			m.send(f.Cores[id].Peer, FoundFleet{Founding: f}, false)
+		}
+	}
+	return true
+}
+
+// size is how many seats a group is to have.
+func (m *Machine) size() int {
+	size := m.founding.Size
+	if size == 0 {
+		for _, g := range m.groups {
+			size = max(size, len(g.Seats))
+		}
+	}
+	return size
+}
+
+func (m *Machine) fleet() (map[string]Core, int) {
+	return maps.Clone(m.cores), m.size()
+}
+
+func (m *Machine) present() Present {
+	return Present{Core: m.self, Cold: m.params.ColdStart, Fleet: m.founding.Fleet}
+}
+
+func (m *Machine) greet() {
+	for _, seed := range m.seeds {
+		if seed != m.self.Peer {
+			m.send(seed, m.present(), false)
+		}
+	}
+}
+
+func (m *Machine) onPresent(now time.Duration, from string, b Present) {
+	switch b.Fleet {
+	case m.founding.Fleet:
+		m.learnCore(b.Core)
+		m.hear(now, b.Core.Seat())
+	case "":
+		m.learn()
+		m.send(from, m.Topology(), false)
+		if named, ok := m.founding.Cores[b.Core.ID]; ok && b.Cold && named.Incarnation == b.Core.Incarnation && m.founding.Groups[0].Epoch > 0 {
+			m.send(from, FoundFleet{Founding: m.founding}, false)
+		}
+	}
 }
 
 // Tick lets time pass.
@@ -303,12 +392,8 @@
 	m.out = &Output{}
 	if !m.Founded() {
 		if now >= m.lookAt {
-			m.lookAt = now + m.params.MemberTerm/2
-			for _, seed := range m.seeds {
-				if seed != m.self.Peer {
-					m.send(seed, Pull{Want: true}, false)
-				}
-			}
+			m.lookAt = now + max(50*time.Millisecond, m.params.MemberTerm/20)
+			m.greet()
 		}
 		return *m.out
 	}
@@ -328,11 +413,11 @@
 	if now >= m.gossipAt {
 		m.gossipAt = now + m.params.Pull
 		m.learn()
-		for _, id := range ordered.Keys(m.cores) {
-			if c := m.cores[id]; id != m.self.ID && !c.Retired {
-				m.send(c.Peer, m.Topology(), false)
-			}
-		}
+		m.gossip(now)
+	}
+	if now >= m.moveAt {
+		m.moveAt = now + m.params.Part.OwnerTerm/4
+		m.place(now)
 	}
 	if now >= m.sweepAt {
 		m.sweepAt = now + m.params.MemberTerm/4
@@ -345,7 +430,8 @@
 		}
 	}
 	if now >= m.lookAt {
-		m.lookAt = now + m.params.MemberTerm/2
+		m.lookAt = now + m.params.MemberTerm/4
+		m.greet()
 		m.mend(now)
 	}
 	m.caller.Tick(now)
@@ -358,16 +444,41 @@
 	for n, p := range m.parts {
 		if owner := p.Owner(); m.owners[n].Less(owner) {
 			m.owners[n] = owner
+			m.changed = true
 		}
 		if m.groups[n].Before(p.Group()) || m.groups[n].Epoch == 0 {
+			m.changed = m.changed || p.Group().Epoch > 0
 			m.groups[n] = p.Group()
 		}
 	}
 }
 
+// gossip tells the other cores that this one lives, and what it knows of the
+// fleet when that has changed, or was not told for long.
+func (m *Machine) gossip(now time.Duration) {
+	whole := m.changed || now >= m.tellAt
+	if !whole && now < m.beatAt {
+		return
+	}
+	m.beatAt = now + m.beat()
+	for _, id := range ordered.Keys(m.cores) {
+		c := m.cores[id]
+		if id == m.self.ID {
+			continue
+		}
+		m.send(c.Peer, m.present(), false)
+		if whole {
+			m.send(c.Peer, m.Topology(), false)
+		}
+	}
+	if whole {
+		m.changed, m.tellAt = false, now+m.params.MemberTerm/4
+	}
+}
+
 // Topology is what this core knows of cores, groups and owners.
 func (m *Machine) Topology() Topology {
-	t := Topology{Fleet: m.founding.Fleet, Cores: map[string]Core{}, Owners: append([]part.Term(nil), m.owners...), Groups: append([]part.Group(nil), m.groups...)}
+	t := Topology{Fleet: m.founding.Fleet, Size: m.size(), Cores: map[string]Core{}, Owners: append([]part.Term(nil), m.owners...), Groups: append([]part.Group(nil), m.groups...)}
 	for id, c := range m.cores {
 		t.Cores[id] = c
 	}
@@ -496,8 +607,13 @@
 	m.out = &Output{}
 	m.Counters.Messages++
 	if !m.Founded() {
-		if t, ok := body.(Topology); ok {
-			m.returnTo(now, t)
+		switch b := body.(type) {
+		case Topology:
+			m.returnTo(now, b)
+		case FoundFleet:
+			if m.params.ColdStart {
+				m.found(now, b.Founding)
+			}
 		}
 		return *m.out
 	}
@@ -519,6 +635,8 @@
 		m.onPull(now, from, b)
 	case Topology:
 		m.adopt(b)
+	case Present:
+		m.onPresent(now, from, b)
 	case Samples:
 		if b.ID == m.gathered && m.samples != nil {
 			m.samples[from] = b.List
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -323,6 +323,8 @@
 		Cores  map[string]Core
 		Groups []part.Group
 		Owners []part.Term
+		// Size is how many seats a group is to have.
+		Size int
 	}
 )
 
@@ -348,7 +350,7 @@
 )
 
 // NewsPrefixes are the kinds of entries that nodes pull.
-var NewsPrefixes = []string{configurationKey, breakerKey, memberPrefix, corePrefix}
+var NewsPrefixes = []string{configurationKey, breakerKey, memberPrefix, corePrefix, TableKey}
 
 // PartOf is the part that a name belongs to: configuration and cores have one
 // of their own, all else goes by hash of the name's first segments.
@@ -398,9 +400,14 @@
 		return c.Part
 	case ChangeSeat:
 		return c.Part
+	case ReadSeats:
+		return c.Part
 	case SetFloor:
 		return c.Part
 	}
+	if n, ok := relayTarget(parts, command); ok {
+		return n
+	}
 	return ConfigurationPart
 }
 
@@ -417,3 +424,34 @@
 )
 
 func init() { message.Register(PutCore{}, ChangeSeat{}) }
+
+// Messages and commands by which cores come, are founded and go with nobody
+// operating.
+type (
+	// Present says who a core is and where. It is answered with a Topology by
+	// whoever knows the fleet.
+	Present struct {
+		Core Core
+		// Cold says that the core may found a fleet.
+		Cold bool
+		// Fleet is empty as long as the core belongs to none.
+		Fleet string
+	}
+	// FoundFleet makes cores that belong to no fleet, and are allowed to, a new
+	// one. Those that are founded pass it on.
+	FoundFleet struct{ Founding Founding }
+	// RetireCore marks a core as one that gets no seats any more, for good. The
+	// owners of parts then move its seats to others.
+	RetireCore struct{ ID string }
+	// Retiring answers it: whether there is such a core, whether enough others
+	// remain, and whether it is marked now.
+	Retiring struct{ Known, Enough, Done bool }
+	// ReadSeats asks a part's owner for its agreed group.
+	ReadSeats struct{ Part int }
+	// Seated answers it.
+	Seats struct{ Seats, Former []string }
+)
+
+func init() {
+	message.Register(Present{}, FoundFleet{}, RetireCore{}, Retiring{}, ReadSeats{}, Seats{})
+}
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -31,13 +31,21 @@
 	Retry time.Duration
 	// Pull is how often news is pulled.
 	Pull time.Duration
+	// Gone is after how long a silent core's seats may go to others; zero: three
+	// terms of a member.
+	Gone time.Duration
+	// ColdStart allows a core with an empty folder to found a fleet.
+	ColdStart bool
 }
 
 type rules struct {
-	params   Params
+	params Params
+	// fleet tells the known cores, in a map of its own, and how many must stay.
+	fleet    func() (map[string]Core, int)
 	members  map[string]time.Duration
 	versions map[string]uint64
 	seatedAt time.Duration
+	ends     expiries
 }
 
 func (r *rules) Seated(now time.Duration, tx *part.Tx) {
@@ -46,6 +54,7 @@
 	for _, key := range tx.Keys(memberPrefix) {
 		r.members[key] = now
 	}
+	r.seatedRelay(tx)
 }
 
 func read[T any](tx *part.Tx, key string) (T, bool) {
@@ -179,16 +188,51 @@
 		case ok && old == c.Core:
 		case ok && old.Version >= c.Core.Version:
 			return Done{}
+		case ok && old.Retired && !c.Core.Retired:
+			return Done{}
 		default:
 			write(tx, corePrefix+c.Core.ID, c.Core)
 		}
 		return Done{OK: true}
+	case RetireCore:
+		return r.retireCore(tx, c)
 	case Sweep:
 		r.sweep(now, tx)
+		r.sweepRelay(tx)
+	default:
+		return r.applyRelay(tx, command)
 	}
 	return Done{OK: true}
 }
 
+func (r *rules) retireCore(tx *part.Tx, c RetireCore) any {
+	cores, enough := r.fleet()
+	for _, key := range tx.Keys(corePrefix) {
+		if one, _ := read[Core](tx, key); cores[one.ID].Version <= one.Version {
+			cores[one.ID] = one
+		}
+	}
+	one, ok := cores[c.ID]
+	staying := 0
+	for _, other := range cores {
+		if !other.Retired && other.ID != c.ID {
+			staying++
+		}
+	}
+	switch {
+	case !ok:
+		return Retiring{}
+	case one.Retired:
+	case staying < enough:
+		return Retiring{Known: true}
+	default:
+		one.Retired = true
+		one.Version++
+		write(tx, corePrefix+c.ID, one)
+	}
+	return Retiring{Known: true, Enough: true, Done: true}
+}
+
 func (r *rules) join(now time.Duration, tx *part.Tx, c JoinMember) any {
 	key := memberPrefix + c.Member.ID
 	floor, _ := read[uint64](tx, floorKey)
--- /dev/null
+++ b/peer/desk/types.go
@@ -0,0 +1,108 @@
+// Package desk is where replicas announce themselves and operators hand over
+// tables: it keeps the list of replicas, passes news on to nodes, and brings
+// cores together. It holds nothing that must last; the cores do.
+package desk
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/message"
+)
+
+// Replica is one replica as it announced itself.
+type Replica struct {
+	ID      string `msgpack:"i" json:"id"`
+	Service string `msgpack:"s" json:"service"`
+	Address string `msgpack:"a" json:"address"`
+	Zone    string `msgpack:"z" json:"zone"`
+	Slots   int64  `msgpack:"l" json:"slots"`
+	Leaving bool   `msgpack:"g" json:"leaving"`
+	// Cold is how much longer it stays slow.
+	Cold time.Duration `msgpack:"c" json:"cold"`
+	// Call numbers its announcements.
+	Call int64 `msgpack:"q" json:"call"`
+}
+
+// Listed is a replica in a desk's list. One that is Gone stays listed for a
+// while, so that all nodes learn it.
+type Listed struct {
+	Replica Replica `msgpack:"r"`
+	Gone    bool    `msgpack:"x"`
+	// Final: it said so itself, and never comes back under this name.
+	Final   bool   `msgpack:"f"`
+	Version uint64 `msgpack:"v"`
+}
+
+// Messages between nodes and desks.
+type (
+	// Follow asks a desk for what changed since a version. A node says so again
+	// and again, and hears of every change at once while it does.
+	Follow struct {
+		Node string `msgpack:"n"`
+		// Life is the desk's life that Version is of.
+		Life    string `msgpack:"l"`
+		Version uint64 `msgpack:"v"`
+		// Table is the number of the newest table that the node has.
+		Table uint64 `msgpack:"t"`
+		// Desk is set when the follower is a desk itself.
+		Desk bool `msgpack:"d"`
+	}
+	// Bulletin tells it.
+	Bulletin struct {
+		Life    string   `msgpack:"l"`
+		Since   uint64   `msgpack:"s"`
+		Version uint64   `msgpack:"v"`
+		List    []Listed `msgpack:"r"`
+		// Table is the newest agreed table, where the follower lacks it; Number
+		// is always told.
+		Number uint64 `msgpack:"n"`
+		Table  []byte `msgpack:"t"`
+		// Confirmed is how long ago the cores said that none is newer; negative:
+		// never.
+		Confirmed time.Duration `msgpack:"c"`
+		// Nodes is how many nodes follow this desk, Desks where all desks are.
+		Nodes    int            `msgpack:"o"`
+		Desks    []string       `msgpack:"d"`
+		Topology *core.Topology `msgpack:"y"`
+	}
+)
+
+func init() { message.Register(Follow{}, Bulletin{}) }
+
+// Params bound a desk's timing; what else it needs are ratios to these.
+type Params struct {
+	Core core.Params
+	// Beat is how often replicas announce themselves.
+	Beat time.Duration
+	// Seats is the size of a group, Parts how many parts a fleet is founded with.
+	Seats int
+	// PartsPerCore is how many parts a fleet gets for each core that it is
+	// founded with, besides the configuration's.
+	PartsPerCore int
+	// Within is how long an operator's call may take.
+	Within time.Duration
+}
+
+// Send is a message for the process at an address.
+type Send struct {
+	To   string
+	Body any
+}
+
+// Answer goes to a waiting call.
+type Answer struct {
+	Ticket uint64
+	Body   any
+}
+
+// Output is what a step wants done: sends, then answers.
+type Output struct {
+	Sends   []Send
+	Answers []Answer
+}
+
+// Counters are what a desk counts.
+type Counters struct {
+	Messages, Beats, Bulletins, Changes, Applied, Refused, BadMessages int64
+}
--- a/peer/operator/call.go
+++ b/peer/operator/call.go
@@ -150,7 +150,7 @@
 			return changed, errors.Wrapf(Refusal(status, raw), "core at %s", fresh)
 		}
 	}
-	return c.Change(ctx, any, Life{Kind: core.AddCore, ID: who.Core.ID, New: &who.Core})
+	return c.Change(ctx, any, Life{Kind: core.Add, ID: who.Core.ID, New: &who.Core})
 }
 
 // Change asks for a change in a core's life until it is done or refused.
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -208,7 +208,7 @@
 	if within <= 0 {
 		within = 30 * time.Second
 	}
-	if c.Kind != core.AddCore && c.Kind != core.RetireCore && c.Kind != core.ReplaceCore {
+	if c.Kind != core.Add && c.Kind != core.Retire && c.Kind != core.Replace {
 		Write(w, 400, Fault{Code: "malformed", Reason: "kind must be add, retire or replace", Ran: "no"})
 		return
 	}
--- /dev/null
+++ b/peer/relay/choice.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"time"
+
+	"saffronfall/peer/desk"
+	"saffronfall/rule/ordered"
+)
+
+// board is what one desk has told of replicas.
+type board struct {
+	life    string
+	version uint64
+	heard   time.Duration
+	list    map[string]posted
+}
+
+type posted struct {
+	desk.Listed
+	// until is when it is dropped; zero: when the desk says so.
+	until time.Duration
+}
+
+// standing is what this node knows of one replica by its own sendings.
+type standing struct {
+	replica     desk.Replica
+	outstanding int64
+	load        Load
+	loadAt      time.Duration
+	// since counts what this node sent since the load was told.
+	since    int64
+	failures int
+	until    time.Duration
+	kept     map[uint64]keptPiece
+	tokens   int64
+	usedAt   time.Duration
+}
+
+type keptPiece struct {
+	tokens int64
+	at     time.Duration
+}
+
+// gather joins the boards into one list of replicas. The newest word of a
+// replica counts; that it is leaving or gone counts whoever says it.
+func (m *Machine) gather(now time.Duration) {
+	best := map[string]desk.Listed{}
+	leaving, final := map[string]bool{}, map[string]bool{}
+	live := false
+	for _, b := range m.boards {
+		live = live || now < b.heard+lostBeats*m.params.Beat
+	}
+	for _, address := range ordered.Keys(m.boards) {
+		b := m.boards[address]
+		if live && now > b.heard+lostBeats*m.params.Beat {
+			continue
+		}
+		for id, p := range b.list {
+			if p.until > 0 && now >= p.until {
+				delete(b.list, id)
+				continue
+			}
+			leaving[id] = leaving[id] || p.Replica.Leaving
+			final[id] = final[id] || p.Final
+			old, ok := best[id]
+			if !ok || old.Replica.Call < p.Replica.Call || (old.Replica.Call == p.Replica.Call && old.Gone && !p.Gone) {
+				best[id] = p.Listed
+			}
+		}
+	}
+	m.services = map[string][]*standing{}
+	known := map[string]bool{}
+	for _, id := range ordered.Keys(best) {
+		l := best[id]
+		if l.Gone || final[id] || leaving[id] {
+			continue
+		}
+		s := m.standings[id]
+		if s == nil {
+			s = &standing{kept: map[uint64]keptPiece{}}
+			m.standings[id] = s
+		}
+		s.replica = l.Replica
+		known[id] = true
+		m.services[l.Replica.Service] = append(m.services[l.Replica.Service], s)
+	}
+	for id, s := range m.standings {
+		if !known[id] && s.outstanding == 0 {
+			delete(m.standings, id)
+		}
+	}
+	m.gatherAt = now + m.params.Beat/2
+}
+
+// lostBeats is after how many beats a silent desk's word is old.
+const lostBeats = 4
+
+// running estimates how many requests a replica has now: what it said last and
+// what this node has sent since, or what this node alone has there.
+func (s *standing) running(now, stale time.Duration) int64 {
+	if s.loadAt == 0 || now > s.loadAt+stale {
+		return s.outstanding
+	}
+	return max(s.outstanding, s.load.Running+s.load.Waiting+s.since)
+}
+
+// choose picks the replica of a service where a request is likely done first:
+// how many run there, how much of the prompt is kept there, and its zone.
+func (m *Machine) choose(now time.Duration, w *way) *standing {
+	if now >= m.gatherAt {
+		m.gather(now)
+	}
+	var chosen, suspect *standing
+	var best, bestSuspect float64
+	service, _ := m.table.Service(w.service)
+	most := int64(1 << 30)
+	if service != nil {
+		most = max(2, service.Connections/int64(max(m.nodes, 1)+1))
+	}
+	for _, s := range m.services[w.service] {
+		if w.tried[s.replica.ID] || s.outstanding >= most {
+			continue
+		}
+		cost := m.cost(now, w, s) + m.random()*0.5
+		if now < s.until {
+			if suspect == nil || cost < bestSuspect {
+				suspect, bestSuspect = s, cost
+			}
+			continue
+		}
+		if chosen == nil || cost < best {
+			chosen, best = s, cost
+		}
+	}
+	if chosen == nil {
+		return suspect
+	}
+	return chosen
+}
+
+// cost is in milliseconds.
+func (m *Machine) cost(now time.Duration, w *way, s *standing) float64 {
+	running := s.running(now, m.params.Beat/4)
+	slots := max(1, s.replica.Slots)
+	cost := float64(running) * 20 / float64(slots)
+	if running >= slots {
+		cost += float64(running-slots+1) * 100 / float64(slots) * 2
+	}
+	if s.replica.Cold > 0 {
+		cost += 5
+	}
+	if s.replica.Zone != m.zone {
+		cost += 1
+	}
+	if len(w.ask.Prompt) > 0 {
+		var unread int64
+		kept := true
+		for _, p := range w.ask.Prompt {
+			if kept {
+				_, kept = s.kept[p.ID]
+			}
+			if !kept {
+				unread += p.Tokens
+			}
+		}
+		cost += float64(unread) / m.params.PromptRate
+	}
+	return cost
+}
+
+// sent notes that a request goes to a replica, and what it will keep of it.
+func (m *Machine) sent(now time.Duration, w *way, s *standing) {
+	s.outstanding++
+	s.since++
+	s.usedAt = now
+	var most int64 = 1 << 40
+	if service, ok := m.table.Service(w.service); ok && service.CacheTokens > 0 {
+		most = service.CacheTokens * 3 / 4
+	}
+	for _, p := range w.ask.Prompt {
+		if _, ok := s.kept[p.ID]; !ok {
+			s.tokens += p.Tokens
+		}
+		s.kept[p.ID] = keptPiece{tokens: p.Tokens, at: now}
+	}
+	for s.tokens > most && len(s.kept) > 1 {
+		var oldest uint64
+		at := now + 1
+		for id, used := range s.kept {
+			if used.at < at {
+				oldest, at = id, used.at
+			}
+		}
+		s.tokens -= s.kept[oldest].tokens
+		delete(s.kept, oldest)
+	}
+}
+
+// came notes what became of a sending.
+func (m *Machine) came(now time.Duration, s *standing, o Outcome) {
+	s.outstanding--
+	if o.Load != nil {
+		s.load, s.loadAt, s.since = *o.Load, now, 0
+		if o.Load.Slots > 0 {
+			s.replica.Slots = o.Load.Slots
+		}
+	}
+	switch {
+	case o.Moved:
+		s.until = now + m.params.Beat
+	case o.Kind == Broken && !o.Gone, o.Unreached:
+		s.failures++
+		s.until = now + min(m.params.Beat, m.params.Beat/16<<min(s.failures, 4))
+	case o.Kind == NotRun:
+		s.until = now + m.params.Beat/40
+	default:
+		s.failures = 0
+	}
+}
--- /dev/null
+++ b/peer/relay/machine.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/route"
+	"saffronfall/rule/slab"
+)
+
+// Options make a machine.
+type Options struct {
+	Params  Params
+	ID      string
+	Life    string
+	Zone    string
+	Address string
+	Seeds   []string
+	Now     time.Duration
+	Random  func() float64
+}
+
+// Machine is one relaying node.
+type Machine struct {
+	Counters Counters
+
+	params   Params
+	id, life string
+	zone     string
+	address  string
+	seeds    []string
+	random   func() float64
+	out      *Output
+	caller   *core.Caller
+	topology core.Topology
+	desks    []string
+	boards   map[string]*board
+	nodes    int
+	started  time.Duration
+
+	table   *route.Table
+	pending *route.Table
+	tenants map[string]*route.Tenant
+	// confirmed is set once a desk has said that no newer table was agreed.
+	confirmed bool
+	none      bool
+
+	services  map[string][]*standing
+	standings map[string]*standing
+	gatherAt  time.Duration
+	followAt  time.Duration
+	drawAt    time.Duration
+	paces     map[string]*pace
+	cache     *cache
+	ways      slab.Slab[*way]
+	live      map[uint64]*way
+	later     core.Later
+	leaving   bool
+	// answeredAt is when the cores last answered, silentAt since when they have
+	// not.
+	silentAt time.Duration
+}
+
+// New makes a node.
+func New(o Options) *Machine {
+	m := &Machine{params: o.Params, id: o.ID, life: o.Life, zone: o.Zone, address: o.Address, seeds: o.Seeds, random: o.Random, started: o.Now,
+		boards: map[string]*board{}, tenants: map[string]*route.Tenant{}, services: map[string][]*standing{}, standings: map[string]*standing{},
+		paces: map[string]*pace{}, cache: newCache(o.Params.Cache), live: map[uint64]*way{}}
+	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
+		Send:   func(to string, body any) { m.send(to, body) },
+		Parts:  func() int { return len(m.topology.Owners) },
+		Anyone: func() []string { return desk.CoreAddresses(m.topology) }}
+	return m
+}
+
+func (m *Machine) send(to string, body any) {
+	if to != "" {
+		m.out.Sends = append(m.out.Sends, Send{To: to, Body: body})
+	}
+}
+
+// Receive takes a message from the process at an address.
+func (m *Machine) Receive(now time.Duration, from string, body any) Output {
+	m.out = &Output{}
+	switch b := body.(type) {
+	case core.CommandReturn:
+		m.caller.Receive(now, from, b)
+	case desk.Bulletin:
+		m.Counters.Bulletins++
+		m.onBulletin(now, from, b)
+	default:
+		m.Counters.BadMessages++
+	}
+	return *m.out
+}
+
+func (m *Machine) onBulletin(now time.Duration, from string, b desk.Bulletin) {
+	at := m.boards[from]
+	if at == nil {
+		at = &board{list: map[string]posted{}}
+		m.boards[from] = at
+	}
+	if !slices.Contains(m.desks, from) {
+		m.desks = append(m.desks, from)
+	}
+	at.heard = now
+	if at.life != b.Life {
+		// What an earlier life of the desk told holds until replicas had time to
+		// announce themselves again.
+		for id, p := range at.list {
+			p.until = now + lostBeats*m.params.Beat
+			at.list[id] = p
+		}
+		at.life, at.version = b.Life, 0
+	}
+	if b.Since <= at.version {
+		for _, l := range b.List {
+			at.list[l.Replica.ID] = posted{Listed: l}
+		}
+		at.version = max(at.version, b.Version)
+	}
+	m.nodes = max(b.Nodes, 1)
+	if len(b.List) > 0 {
+		m.gather(now)
+	}
+	if b.Topology != nil {
+		m.adopt(*b.Topology)
+		for _, address := range b.Desks {
+			if !slices.Contains(m.desks, address) {
+				m.desks = append(m.desks, address)
+				m.followAt = now
+			}
+		}
+	}
+	if b.Table != nil {
+		if t, faults := route.Parse(b.Table); faults == nil && (m.pending == nil || m.pending.Number < t.Number) {
+			m.pending = t
+		}
+	}
+	fresh := b.Confirmed >= 0 && b.Confirmed < m.params.Beat
+	if fresh && b.Number == 0 {
+		m.none = true
+	}
+	if m.pending != nil && (m.table == nil || m.table.Number < m.pending.Number) && (m.confirmed || fresh && b.Number <= m.pending.Number || now > m.started+2*m.params.Beat) {
+		m.install(now)
+	}
+}
+
+func (m *Machine) install(now time.Duration) {
+	m.table, m.confirmed = m.pending, true
+	m.tenants = map[string]*route.Tenant{}
+	for i := range m.table.Tenants {
+		m.tenants[m.table.Tenants[i].Name] = &m.table.Tenants[i]
+	}
+	for _, p := range m.paces {
+		p.wanted, p.retryAt = true, 0
+	}
+}
+
+func (m *Machine) adopt(t core.Topology) {
+	if len(m.topology.Owners) == 0 || m.topology.Fleet == "" {
+		m.topology = core.Topology{Fleet: t.Fleet, Cores: map[string]core.Core{}, Owners: slices.Clone(t.Owners), Groups: slices.Clone(t.Groups)}
+	}
+	if t.Fleet != m.topology.Fleet {
+		return
+	}
+	for n := range t.Owners {
+		if n < len(m.topology.Owners) && m.topology.Owners[n].Less(t.Owners[n]) {
+			m.topology.Owners[n] = t.Owners[n]
+		}
+	}
+	for id, c := range t.Cores {
+		if old, ok := m.topology.Cores[id]; !ok || old.Version <= c.Version {
+			m.topology.Cores[id] = c
+		}
+	}
+	desk.HintOwners(m.caller, m.topology)
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now time.Duration) Output {
+	m.out = &Output{}
+	m.caller.Tick(now)
+	if now >= m.followAt {
+		m.followAt = now + m.params.Follow
+		targets := append([]string(nil), m.desks...)
+		for _, seed := range m.seeds {
+			if !slices.Contains(targets, seed) {
+				targets = append(targets, seed)
+			}
+		}
+		var number uint64
+		if m.pending != nil {
+			number = m.pending.Number
+		}
+		for _, to := range targets {
+			f := desk.Follow{Node: m.id, Table: number}
+			if b := m.boards[to]; b != nil {
+				f.Life, f.Version = b.life, b.version
+			}
+			m.send(to, f)
+		}
+	}
+	if now >= m.drawAt {
+		m.drawAt = now + m.params.Window/50
+		m.draw(now)
+	}
+	m.later.Tick(now)
+	for _, ticket := range ordered.Keys(m.live) {
+		if w := m.live[ticket]; now >= w.patience && w.state == stateAdmitting {
+			m.Counters.RefusedUnsure++
+			m.refuse(now, w, Step{Status: 503, Check: "cores", Reason: "the cores did not answer in time", RetryAfter: 2 * m.params.Core.Retry})
+		}
+	}
+	return *m.out
+}
+
+// Ready reports whether requesters should be sent here.
+func (m *Machine) Ready(now time.Duration) bool {
+	return !m.leaving && (m.table != nil || m.none)
+}
+
+// Leave makes the node no longer ready; what runs goes on.
+func (m *Machine) Leave() { m.leaving = true }
+
+// Live is how many requests are under way.
+func (m *Machine) Live() int { return len(m.live) }
+
+// Limits are the bounds on a request's size.
+func (m *Machine) Limits() route.Limits {
+	if m.table == nil {
+		return route.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20}
+	}
+	return m.table.Limits
+}
+
+// Number is the table in force here.
+func (m *Machine) Number() uint64 {
+	if m.table == nil {
+		return 0
+	}
+	return m.table.Number
+}
+
+// Status is what this node counts and holds.
+func (m *Machine) Status(now time.Duration) map[string]int64 {
+	c := m.Counters
+	replicas := 0
+	for _, list := range m.services {
+		replicas += len(list)
+	}
+	return map[string]int64{"requests": c.Requests, "sent": c.Sent, "whole": c.Whole, "broken": c.Broken, "not_run": c.NotRun, "resent": c.Resent, "resumed": c.Resumed, "gone": c.Gone,
+		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages,
+		"new_connections": c.NewConnections, "refused_rate": c.RefusedRate, "refused_budget": c.RefusedBudget, "refused_full": c.RefusedFull, "refused_unsure": c.RefusedUnsure,
+		"unknown_key": c.UnknownKey, "unknown_route": c.UnknownRoute, "unknown_turn": c.UnknownTurn, "too_large": c.TooLarge, "deadline_passed": c.DeadlinePassed, "settles": c.Settles,
+		"live": int64(len(m.live)), "replicas": int64(replicas), "table": int64(m.Number()), "tenants_held": int64(len(m.paces)), "cache_bytes": m.cache.bytes, "commands_waiting": int64(m.caller.Waiting()), "command_tries": m.caller.Tries}
+}
+
+// Describe names what a node lacks to be ready, for logs.
+func (m *Machine) Describe(now time.Duration) string {
+	return fmt.Sprintf("table %d, %d desks, %d cores", m.Number(), len(m.boards), len(m.topology.Cores))
+}
--- /dev/null
+++ b/peer/relay/types.go
@@ -0,0 +1,155 @@
+// Package relay is the node that passes requests on by a routing table: it
+// admits them by tenants' rates and programs' budgets, keeps histories, chooses
+// replicas, and says what may have run. Its books are the cores'.
+package relay
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
+)
+
+// Piece is one part of a prompt, as a requester names it.
+type Piece struct {
+	ID     uint64
+	Tokens int64
+}
+
+// Ask is a request that arrived whole.
+type Ask struct {
+	Host, Path string
+	Key        string
+	HasKey     bool
+	Attempt    string
+	Program    string
+	Session    string
+	// Previous names the kept turn that this one goes on from.
+	Previous string
+	// Budget is what all turns of the program may put out, Most what this one
+	// may.
+	Budget, Most int64
+	Prompt       []Piece
+	Left         time.Duration
+	HeadBytes    int64
+	BodyBytes    int64
+	Input        []byte
+}
+
+// Kinds of steps.
+const (
+	// StepRefuse: it has not run and never will.
+	StepRefuse = "refuse"
+	// StepSend: send it to a replica.
+	StepSend = "send"
+	// StepPass: what the replica answered may be ended and passed on.
+	StepPass = "pass"
+	// StepBreak: it may have run; nothing is promised.
+	StepBreak = "break"
+)
+
+// Step is what is to be done next with a request.
+type Step struct {
+	Kind       string
+	Status     int
+	Check      string
+	Reason     string
+	RetryAfter time.Duration
+	Replica    desk.Replica
+	Service    string
+	Tenant     string
+	Urgency    int64
+	// Before is what kept turns put before the input.
+	Before [][]byte
+	// Kept asks for the output to be told with the outcome.
+	Kept bool
+	// Stream: the answer is a row of events. Resumable: it may be taken up.
+	Stream, Resumable bool
+	// Within is how long the replica may take.
+	Within time.Duration
+}
+
+// Return hands a step to whoever waits under a ticket.
+type Return struct {
+	Ticket uint64
+	Step   Step
+}
+
+// Kinds of outcomes of one sending.
+const (
+	// NotRun: the replica promised that it did not run, or was never reached.
+	NotRun = "not run"
+	// Broken: it may have run.
+	Broken = "broken"
+	// Whole: the replica answered whole.
+	Whole = "whole"
+)
+
+// Load is what a replica said of its own load.
+type Load struct {
+	Running, Waiting, Slots int64
+}
+
+// Outcome is what became of one sending.
+type Outcome struct {
+	Kind string
+	// Moved: another replica answered at this address. Unreached: no
+	// connection came up.
+	Moved, Unreached bool
+	// Begun: the requester has had a part of the answer.
+	Begun  bool
+	Events int64
+	// Output is what a kept turn put out.
+	Output []byte
+	// Failed: the answer is a failure, which keeps nothing.
+	Failed bool
+	Load   *Load
+	// Gone: the requester has gone away.
+	Gone bool
+	// Cold counts a connection that had to be opened.
+	Cold bool
+}
+
+// Send is a message for the process at an address.
+type Send struct {
+	To   string
+	Body any
+}
+
+// Output is what a step of the machine wants done.
+type Output struct {
+	Sends   []Send
+	Returns []Return
+}
+
+// Params bound a node's timing and room; all else are ratios to these.
+type Params struct {
+	Core core.Params
+	// Beat is how often replicas announce themselves.
+	Beat time.Duration
+	// Follow is how often desks are asked for what was missed.
+	Follow time.Duration
+	// Window is what tenants' rates are counted in; Overshoot and Slack are by
+	// how much a window may pass its limit, of which half is used.
+	Window    time.Duration
+	Overshoot float64
+	Slack     int64
+	// PromptRate is how many tokens of a prompt a replica reads in a
+	// millisecond.
+	PromptRate float64
+	// Buffer is how many requests may be under way.
+	Buffer int
+	// Cache is how many bytes of kept turns are held.
+	Cache int64
+	// BookKeep is how long a program's books are kept after its last turn.
+	BookKeep time.Duration
+}
+
+// Counters are what a node counts.
+type Counters struct {
+	Requests, Sent, Whole, Broken, NotRun, Resent, Resumed, Gone             int64
+	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages      int64
+	NewConnections, RefusedRate, RefusedBudget, RefusedFull, RefusedUnsure   int64
+	UnknownKey, UnknownRoute, UnknownTurn, TooLarge, DeadlinePassed, Settles int64
+	CarriedForOthers                                                         int64
+}
--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -3,6 +3,7 @@
 package stream
 
 import (
+	"bufio"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -16,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"saffronfall/peer/clock"
+	"saffronfall/peer/socket"
 	"saffronfall/rule/message"
 )
 
@@ -121,6 +123,7 @@
 
 func (s *Streams) carry(to string, out chan []byte) {
 	var c net.Conn
+	var frames []byte
 	dialled := -s.params.Patience
 	for {
 		var raw []byte
@@ -141,17 +144,35 @@
 				continue
 			}
 		}
-		frame := binary.LittleEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
+		// What waits meanwhile goes out in the same write.
+		frames = append(binary.LittleEndian.AppendUint32(frames[:0], uint32(len(raw))), raw...)
+		for more := true; more && len(frames) < batch; {
+			select {
+			case raw = <-out:
+				frames = append(binary.LittleEndian.AppendUint32(frames, uint32(len(raw))), raw...)
+			default:
+				more = false
+			}
+		}
 		c.SetWriteDeadline(clock.Deadline(s.params.Patience))
-		if _, err := c.Write(append(frame, raw...)); err != nil {
+		_, err := c.Write(frames)
+		if cap(frames) > 4*batch {
+			frames = nil
+		}
+		if err != nil {
 			c.Close()
 			c = nil
 		}
 	}
 }
 
+// batch is how many bytes of messages go out in one write, at the least.
+const batch = 32 << 10
+
 func (s *Streams) dial(to string) net.Conn {
-	dialer := net.Dialer{Timeout: s.params.Patience}
+	// A stream whose bytes are not acknowledged, as behind a cut, is given up and
+	// dialled anew: left alone, it would stay silent long after the cut is over.
+	dialer := net.Dialer{Timeout: s.params.Patience, KeepAlive: -1, Control: socket.UserTimeout(s.params.Patience)}
 	if host, _, err := net.SplitHostPort(s.params.Advertise); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
@@ -198,8 +219,9 @@
 		return
 	}
 	head := make([]byte, 4)
+	reader := bufio.NewReaderSize(c, 16<<10)
 	for {
-		if _, err := io.ReadFull(c, head); err != nil {
+		if _, err := io.ReadFull(reader, head); err != nil {
 			return
 		}
 		size := binary.LittleEndian.Uint32(head)
@@ -208,7 +230,7 @@
 			return
 		}
 		raw := make([]byte, size)
-		if _, err := io.ReadFull(c, raw); err != nil {
+		if _, err := io.ReadFull(reader, raw); err != nil {
 			return
 		}
 		body, err := message.Open(raw)
--- a/rehearsalkit/simulator/run.go
+++ b/rehearsalkit/simulator/run.go
@@ -421,7 +421,7 @@
 			spare.takeCore(out)
 			w.cores = append(w.cores, spare)
 			w.Operate(by, func(m *core.Machine, now time.Duration, ticket uint64) core.Output {
-				return m.Change(now, ticket, core.ReplaceCore, old.id, spare.id, 8*time.Second)
+				return m.Change(now, ticket, core.Replace, old.id, spare.id, 8*time.Second)
 			}, func(body any) {
 				if changed, ok := body.(core.Changed); ok && changed.Done {
 					w.Counts["cores retired"]++
--- /dev/null
+++ b/saffronfall/deskprocess/process.go
@@ -0,0 +1,200 @@
+// Package deskprocess is the desk's role: a thin shell round the desk's machine,
+// with a surface for replicas and operators.
+package deskprocess
+
+import (
+	"context"
+	crypto "crypto/rand"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+
+	"saffronfall/peer/clock"
+	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
+	"saffronfall/peer/stream"
+	"saffronfall/saffronfall/params"
+)
+
+type process struct {
+	params  params.Params
+	adopt   <-chan params.Params
+	log     logr.Logger
+	machine *desk.Machine
+	streams *stream.Streams
+	start   time.Duration
+	calls   chan func(now time.Duration) desk.Output
+	life    context.Context
+	answers map[uint64]chan any
+	next    uint64
+	sent    int64
+	dropped int64
+	bad     int64
+	table   int64
+}
+
+// Run runs the role until the context ends. The surface makes the handler of
+// what replicas and operators call.
+func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger, surface func(calls desk.Calls) http.Handler) error {
+	raw := make([]byte, 6)
+	if _, err := crypto.Read(raw); err != nil {
+		return err
+	}
+	streams, err := stream.Listen(stream.Params{Listen: p.PeerListen, Advertise: p.PeerAdvertise, Secret: p.Secret,
+		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: 2 * p.Core().Pull})
+	if err != nil {
+		return err
+	}
+	life, cancel := context.WithCancel(context.Background())
+	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, calls: make(chan func(time.Duration) desk.Output, 64), answers: map[uint64]chan any{}}
+	s.machine = desk.New(desk.Options{Params: p.Desk(), ID: p.ID, Life: hex.EncodeToString(raw), Address: p.PeerAdvertise, Seeds: p.Seeds, Founds: p.Founds, Now: s.now(), Random: rand.Float64})
+	log.Info("desk started", "id", p.ID, "founds", p.Founds)
+	var group run.Group
+	group.Add(func() error { return s.own() }, func(error) { cancel() })
+	group.Add(streams.Run, func(error) { streams.Close() })
+	server := &http.Server{Addr: p.OperatorListen, Handler: surface(s), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	ended := make(chan struct{})
+	group.Add(func() error {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "operator address")
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		server.Close()
+		close(ended)
+	})
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-life.Done():
+			return nil
+		}
+		log.Info("desk leaves")
+		ending, done := context.WithTimeout(context.Background(), time.Second)
+		defer done()
+		server.Shutdown(ending)
+		return nil
+	}, func(error) { cancel() })
+	return group.Run()
+}
+
+func (s *process) now() time.Duration { return clock.Now() - s.start }
+
+// own is the one goroutine that drives the machine.
+func (s *process) own() error {
+	ticker := time.NewTicker(s.params.Core().Pull / 3)
+	defer ticker.Stop()
+	for {
+		select {
+		case in := <-s.streams.In:
+			s.take(s.machine.Receive(s.now(), in.From, in.Body))
+		case call := <-s.calls:
+			s.take(call(s.now()))
+		case s.params = <-s.adopt:
+		case c := <-s.streams.Counts:
+			s.bad += c.BadStreams
+		case <-ticker.C:
+			s.take(s.machine.Tick(s.now()))
+			if table := s.machine.Status(s.now())["table"]; table != s.table {
+				s.table = table
+				s.log.Info("routing table known", "number", table)
+			}
+		case <-s.life.Done():
+			return nil
+		}
+	}
+}
+
+func (s *process) take(o desk.Output) {
+	for _, send := range o.Sends {
+		s.sent++
+		if !s.streams.Send(send.To, send.Body) {
+			s.dropped++
+		}
+	}
+	for _, a := range o.Answers {
+		if waiting, ok := s.answers[a.Ticket]; ok {
+			delete(s.answers, a.Ticket)
+			waiting <- a.Body
+		}
+	}
+}
+
+// call runs a step on the owner's goroutine and waits for its answer.
+func call[T any](ctx context.Context, s *process, step func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output) (T, error) {
+	var none T
+	waiting := make(chan any, 1)
+	select {
+	case s.calls <- func(now time.Duration) desk.Output {
+		s.next++
+		s.answers[s.next] = waiting
+		return step(s.machine, now, s.next)
+	}:
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case body := <-waiting:
+		value, ok := body.(T)
+		if !ok {
+			return none, errors.Newf("unexpected answer %T", body)
+		}
+		return value, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func done(o desk.Output, ticket uint64) desk.Output {
+	o.Answers = append(o.Answers, desk.Answer{Ticket: ticket, Body: true})
+	return o
+}
+
+// Beat takes what a replica says of itself.
+func (s *process) Beat(ctx context.Context, r desk.Replica) error {
+	_, err := call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return done(m.Beat(now, r), ticket) })
+	return err
+}
+
+// Leave takes a replica off the list.
+func (s *process) Leave(ctx context.Context, id string) error {
+	_, err := call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return done(m.Leave(now, id), ticket) })
+	return err
+}
+
+// Apply hands a routing table over.
+func (s *process) Apply(ctx context.Context, base uint64, text []byte, digest string) (desk.Handed, error) {
+	return call[desk.Handed](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return m.Apply(now, ticket, base, text, digest)
+	})
+}
+
+// Read reads the routing table in force.
+func (s *process) Read(ctx context.Context) (core.AgreedTable, error) {
+	return call[core.AgreedTable](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return m.Read(now, ticket) })
+}
+
+// Retire asks for a core to be emptied.
+func (s *process) Retire(ctx context.Context, id string) (desk.Emptied, error) {
+	return call[desk.Emptied](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return m.Retire(now, ticket, id) })
+}
+
+// Retired tells how far the emptying of a core is.
+func (s *process) Retired(ctx context.Context, id string) (desk.Emptied, error) {
+	return call[desk.Emptied](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return m.Retired(now, ticket, id) })
+}
+
+// Counters are this process's counts.
+func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
+	return call[map[string]int64](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		counts := m.Status(now)
+		counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.sent, s.dropped, s.bad
+		return desk.Output{Answers: []desk.Answer{{Ticket: ticket, Body: counts}}}
+	})
+}
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -89,7 +89,7 @@
 }
 
 func (c *coreAdd) Run() error {
-	return c.change(operator.Life{Kind: core.AddCore}, c.New)
+	return c.change(operator.Life{Kind: core.Add}, c.New)
 }
 
 type coreRetire struct {
@@ -98,7 +98,7 @@
 }
 
 func (c *coreRetire) Run() error {
-	return c.change(operator.Life{Kind: core.RetireCore, ID: c.ID}, "")
+	return c.change(operator.Life{Kind: core.Retire, ID: c.ID}, "")
 }
 
 type coreReplace struct {
@@ -108,7 +108,7 @@
 }
 
 func (c *coreReplace) Run() error {
-	return c.change(operator.Life{Kind: core.ReplaceCore, ID: c.ID, By: c.By}, "")
+	return c.change(operator.Life{Kind: core.Replace, ID: c.ID, By: c.By}, "")
 }
 
 type changing struct {
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -44,6 +44,11 @@
 	Largest      int64   `json:"largest_inquiry_bytes"`
 	UrgentRatio  float64 `json:"urgent_ratio"`
 	Verbosity    int64   `json:"log_verbosity"`
+	ColdStart    bool    `json:"cold_start"`
+	CoreGoneMS   int64   `json:"core_gone_ms"`
+	GroupSeats   int64   `json:"group_seats"`
+
+	Relay
 }
 
 // live names the settings that are taken while a process runs.
@@ -104,6 +109,9 @@
 	{Path: "buffer", Type: "int", Default: 1024, Min: 8, Max: 1e6, About: "room of every buffer"},
 	{Path: "largest_inquiry_bytes", Type: "int", Default: 1 << 20, Min: 1024, Max: 64 << 20, About: "largest body of an inquiry"},
 	{Path: "urgent_ratio", Type: "number", Default: 0.25, Min: 0, Max: 0.9, About: "part of the buffers kept for urgent services"},
+	{Path: "cold_start", Type: "bool", Default: false, About: "this core may found a fleet, or be founded, when its folder is empty and no fleet is found"},
+	{Path: "core_gone_ms", Type: "int", Default: 0, Min: 0, Max: 3600000, About: "after how long a silent core's seats go to others; 0: three terms of a node"},
+	{Path: "group_seats", Type: "int", Default: 3, Min: 1, Max: 9, About: "cores that keep each part of a fleet that is founded anew; 3 bear the loss of one, 5 of two"},
 	{Path: "log_verbosity", Type: "int", Default: 0, Min: 0, Max: 4, About: "how much is logged beyond changes of state"},
 }
 
@@ -176,7 +184,7 @@
 func (p Params) Core() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: ms(p.OwnerTermMS), Drift: p.Drift, Renewals: 5, Sweeps: 8, Home: 20},
 		MemberTerm: ms(p.MemberTermMS),
-		Retry:      ms(p.RetryMS), Pull: ms(p.PullMS)}
+		Retry:      ms(p.RetryMS), Pull: ms(p.PullMS), Gone: ms(p.CoreGoneMS), ColdStart: p.ColdStart}
 }
 
 // Node are the data plane's bounds.
--- /dev/null
+++ b/saffronfall/params/relay.go
@@ -0,0 +1,57 @@
+package params
+
+import (
+	"saffronfall/peer/desk"
+	"saffronfall/peer/relay"
+	"saffronfall/rule/configuration"
+)
+
+// Relay are the settings of desks and relaying nodes.
+type Relay struct {
+	BeatMS        int64   `json:"beat_ms"`
+	FollowMS      int64   `json:"follow_ms"`
+	RateWindowMS  int64   `json:"rate_window_ms"`
+	RateOvershoot float64 `json:"rate_overshoot"`
+	RateSlack     int64   `json:"rate_slack"`
+	PromptRate    float64 `json:"prompt_tokens_per_ms"`
+	Requests      int64   `json:"requests"`
+	CacheBytes    int64   `json:"cache_bytes"`
+	BookKeepMS    int64   `json:"book_keep_ms"`
+	DialMS        int64   `json:"dial_ms"`
+	OrderMS       int64   `json:"order_ms"`
+	Founds        bool    `json:"founds"`
+	PartsPerCore  int64   `json:"parts_per_core"`
+	ReadyListen   string  `json:"ready_listen"`
+	NotReadyMS    int64   `json:"not_ready_ms"`
+}
+
+func init() {
+	Rows = append(Rows,
+		configuration.Row{Path: "beat_ms", Type: "int", Default: 1000, Min: 50, Max: 60000, About: "how often replicas announce themselves at desks"},
+		configuration.Row{Path: "follow_ms", Type: "int", Default: 500, Min: 20, Max: 60000, About: "how often a node asks desks for what it missed; changes come at once"},
+		configuration.Row{Path: "rate_window_ms", Type: "int", Default: 5000, Min: 100, Max: 3600000, About: "window that tenants' rates are counted in"},
+		configuration.Row{Path: "rate_overshoot", Type: "number", Default: 0.0, Min: 0, Max: 1, About: "by which part a window may pass its limit; half of it is used"},
+		configuration.Row{Path: "rate_slack", Type: "int", Default: 0, Min: 0, Max: 1e9, About: "by how many requests a window may pass its limit; half of them are used"},
+		configuration.Row{Path: "prompt_tokens_per_ms", Type: "number", Default: 80.0, Min: 0.01, Max: 1e6, About: "how fast a replica reads prompts, to weigh kept parts against load"},
+		configuration.Row{Path: "requests", Type: "int", Default: 2000, Min: 1, Max: 1e6, About: "requests under way at a node; more are refused at once"},
+		configuration.Row{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, About: "kept turns that a node remembers, to save asking the cores"},
+		configuration.Row{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, About: "how long a program's books are kept after its last turn began"},
+		configuration.Row{Path: "dial_ms", Type: "int", Default: 300, Min: 10, Max: 60000, About: "how long a connection to a replica may take to come up"},
+		configuration.Row{Path: "order_ms", Type: "int", Default: 3000, Min: 100, Max: 600000, About: "how long a desk tries to carry an operator's call out"},
+		configuration.Row{Path: "founds", Type: "bool", Default: false, About: "this one desk founds a fleet that was never founded"},
+		configuration.Row{Path: "parts_per_core", Type: "int", Default: 2, Min: 1, Max: 64, About: "parts that a desk founds a fleet with for each core, besides the configuration's"},
+		configuration.Row{Path: "ready_listen", Type: "text", Default: "", Check: maybeAddress, About: "where a node says whether it is ready; empty: nowhere else"},
+		configuration.Row{Path: "not_ready_ms", Type: "int", Default: 2500, Min: 0, Max: 60000, About: "how long a leaving node still takes requests after it says that it is not ready"},
+	)
+}
+
+// Desk are a desk's bounds.
+func (p Params) Desk() desk.Params {
+	return desk.Params{Core: p.Core(), Beat: ms(p.BeatMS), Seats: int(p.GroupSeats), PartsPerCore: int(p.PartsPerCore), Within: ms(p.OrderMS)}
+}
+
+// RelayNode are a relaying node's bounds.
+func (p Params) RelayNode() relay.Params {
+	return relay.Params{Core: p.Core(), Beat: ms(p.BeatMS), Follow: ms(p.FollowMS), Window: ms(p.RateWindowMS), Overshoot: p.RateOvershoot, Slack: p.RateSlack,
+		PromptRate: p.PromptRate, Buffer: int(p.Requests), Cache: p.CacheBytes, BookKeep: ms(p.BookKeepMS)}
+}
--- /dev/null
+++ b/saffronfall/relayprocess/process.go
@@ -0,0 +1,337 @@
+// Package relayprocess is the role of a node that relays requests by a routing
+// table: a thin shell round the relay's machine.
+package relayprocess
+
+import (
+	"context"
+	crypto "crypto/rand"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+
+	"saffronfall/peer/clock"
+	"saffronfall/peer/front"
+	"saffronfall/peer/operator"
+	"saffronfall/peer/relay"
+	"saffronfall/peer/replica"
+	"saffronfall/peer/stream"
+	"saffronfall/saffronfall/params"
+)
+
+type told struct {
+	step relay.Step
+	line *replica.Line
+}
+
+type came struct {
+	ticket  uint64
+	outcome relay.Outcome
+}
+
+type process struct {
+	params  params.Params
+	adopt   <-chan params.Params
+	log     logr.Logger
+	machine *relay.Machine
+	streams *stream.Streams
+	start   time.Duration
+	arrive  chan *way
+	came    chan came
+	gone    chan uint64
+	calls   chan func(now time.Duration)
+	closing chan struct{}
+	life    context.Context
+
+	waiting map[uint64]*way
+	lines   map[string]*line
+	next    uint64
+	sent    int64
+	dropped int64
+	bad     int64
+	number  uint64
+	ready   bool
+}
+
+type line struct {
+	*replica.Line
+	address string
+	usedAt  time.Duration
+}
+
+// Run runs the role until the context ends, then drains it. Names are the
+// headers that requesters and replicas speak with.
+func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger, names replica.Names) error {
+	raw := make([]byte, 6)
+	if _, err := crypto.Read(raw); err != nil {
+		return err
+	}
+	streams, err := stream.Listen(stream.Params{Listen: p.PeerListen, Advertise: p.PeerAdvertise, Secret: p.Secret,
+		Buffer: int(p.Buffer), Largest: 64 << 20, Patience: 2 * p.Core().Pull})
+	if err != nil {
+		return err
+	}
+	life, cancel := context.WithCancel(context.Background())
+	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, closing: make(chan struct{}),
+		arrive: make(chan *way, 64), came: make(chan came, 64), gone: make(chan uint64, 64), calls: make(chan func(time.Duration), 16),
+		waiting: map[uint64]*way{}, lines: map[string]*line{}}
+	s.machine = relay.New(relay.Options{Params: p.RelayNode(), ID: p.ID, Life: hex.EncodeToString(raw), Zone: p.Zone, Address: p.PeerAdvertise, Seeds: p.Seeds, Now: s.now(), Random: rand.Float64})
+	log.Info("relay started", "id", p.ID)
+
+	var group run.Group
+	group.Add(func() error { return s.own() }, func(error) { cancel() })
+	group.Add(streams.Run, func(error) { streams.Close() })
+	handler := front.Handler(front.Options{Owner: s, Names: names, Most: 64 << 20, Closing: s.closing})
+	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
+	serve(&group, server, "requester address")
+	if p.ReadyListen != "" {
+		serve(&group, &http.Server{Addr: p.ReadyListen, Handler: http.HandlerFunc(s.tellReady), ReadHeaderTimeout: 5 * time.Second}, "readiness address")
+	}
+	if p.OperatorListen != "" && p.Operators != "" {
+		serve(&group, &http.Server{Addr: p.OperatorListen, Handler: operator.Guard(p.Operators, s.operators()), ReadHeaderTimeout: 5 * time.Second}, "operator address")
+	}
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-life.Done():
+			return nil
+		}
+		s.drain(server)
+		return nil
+	}, func(error) { cancel() })
+	return group.Run()
+}
+
+func serve(group *run.Group, server *http.Server, what string) {
+	ended := make(chan struct{})
+	group.Add(func() error {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, what)
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		server.Close()
+		close(ended)
+	})
+}
+
+// drain says that this node is not ready, and goes on until nobody sends new
+// connections here and what runs has ended.
+func (s *process) drain(server *http.Server) {
+	s.log.Info("relay leaves")
+	left := make(chan struct{})
+	s.calls <- func(time.Duration) {
+		s.machine.Leave()
+		close(left)
+	}
+	<-left
+	close(s.closing)
+	wait := time.NewTimer(time.Duration(s.params.NotReadyMS) * time.Millisecond)
+	<-wait.C
+	ending, cancel := context.WithTimeout(context.Background(), s.params.Grace())
+	defer cancel()
+	err := server.Shutdown(ending)
+	s.log.Info("relay stopped", "whole", err == nil)
+}
+
+func (s *process) now() time.Duration { return clock.Now() - s.start }
+
+// own is the one goroutine that drives the machine.
+func (s *process) own() error {
+	ticker := time.NewTicker(s.params.Core().Pull / 3)
+	defer ticker.Stop()
+	for {
+		select {
+		case in := <-s.streams.In:
+			s.take(s.machine.Receive(s.now(), in.From, in.Body))
+		case w := <-s.arrive:
+			s.next++
+			w.ticket = s.next
+			s.waiting[w.ticket] = w
+			s.take(s.machine.Arrive(s.now(), w.ticket, w.ask))
+		case c := <-s.came:
+			s.take(s.machine.Came(s.now(), c.ticket, c.outcome))
+		case ticket := <-s.gone:
+			s.take(s.machine.Gone(s.now(), ticket))
+		case call := <-s.calls:
+			call(s.now())
+		case s.params = <-s.adopt:
+		case c := <-s.streams.Counts:
+			s.bad += c.BadStreams
+		case <-ticker.C:
+			now := s.now()
+			s.take(s.machine.Tick(now))
+			s.report(now)
+		case <-s.life.Done():
+			return nil
+		}
+	}
+}
+
+func (s *process) report(now time.Duration) {
+	if number := s.machine.Number(); number != s.number {
+		s.number = number
+		s.log.Info("routing table in force", "number", number)
+	}
+	if ready := s.machine.Ready(now); ready != s.ready {
+		s.ready = ready
+		s.log.Info("readiness", "ready", ready, "knows", s.machine.Describe(now))
+	}
+	for id, l := range s.lines {
+		if now > l.usedAt+time.Minute {
+			l.Close()
+			delete(s.lines, id)
+		}
+	}
+}
+
+func (s *process) take(o relay.Output) {
+	for _, send := range o.Sends {
+		s.sent++
+		if !s.streams.Send(send.To, send.Body) {
+			s.dropped++
+		}
+	}
+	for _, r := range o.Returns {
+		w, ok := s.waiting[r.Ticket]
+		if !ok {
+			continue
+		}
+		t := told{step: r.Step}
+		if r.Step.Kind == relay.StepSend {
+			t.line = s.lineTo(r.Step)
+		} else {
+			delete(s.waiting, r.Ticket)
+		}
+		w.answers <- t
+	}
+}
+
+func (s *process) lineTo(step relay.Step) *replica.Line {
+	l := s.lines[step.Replica.ID]
+	if l == nil || l.address != step.Replica.Address {
+		l = &line{Line: replica.NewLine(step.Replica.Address, 32, time.Duration(s.params.DialMS)*time.Millisecond), address: step.Replica.Address}
+		s.lines[step.Replica.ID] = l
+	}
+	l.usedAt = s.now()
+	return l.Line
+}
+
+// way is one request, as its own goroutine sees it.
+type way struct {
+	process *process
+	ctx     context.Context
+	ask     relay.Ask
+	ticket  uint64
+	answers chan told
+}
+
+// Arrive hands a request to the owner's goroutine and waits for its first step.
+func (s *process) Arrive(ctx context.Context, a relay.Ask) (front.Way, relay.Step, *replica.Line, bool) {
+	w := &way{process: s, ctx: ctx, ask: a, answers: make(chan told, 2)}
+	select {
+	case s.arrive <- w:
+	case <-s.life.Done():
+		return nil, relay.Step{}, nil, false
+	}
+	step, line, ok := w.wait()
+	return w, step, line, ok
+}
+
+func (w *way) wait() (relay.Step, *replica.Line, bool) {
+	select {
+	case t := <-w.answers:
+		return t.step, t.line, true
+	case <-w.process.life.Done():
+		return relay.Step{}, nil, false
+	case <-w.ctx.Done():
+	}
+	select {
+	case t := <-w.answers:
+		return t.step, t.line, true
+	case w.process.gone <- w.ticketOf():
+	case <-w.process.life.Done():
+		return relay.Step{}, nil, false
+	}
+	select {
+	case t := <-w.answers:
+		return t.step, t.line, true
+	case <-w.process.life.Done():
+		return relay.Step{}, nil, false
+	}
+}
+
+func (w *way) ticketOf() uint64 {
+	got := make(chan uint64, 1)
+	select {
+	case w.process.calls <- func(time.Duration) { got <- w.ticket }:
+	case <-w.process.life.Done():
+		return 0
+	}
+	select {
+	case ticket := <-got:
+		return ticket
+	case <-w.process.life.Done():
+		return 0
+	}
+}
+
+// Came tells what became of a sending and waits for the next step.
+func (w *way) Came(o relay.Outcome) (relay.Step, *replica.Line, bool) {
+	select {
+	case w.process.came <- came{ticket: w.ticket, outcome: o}:
+	case <-w.process.life.Done():
+		return relay.Step{}, nil, false
+	}
+	return w.wait()
+}
+
+func (s *process) look(ctx context.Context, of func(now time.Duration)) error {
+	done := make(chan struct{})
+	select {
+	case s.calls <- func(now time.Duration) {
+		of(now)
+		close(done)
+	}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *process) tellReady(w http.ResponseWriter, r *http.Request) {
+	ready := false
+	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	defer cancel()
+	if err := s.look(ctx, func(now time.Duration) { ready = s.machine.Ready(now) }); err != nil || !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *process) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, r *http.Request) {
+		var counts map[string]int64
+		if err := s.look(r.Context(), func(now time.Duration) {
+			counts = s.machine.Status(now)
+			counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.sent, s.dropped, s.bad
+		}); err != nil {
+			operator.Write(w, 503, operator.Fault{Code: "unsure", Reason: err.Error(), Ran: "no"})
+			return
+		}
+		operator.Write(w, 200, counts)
+	})
+	return mux
+}
