--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -150,7 +150,7 @@
 		cost += 5
 	}
 	if s.replica.Zone != m.zone {
-		cost += 1
+		cost += 5
 	}
 	if len(w.ask.Prompt) > 0 {
 		var unread int64
