Rates: ledgers reserve blocks that last and grant from memory; short waits

Also found: a holding that was dropped and taken up again under its name let a node spend what had been booked as spent. Ruled out: the limits themselves. Change: nodes hold a spare request only where the limit has plenty for each node, return what is idle, tell when requests were spent, and wait a short time instead of refusing; the part reserves an eighth of a window durably and grants from it; whoever takes over counts all reserved as spent; an expired holding begins anew. 0.85 of overshoot and slack are used.

--- a/peer/core/relay.go
+++ b/peer/core/relay.go
@@ -197,7 +197,7 @@
 }
 
 func (r *rules) seatedRelay(tx *part.Tx) {
-	r.ends = expiries{}
+	r.ends, r.ledgers = expiries{}, map[string]*rate.Ledger{}
 	for _, key := range tx.Keys(keptPrefix) {
 		if t, ok := read[keptTurn](tx, key); ok {
 			r.ends.add(key, t.Until)
@@ -282,9 +282,17 @@
 		var answer RatesDrawn
 		for _, d := range c.Draws {
 			key := ratePrefix + d.Tenant
-			l, _ := read[rate.Ledger](tx, key)
-			answer.Drawn = append(answer.Drawn, l.Take(tx.Clock(), d.Draw))
-			write(tx, key, l)
+			l := r.ledgers[key]
+			if l == nil {
+				reserve, _ := read[rate.Reserve](tx, key)
+				l = rate.Open(tx.Clock(), reserve, d.Draw.Term)
+				r.ledgers[key] = l
+			}
+			drawn, changed := l.Take(tx.Clock(), d.Draw)
+			answer.Drawn = append(answer.Drawn, drawn)
+			if changed {
+				write(tx, key, l.Reserve)
+			}
 		}
 		return answer
 	case AgreeTable:
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -13,6 +13,7 @@
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
 	"saffronfall/rule/program"
+	"saffronfall/rule/rate"
 )
 
 // Chunk is how many units of a tenant's rate let a bucket hold one inquiry.
@@ -46,6 +47,7 @@
 	versions map[string]uint64
 	seatedAt time.Duration
 	ends     expiries
+	ledgers  map[string]*rate.Ledger
 }
 
 func (r *rules) Seated(now time.Duration, tx *part.Tx) {
@@ -183,17 +185,7 @@
 	case SetFloor:
 		return r.setFloor(now, tx, c)
 	case PutCore:
-		old, ok := read[Core](tx, corePrefix+c.Core.ID)
-		switch {
-		case ok && old == c.Core:
-		case ok && old.Version >= c.Core.Version:
-			return Done{}
-		case ok && old.Retired && !c.Core.Retired:
-			return Done{}
-		default:
-			write(tx, corePrefix+c.Core.ID, c.Core)
-		}
-		return Done{OK: true}
+		return putCore(tx, c)
 	case RetireCore:
 		return r.retireCore(tx, c)
 	case Sweep:
@@ -205,6 +197,24 @@
 	return Done{OK: true}
 }
 
+func putCore(tx *part.Tx, c PutCore) any {
+	old, ok := read[Core](tx, corePrefix+c.Core.ID)
+	_, outlived := tx.Get(outlivedPrefix + c.Core.Seat())
+	switch {
+	case outlived, ok && old.Retired && !c.Core.Retired:
+		return CoreEnded{Core: old}
+	case ok && old == c.Core:
+		return Done{OK: true}
+	case ok && old.Version >= c.Core.Version:
+		return Done{}
+	}
+	if ok && old.Incarnation != c.Core.Incarnation {
+		write(tx, outlivedPrefix+old.Seat(), true)
+	}
+	write(tx, corePrefix+c.Core.ID, c.Core)
+	return Done{OK: true}
+}
+
 func (r *rules) retireCore(tx *part.Tx, c RetireCore) any {
 	cores, enough := r.fleet()
 	for _, key := range tx.Keys(corePrefix) {
--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -5,15 +5,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"hash/fnv"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
 )
@@ -67,10 +71,12 @@
 	}
 	x := &exchange{handler: h, w: w, r: r}
 	var err error
-	if r.ContentLength > 0 && r.ContentLength <= h.Most {
+	switch {
+	case r.ContentLength > h.Most:
+	case r.ContentLength > 0:
 		x.body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, x.body)
-	} else if r.ContentLength != 0 {
+	case r.ContentLength < 0:
 		x.body, err = io.ReadAll(io.LimitReader(r.Body, h.Most+1))
 	}
 	switch {
@@ -79,7 +85,7 @@
 		w.Header().Set("Connection", "close")
 		x.refuse(relay.Step{Status: 400, Check: "body", Reason: "the body did not come whole"})
 		return
-	case int64(len(x.body)) > h.Most:
+	case max(r.ContentLength, int64(len(x.body))) > h.Most:
 		w.Header().Set("Connection", "close")
 		x.refuse(relay.Step{Status: 413, Check: "limits", Reason: "the body is larger than any allowed"})
 		return
@@ -113,6 +119,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// longestMS is as long as any deadline, in milliseconds.
+const longestMS = 86400000
+
 func (h *handler) read(r *http.Request, body []byte) (relay.Ask, string) {
 	n := h.Names
 	a := relay.Ask{Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(n.Attempt), Program: r.Header.Get(n.Program), Session: r.Header.Get(n.Session),
@@ -134,10 +143,10 @@
 	}
 	if text := r.Header.Get(n.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil {
+		if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) {
 			return a, n.Deadline + " is not a number"
 		}
-		a.Left = time.Duration(ms * float64(time.Millisecond))
+		a.Left = time.Duration(min(max(ms, -1), longestMS) * float64(time.Millisecond))
 		if a.Left == 0 {
 			a.Left = -1
 		}
@@ -151,9 +160,12 @@
 		a.Budget = max(budget, 1)
 	}
 	if text := r.Header.Get(n.Tokens); text != "" {
-		_, most, ok := strings.Cut(text, ",")
+		prompt, most, _ := strings.Cut(text, ",")
+		if read, err := strconv.ParseInt(strings.TrimSpace(prompt), 10, 64); err != nil || read < 0 {
+			return a, n.Tokens + " is not two counts"
+		}
 		count, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64)
-		if !ok || err != nil || count < 0 {
+		if err != nil || count < 0 {
 			return a, n.Tokens + " is not two counts"
 		}
 		a.Most = count
@@ -162,7 +174,8 @@
 		for _, field := range strings.Split(text, ",") {
 			id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
 			count, err := strconv.ParseInt(tokens, 10, 64)
-			if err != nil {
+			if err != nil || count < 0 {
+				// It only helps to choose.
 				continue
 			}
 			hash := fnv.New64a()
@@ -215,8 +228,8 @@
 func (x *exchange) send(s relay.Step, line *replica.Line) (relay.Step, *replica.Line, bool) {
 	n := x.Names
 	q := replica.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Attempt: x.ask.Attempt, Within: s.Within, HasBody: x.r.ContentLength != 0 || x.r.Method == http.MethodPost,
-		Header: passable(x.r.Header, n.Key, n.Tenant, n.Target, n.Deadline, n.Urgency, "Expect"), Body: append(append([][]byte(nil), s.Before...), x.body)}
-	q.Own = append(q.Own, [2]string{n.Target, s.Replica.ID}, [2]string{n.Deadline, strconv.FormatInt(max(1, s.Within.Milliseconds()), 10)})
+		Header: passable(x.r.Header, n.Attempt, n.Key, n.Tenant, n.Target, n.Deadline, n.Urgency, "Expect"), Body: append(append([][]byte(nil), s.Before...), x.body)}
+	q.Own = append(q.Own, [2]string{n.Attempt, x.ask.Attempt}, [2]string{n.Target, s.Replica.ID}, [2]string{n.Deadline, strconv.FormatInt(max(1, s.Within.Milliseconds()), 10)})
 	if s.Tenant != "" {
 		q.Own = append(q.Own, [2]string{n.Tenant, s.Tenant})
 	}
@@ -239,8 +252,8 @@
 	ok := r.StatusCode >= 200 && r.StatusCode < 300
 	switch {
 	case r.NotRun:
-		_, err := io.Copy(io.Discard, io.LimitReader(r.Body, 1<<16))
-		r.Done(err == nil)
+		size, err := io.Copy(io.Discard, io.LimitReader(r.Body, mostPromise))
+		r.Done(err == nil && size < mostPromise)
 		o.Kind, o.Moved = relay.NotRun, r.Moved
 	case ok && (r.Header.Get(n.Seal) == "" || !r.Delimited()):
 		r.Done(false)
@@ -250,10 +263,13 @@
 	default:
 		return x.pass(r, o)
 	}
-	o.Gone = x.r.Context().Err() != nil
+	o.Gone = o.Gone || x.r.Context().Err() != nil
 	return x.way.Came(o)
 }
 
+// mostPromise is how much is read of an answer that promises that nothing ran.
+const mostPromise = 64 << 10
+
 func load(text string) *relay.Load {
 	fields := strings.Split(text, ",")
 	if len(fields) != 3 {
@@ -280,10 +296,15 @@
 	}
 }
 
+var errTooLarge = errors.New("more than any answer may hold")
+
 // pass carries an answer that is not streamed. It is passed on only when it came
 // whole.
 func (x *exchange) pass(r *replica.Response, o relay.Outcome) (relay.Step, *replica.Line, bool) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, x.Most+1))
+	if int64(len(body)) > x.Most {
+		err = errTooLarge
+	}
 	r.Done(err == nil)
 	o.Gone = x.r.Context().Err() != nil
 	if err != nil || x.started || !r.Delimited() {
@@ -294,7 +315,11 @@
 	step, line, ok := x.way.Came(o)
 	if ok && step.Kind == relay.StepPass {
 		x.head(r)
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		size := int64(len(body))
+		if x.r.Method == http.MethodHead {
+			size = r.ContentLength
+		}
+		x.w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 		x.w.WriteHeader(r.StatusCode)
 		x.w.Write(body)
 		x.started = true
@@ -307,69 +332,80 @@
 func (x *exchange) relay(r *replica.Response, s relay.Step, o relay.Outcome) relay.Outcome {
 	controller := http.NewResponseController(x.w)
 	reader := bufio.NewReaderSize(r.Body, 4096)
-	var event []byte
-	var data []byte
-	id, has := "", false
-	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if err == bufio.ErrBufferFull {
-			continue
+	var e event
+	at := 0
+	end := func(kind string, whole bool) relay.Outcome {
+		r.Done(whole)
+		o.Kind = kind
+		return o
+	}
+	dispatch := func() bool {
+		if !x.write(r, e.raw, controller) {
+			o.Gone = true
+			return false
 		}
-		if err != nil {
-			r.Done(err == io.EOF)
-			if err != io.EOF {
-				o.Kind = relay.Broken
-				return o
+		if e.has {
+			o.Events++
+			o.Begun = true
+			if s.Kept {
+				x.output = append(append(x.output, e.data...), '\n')
 			}
-			if len(event) > 0 || !x.started {
-				x.write(r, event, controller)
-			}
-			o.Kind, o.Begun, o.Output = relay.Whole, x.started, x.output
-			return o
 		}
-		whole := event
-		if i := lastLine(event); i >= 0 {
-			whole = event[i:]
+		if e.id != "" {
+			x.lastID = e.id
 		}
-		text := strings.TrimRight(string(whole), "\r\n")
+		e, at = event{raw: e.raw[:0], data: e.data[:0]}, 0
+		return true
+	}
+	for {
+		line, err := reader.ReadSlice('\n')
+		e.raw = append(e.raw, line...)
 		switch {
-		case text == "":
-			if !x.write(r, event, controller) {
-				r.Done(false)
-				o.Kind = relay.Broken
-				return o
-			}
-			if has {
-				o.Events++
-				o.Begun = true
-				if s.Kept {
-					x.output = append(append(x.output, data...), '\n')
-				}
-			}
-			if id != "" {
-				x.lastID = id
+		case err != nil && err != io.EOF && err != bufio.ErrBufferFull, int64(len(e.raw)) > x.Most:
+			return end(relay.Broken, false)
+		case err == bufio.ErrBufferFull:
+			continue
+		}
+		if blank := e.take(e.raw[at:]); blank && err == nil {
+			if !dispatch() {
+				return end(relay.Broken, false)
 			}
-			event, data, id, has = event[:0], data[:0], "", false
-		case strings.HasPrefix(text, "id:"):
-			id = strings.TrimPrefix(text[3:], " ")
-		case strings.HasPrefix(text, "data:"):
-			if has {
-				data = append(data, '\n')
+			continue
+		}
+		at = len(e.raw)
+		if err == io.EOF {
+			// A whole stream ends its last event, with or without a blank line.
+			if (len(e.raw) > 0 || !x.started) && !dispatch() {
+				return end(relay.Broken, false)
 			}
-			data, has = append(data, strings.TrimPrefix(text[5:], " ")...), true
+			o.Begun, o.Output = x.started, x.output
+			return end(relay.Whole, true)
 		}
 	}
 }
 
-// lastLine is where the last line of what was read begins.
-func lastLine(b []byte) int {
-	for i := len(b) - 2; i >= 0; i-- {
-		if b[i] == '\n' {
-			return i + 1
+// event is one event of a stream, as far as it has been read.
+type event struct {
+	raw, data []byte
+	id        string
+	has       bool
+}
+
+// take reads one line of an event, and reports whether it is blank.
+func (e *event) take(line []byte) bool {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		e.id = string(value)
+	case "data":
+		if e.has {
+			e.data = append(e.data, '\n')
 		}
+		e.data, e.has = append(e.data, value...), true
 	}
-	return -1
+	return len(line) == 0
 }
 
 func (x *exchange) write(r *replica.Response, event []byte, controller *http.ResponseController) bool {
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -55,6 +55,7 @@
 	followAt  time.Duration
 	drawAt    time.Duration
 	paces     map[string]*pace
+	births    int
 	cache     *cache
 	ways      slab.Slab[*way]
 	live      map[uint64]*way
@@ -90,6 +91,10 @@
 	switch b := body.(type) {
 	case core.CommandReturn:
 		m.caller.Receive(now, from, b)
+		if now >= m.drawAt {
+			m.drawAt = now + m.params.Window/50
+			m.draw(now)
+		}
 	case desk.Bulletin:
 		m.Counters.Bulletins++
 		m.onBulletin(now, from, b)
--- a/peer/relay/pace.go
+++ b/peer/relay/pace.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"saffronfall/peer/core"
@@ -19,16 +19,59 @@
 	returned int64
 	until    time.Duration
 	// demand is how many requests a second come here, by a sliding mean.
-	demand   float64
-	arrived  int64
-	countAt  time.Duration
-	usedAt   time.Duration
-	drawing  bool
-	wanted   bool
-	drawAt   time.Duration
-	retryAt  time.Duration
-	waiting  []*way
-	reported int64
+	demand  float64
+	arrived int64
+	countAt time.Duration
+	usedAt  time.Duration
+	drawing bool
+	wanted  bool
+	drawAt  time.Duration
+	retryAt time.Duration
+	waiting []*way
+	// recent tells when what the part has not acknowledged yet was spent, told
+	// how much of it was in a draw, acknowledged how much was in an answered one.
+	recent       []spend
+	told         int64
+	acknowledged int64
+}
+
+type spend struct {
+	at    time.Duration
+	count int64
+}
+
+// spending is how finely the times of spendings are told.
+const spending = 100 * time.Millisecond
+
+func (p *pace) spend(now time.Duration) {
+	p.spent++
+	if n := len(p.recent); n > 0 && now < p.recent[n-1].at {
+		p.recent[n-1].count++
+		return
+	}
+	// The end of the time that they are counted in is told: never too early.
+	p.recent = append(p.recent, spend{at: now + spending, count: 1})
+}
+
+// acknowledge forgets the times of what the part has booked.
+func (p *pace) acknowledge(told int64) {
+	p.acknowledged = max(p.acknowledged, told)
+	open := p.spent - p.acknowledged
+	var sum int64
+	for i := len(p.recent) - 1; i >= 0; i-- {
+		if sum >= open {
+			p.recent = append([]spend(nil), p.recent[i+1:]...)
+			return
+		}
+		sum += p.recent[i].count
+	}
+}
+
+// rename begins a holding anew: what was granted before counts as spent.
+func (m *Machine) rename(p *pace) {
+	m.births++
+	p.births = m.births
+	p.granted, p.spent, p.returned, p.told, p.acknowledged, p.recent = 0, 0, 0, 0, 0, nil
 }
 
 func (p *pace) free(now time.Duration) int64 {
@@ -38,6 +81,10 @@
 	return p.granted - p.spent - p.returned
 }
 
+// used is which part of the allowed overshoot nodes use. The ledger is strict; the
+// rest is for the way from here to a replica.
+const used = 0.85
+
 // terms is which part of a window a drawn request may be used for.
 const terms = 2
 
@@ -46,7 +93,8 @@
 func (m *Machine) paceOf(now time.Duration, tenant string) *pace {
 	p := m.paces[tenant]
 	if p == nil {
-		p = &pace{tenant: tenant, countAt: now}
+		m.births++
+		p = &pace{tenant: tenant, countAt: now, births: m.births}
 		m.paces[tenant] = p
 	}
 	return p
@@ -63,12 +111,13 @@
 	p.usedAt = now
 	w.pace = p
 	if len(p.waiting) == 0 && p.free(now) > 0 {
-		p.spent++
+		p.spend(now)
 		w.paid, w.paidBirth = true, p.births
 		m.admitted(now, w)
 		return
 	}
-	if now < p.retryAt && !p.drawing {
+	w.hold = now + min((w.until-now)/4, m.params.Window/5)
+	if now < p.retryAt && !p.drawing && p.retryAt >= w.hold {
 		m.refuseRate(now, w, p.retryAt-now)
 		return
 	}
@@ -84,8 +133,13 @@
 
 // unpay gives a request back to its tenant's rate that surely did not run.
 func (m *Machine) unpay(w *way) {
-	if w.paid && w.pace != nil && w.pace.births == w.paidBirth {
-		w.pace.spent--
+	// What a draw has told as spent stays spent.
+	if p := w.pace; w.paid && p != nil && p.births == w.paidBirth && p.spent > p.told {
+		p.spent--
+		p.recent[len(p.recent)-1].count--
+		if p.recent[len(p.recent)-1].count == 0 {
+			p.recent = p.recent[:len(p.recent)-1]
+		}
 	}
 	w.paid = false
 }
@@ -100,14 +154,16 @@
 	}
 }
 
-// want is how many requests this node wants to hold for a tenant: what comes in
-// as long as a draw may be used for, and those that wait.
-func (m *Machine) want(p *pace) int64 {
-	return int64(p.demand*m.drawTerm().Seconds()*0.6+0.5) + int64(len(p.waiting)) + 2
+// want is how many requests this node wants to hold for a tenant: those that
+// wait, what comes in a part of a draw's term, and a spare one or two where the
+// tenant's limit has plenty for each node. What nodes hold idle, others lack.
+func (m *Machine) want(p *pace, limit rate.Limit) int64 {
+	spare := min(2, limit.Most/(10*int64(max(m.nodes, 1))))
+	return int64(len(p.waiting)) + int64(p.demand*m.drawTerm().Seconds()*0.6+0.5) + spare
 }
 
 func (m *Machine) limitOf(t *route.Tenant) rate.Limit {
-	allowed := (t.Rate*m.params.Window.Seconds()+t.Burst)*(1+m.params.Overshoot/2) + float64(m.params.Slack)/2
+	allowed := (t.Rate*m.params.Window.Seconds()+t.Burst)*(1+m.params.Overshoot*used) + float64(m.params.Slack)*used
 	return rate.Limit{Window: m.params.Window, Most: int64(allowed)}
 }
 
@@ -133,27 +189,30 @@
 		}
 		if now >= p.until && p.granted > 0 {
 			// What was out when its time ended counts as spent at the part.
-			p.births++
-			p.granted, p.spent, p.returned, p.reported = 0, 0, 0, 0
+			m.rename(p)
 		}
-		if now > p.usedAt+m.drawTerm() && len(p.waiting) == 0 {
-			if now >= p.until {
-				delete(m.paces, name)
-			}
+		if now > p.usedAt+m.drawTerm() && len(p.waiting) == 0 && p.free(now) == 0 && p.acknowledged == p.spent {
+			delete(m.paces, name)
 			continue
 		}
-		want := m.want(p)
-		due := p.wanted && now >= p.retryAt || p.free(now)*2 < want && now >= p.drawAt || p.granted > 0 && now > p.until-m.drawTerm()/3 && now >= p.drawAt
+		limit := m.limitOf(tenant)
+		want := m.want(p, limit)
+		back := p.free(now) - 2*want
+		due := p.wanted && now >= p.retryAt || now >= p.drawAt && (p.free(now)*2 < want || back > 0 || p.spent > p.acknowledged && now > p.recent[0].at+m.drawTerm()/4 || p.free(now) > 0 && now > p.until-m.drawTerm()/3)
 		if !due {
 			continue
 		}
-		if back := p.free(now) - 2*want; back > 0 {
+		if back > 0 {
 			p.returned += back
 		}
 		p.drawing, p.wanted = true, false
 		p.drawAt = now + m.drawTerm()/12
-		d := rate.Draw{Holder: fmt.Sprintf("%s/%s+%d", m.id, m.life, p.births), Spent: p.spent, Returned: p.returned, Want: want,
-			Version: m.table.Number, Limit: m.limitOf(tenant), Term: m.drawTerm()}
+		d := rate.Draw{Holder: m.life + "+" + strconv.Itoa(p.births), Granted: p.granted, Spent: p.spent, Returned: p.returned, Want: want,
+			Version: m.table.Number, Limit: limit, Term: m.drawTerm()}
+		for _, r := range p.recent {
+			d.Recent = append(d.Recent, rate.Spend{Age: now - r.at, Count: r.count})
+		}
+		p.told = p.spent
 		n := core.RatePart(len(m.topology.Owners), name)
 		if batches[n] == nil {
 			batches[n] = &core.DrawRates{Part: n}
@@ -163,9 +222,9 @@
 	}
 	for _, n := range ordered.Keys(batches) {
 		m.Counters.Draws++
-		paces, births := asked[n], make([]int, len(asked[n]))
+		paces, births, told := asked[n], make([]int, len(asked[n])), make([]int64, len(asked[n]))
 		for i, p := range paces {
-			births[i] = p.births
+			births[i], told[i] = p.births, p.told
 		}
 		m.caller.Call(now, *batches[n], now+m.drawTerm(), func(at time.Duration, o core.Outcome) {
 			answer, ok := o.Answer.(core.RatesDrawn)
@@ -175,6 +234,12 @@
 					m.drawFailed(at, p)
 					continue
 				}
+				if answer.Drawn[i].Expired {
+					m.rename(p)
+					p.wanted, m.drawAt = true, at
+					continue
+				}
+				p.acknowledge(told[i])
 				m.drawn(at, p, answer.Drawn[i], now+m.drawTerm())
 			}
 		})
@@ -200,21 +265,29 @@
 		if w.ended {
 			continue
 		}
-		p.spent++
+		p.spend(now)
 		w.paid, w.paidBirth = true, p.births
 		m.admitted(now, w)
 	}
+	p.wanted = len(p.waiting) > 0
 	if d.Retry <= 0 {
-		p.wanted = len(p.waiting) > 0
+		// Some came while the draw was under way.
+		m.drawAt = now
 		return
 	}
 	if p.free(now) == 0 {
 		// Soon enough to take part in what leaves the window next.
 		p.retryAt = now + min(d.Retry, m.params.Window/10)
+		m.drawAt = min(m.drawAt, p.retryAt)
 	}
+	// A short wait is kinder than a refusal; a long one is told at once.
 	waiting := p.waiting
 	p.waiting = nil
 	for _, w := range waiting {
-		m.refuseRate(now, w, d.Retry)
+		if now+d.Retry < w.hold {
+			p.waiting = append(p.waiting, w)
+		} else if !w.ended {
+			m.refuseRate(now, w, d.Retry)
+		}
 	}
 }
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -34,6 +34,7 @@
 	ended    bool
 
 	pace      *pace
+	hold      time.Duration
 	paid      bool
 	paidBirth int
 
@@ -52,7 +53,10 @@
 	m.live[ticket] = w
 	if m.table == nil {
 		// A node that has just come waits for its first table.
-		w.patience = now + min(m.params.Beat, max(a.Left/2, 0))
+		w.patience = now + m.params.Beat
+		if a.Left != 0 {
+			w.patience = min(w.patience, now+max(a.Left/2, 0))
+		}
 		m.early = append(m.early, w)
 		return *m.out
 	}
@@ -361,7 +365,7 @@
 	if may && w.paid && w.pace != nil {
 		// It may have run: another run is another request of the tenant's.
 		if w.pace.births == w.paidBirth && w.pace.free(now) > 0 {
-			w.pace.spent++
+			w.pace.spend(now)
 		} else {
 			may = false
 		}
--- a/peer/replica/line.go
+++ b/peer/replica/line.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +41,28 @@
 	net.Conn
 	reader *bufio.Reader
 	until  time.Duration
+	// room is how many bytes may still come before the head of an answer has
+	// ended.
+	room int
+}
+
+// Bounds on what stands before the body of an answer: bytes and heads.
+const (
+	mostHeadBytes = 256 << 10
+	mostHeads     = 8
+	mostSurplus   = 2
+)
+
+var errHead = errors.New("no head of an answer within its bounds")
+
+// Read reads what a replica sends, within what a head may take.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.room <= 0 {
+		return 0, errHead
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.room)])
+	c.room -= n
+	return n, err
 }
 
 // NewLine makes a line that keeps at most so many idle connections.
@@ -77,7 +100,9 @@
 		if err != nil {
 			return nil, true, errors.WithSecondaryError(errUnreached, err)
 		}
-		return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, 4096)}, true, nil
+		c := &conn{Conn: raw}
+		c.reader = bufio.NewReaderSize(c, 4096)
+		return c, true, nil
 	}
 }
 
@@ -174,7 +199,11 @@
 	}
 	asked := &http.Request{Method: q.Method}
 	r = &Response{line: l, conn: c, stop: stop, Cold: cold}
-	for surplus := 0; ; surplus++ {
+	c.room = mostHeadBytes
+	for heads, surplus := 0, 0; ; heads++ {
+		if heads == mostHeads {
+			return fail(errHead)
+		}
 		r.Response, err = http.ReadResponse(c.reader, asked)
 		if err != nil {
 			return fail(err)
@@ -188,13 +217,14 @@
 		}
 		// A surplus answer to an earlier request stands where this one's is due.
 		r.odd = true
-		if surplus == 2 {
+		if surplus++; surplus > mostSurplus {
 			return fail(errors.New("answers to other requests"))
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return fail(err)
 		}
 	}
+	c.room = math.MaxInt
 	r.NotRun = r.Header.Get(names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 	r.Moved = r.StatusCode == http.StatusMisdirectedRequest
 	if !r.NotRun && r.Header.Get(names.Attempt) == "" {
--- a/rule/rate/ledger.go
+++ b/rule/rate/ledger.go
@@ -10,38 +10,73 @@
 	Most   int64         `msgpack:"m"`
 }
 
+// Block is a number of requests that were reserved durably at a time, to be
+// granted from then on.
+type Block struct {
+	At    time.Duration `msgpack:"a"`
+	Count int64         `msgpack:"c"`
+}
+
+// Reserve is what must last of a ledger. Whoever takes a part over knows no
+// more, and counts all that was reserved as granted and spent late.
+type Reserve struct {
+	Version uint64  `msgpack:"v"`
+	Limit   Limit   `msgpack:"l"`
+	Blocks  []Block `msgpack:"b"`
+}
+
 // Holding is what one life of a node has drawn. All counts only grow, so a
 // draw that is heard twice does no harm.
 type Holding struct {
-	Granted  int64         `msgpack:"g"`
-	Spent    int64         `msgpack:"s"`
-	Returned int64         `msgpack:"r"`
-	Until    time.Duration `msgpack:"u"`
+	Granted, Spent, Returned int64
+	Until                    time.Duration
 }
 
 func (h Holding) out() int64 { return h.Granted - h.Spent - h.Returned }
 
 // Slice is what was spent in a short time.
 type Slice struct {
-	End   time.Duration `msgpack:"e"`
-	Count int64         `msgpack:"c"`
+	End   time.Duration
+	Count int64
 }
 
 // Ledger is a tenant's books. What is out counts as though it were spent now,
 // and what was out when its time ended as though it were spent at that end.
 type Ledger struct {
-	Version  uint64             `msgpack:"v"`
-	Limit    Limit              `msgpack:"l"`
-	Holdings map[string]Holding `msgpack:"h"`
-	Slices   []Slice            `msgpack:"s"`
+	Reserve
+	Holdings map[string]Holding
+	Slices   []Slice
+	// left is what is still to be granted of what was reserved.
+	left int64
+}
+
+// Open makes a ledger of what lasted. What was reserved up to now may have been
+// granted up to now, and used for a term after that.
+func Open(now time.Duration, r Reserve, term time.Duration) *Ledger {
+	l := &Ledger{Reserve: r, Holdings: map[string]Holding{}}
+	for i, b := range r.Blocks {
+		end := now
+		if i+1 < len(r.Blocks) {
+			end = r.Blocks[i+1].At
+		}
+		l.Slices = append(l.Slices, Slice{End: end + term, Count: b.Count})
+	}
+	return l
 }
 
+// blocks is into how many blocks a window's limit is reserved.
+const blocks = 8
+
 // Draw is one node's report and wish.
 type Draw struct {
 	Holder string `msgpack:"h"`
-	// Spent is all that this holder has spent, Returned all that it gave back.
+	// Granted is all that this holder knows to have been granted, Spent all that
+	// it has spent, Returned all that it gave back.
+	Granted  int64 `msgpack:"g"`
 	Spent    int64 `msgpack:"s"`
 	Returned int64 `msgpack:"r"`
+	// Recent tells how long ago the newest of Spent were spent, oldest first.
+	Recent []Spend `msgpack:"e"`
 	// Want is how many requests the node wants to be able to send from now on.
 	Want int64 `msgpack:"w"`
 	// Version is that of the configuration that Limit is from.
@@ -51,30 +86,43 @@
 	Term time.Duration `msgpack:"t"`
 }
 
+// Spend is how many requests were spent, and how long ago at the least.
+type Spend struct {
+	Age   time.Duration `msgpack:"a"`
+	Count int64         `msgpack:"c"`
+}
+
 // Drawn answers: Granted is all that this holder was ever granted, and Retry
-// after what time more may be had where less than wanted was granted.
+// after what time more may be had where less than wanted was granted. Expired
+// says that what the holder has counts as spent; it begins anew by another name.
 type Drawn struct {
 	Granted int64         `msgpack:"g"`
 	Retry   time.Duration `msgpack:"r"`
+	Expired bool          `msgpack:"x"`
 }
 
 // slices is into how many parts a window's spending is told apart.
 const slices = 20
 
-// Take books one draw. The term's end at the holder is earlier than here, as it
-// counts from sending.
-func (l *Ledger) Take(now time.Duration, d Draw) Drawn {
+// Take books one draw, and reports whether what must last has changed: then the
+// answer must wait until it does. The term's end at the holder is earlier than
+// here, as it counts from sending.
+func (l *Ledger) Take(now time.Duration, d Draw) (answer Drawn, changed bool) {
 	if l.Holdings == nil {
 		l.Holdings = map[string]Holding{}
 	}
-	if d.Version >= l.Version {
+	if d.Version > l.Version || l.Limit.Window == 0 {
+		changed = l.Limit != d.Limit
 		l.Version, l.Limit = d.Version, d.Limit
 	}
 	l.turn(now)
-	h := l.Holdings[d.Holder]
+	h, known := l.Holdings[d.Holder]
+	if !known && d.Granted > 0 {
+		return Drawn{Expired: true}, changed
+	}
 	if spent := min(d.Spent-h.Spent, h.out()); spent > 0 {
-		l.spend(now, spent)
 		h.Spent += spent
+		l.book(now, d.Recent, spent)
 	}
 	if returned := min(d.Returned-h.Returned, h.out()); returned > 0 {
 		h.Returned += returned
@@ -82,25 +130,61 @@
 	h.Until = now + d.Term
 	l.Holdings[d.Holder] = h
 	if extra := d.Want - h.out(); extra > 0 {
-		room := l.Limit.Most - l.used()
-		h.Granted += max(0, min(extra, room))
+		granted := max(0, min(extra, l.Limit.Most-l.used()))
+		h.Granted += granted
 		l.Holdings[d.Holder] = h
+		if l.left -= granted; l.left < 0 {
+			block := max(l.Limit.Most/blocks, 1) - l.left
+			l.left += block
+			l.Blocks = append(l.Blocks, Block{At: now, Count: block})
+			changed = true
+		}
 	}
-	answer := Drawn{Granted: h.Granted}
+	if changed {
+		l.forget(now, d.Term)
+	}
+	answer.Granted = h.Granted
 	if h.out() < d.Want {
 		answer.Retry = l.frees(now)
 	}
-	return answer
+	return answer, changed
 }
 
-func (l *Ledger) spend(now time.Duration, count int64) {
+// forget drops blocks of which nothing can be in the window any more.
+func (l *Ledger) forget(now, term time.Duration) {
+	for len(l.Blocks) > 1 && now >= l.Blocks[1].At+term+l.Limit.Window {
+		l.Blocks = l.Blocks[1:]
+	}
+}
+
+// book counts what was spent when it was: the newest first, as an earlier report
+// may have told the older.
+func (l *Ledger) book(now time.Duration, recent []Spend, count int64) {
+	for i := len(recent) - 1; i >= 0 && count > 0; i-- {
+		if one := min(count, recent[i].Count); one > 0 {
+			l.spend(now-max(0, recent[i].Age), one)
+			count -= one
+		}
+	}
+	if count > 0 {
+		l.spend(now, count)
+	}
+}
+
+func (l *Ledger) spend(at time.Duration, count int64) {
 	width := max(1, l.Limit.Window/slices)
-	end := (now/width + 1) * width
-	if n := len(l.Slices); n > 0 && l.Slices[n-1].End >= end {
-		l.Slices[n-1].Count += count
+	end := (at/width + 1) * width
+	i := len(l.Slices)
+	for i > 0 && l.Slices[i-1].End > end {
+		i--
+	}
+	if i > 0 && l.Slices[i-1].End == end {
+		l.Slices[i-1].Count += count
 		return
 	}
-	l.Slices = append(l.Slices, Slice{End: end, Count: count})
+	l.Slices = append(l.Slices, Slice{})
+	copy(l.Slices[i+1:], l.Slices[i:])
+	l.Slices[i] = Slice{End: end, Count: count}
 }
 
 // turn ends what has run out. What a holder had out at its term's end may have
@@ -113,12 +197,8 @@
 		}
 		if out := h.out(); out > 0 {
 			late = append(late, Slice{End: h.Until, Count: out})
-			h.Spent += out
-		}
-		l.Holdings[name] = h
-		if now >= h.Until+4*l.Limit.Window {
-			delete(l.Holdings, name)
 		}
+		delete(l.Holdings, name)
 	}
 	var kept []Slice
 	for _, s := range append(late, l.Slices...) {
--- a/rule/rate/ledger_test.go
+++ b/rule/rate/ledger_test.go
@@ -15,6 +15,7 @@
 	births                   int
 	granted, spent, returned int64
 	until                    time.Duration
+	recent                   []time.Duration
 }
 
 type message struct {
@@ -40,7 +41,7 @@
 	for seed := uint64(0); seed < 40; seed++ {
 		random := rand.New(rand.NewPCG(seed, 1))
 		limit := Limit{Window: window, Most: int64(5 + random.IntN(200))}
-		var ledger Ledger
+		ledger := Open(0, Reserve{}, term)
 		holders := make([]holder, 1+random.IntN(6))
 		for i := range holders {
 			holders[i].name = fmt.Sprint("n", i)
@@ -48,7 +49,12 @@
 		var draws []message
 		var answers []answer
 		var spends []time.Duration
+		var lasting Reserve
 		for now := time.Duration(0); now < 40*time.Second; now += step {
+			if random.IntN(1000) == 0 {
+				// Another takes the part over: it knows only what lasts.
+				ledger = Open(now, lasting, term)
+			}
 			for i := range holders {
 				h := &holders[i]
 				if random.IntN(3000) == 0 {
@@ -60,13 +66,17 @@
 				}
 				if now < h.until && h.granted-h.spent-h.returned > 0 && random.IntN(2) == 0 {
 					h.spent++
+					h.recent = append(h.recent, now)
 					spends = append(spends, now)
 				}
 				if random.IntN(20) == 0 {
 					if free := h.granted - h.spent - h.returned; free > 3 && random.IntN(4) == 0 {
 						h.returned += free / 2
 					}
-					d := Draw{Holder: fmt.Sprint(h.name, "+", h.births), Spent: h.spent, Returned: h.returned, Want: int64(random.IntN(40)), Limit: limit, Term: term}
+					d := Draw{Holder: fmt.Sprint(h.name, "+", h.births), Granted: h.granted, Spent: h.spent, Returned: h.returned, Want: int64(random.IntN(40)), Limit: limit, Term: term}
+					for _, at := range h.recent {
+						d.Recent = append(d.Recent, Spend{Age: now - at, Count: 1})
+					}
 					for copies := random.IntN(3); copies > 0; copies-- {
 						draws = append(draws, message{at: now + time.Duration(random.IntN(600))*time.Millisecond, holder: i, births: h.births, sent: now, draw: d})
 					}
@@ -78,7 +88,11 @@
 					later = append(later, d)
 					continue
 				}
-				drawn := ledger.Take(now, d.draw)
+				drawn, changed := ledger.Take(now, d.draw)
+				if changed {
+					lasting = ledger.Reserve
+					lasting.Blocks = append([]Block(nil), ledger.Blocks...)
+				}
 				if random.IntN(5) > 0 {
 					answers = append(answers, answer{at: now + time.Duration(random.IntN(600))*time.Millisecond, holder: d.holder, births: d.births, sent: d.sent, drawn: drawn})
 				}
@@ -89,6 +103,8 @@
 				h := &holders[a.holder]
 				if a.at > now {
 					waiting = append(waiting, a)
+				} else if h.births == a.births && a.drawn.Expired {
+					*h = holder{name: h.name, births: h.births + 1}
 				} else if h.births == a.births {
 					h.granted, h.until = max(h.granted, a.drawn.Granted), max(h.until, a.sent+term)
 				}
@@ -112,14 +128,14 @@
 }
 
 func TestRepeatedDrawGrantsOnce(t *testing.T) {
-	var l Ledger
+	l := Open(0, Reserve{}, time.Second)
 	d := Draw{Holder: "a", Want: 10, Limit: Limit{Window: 5 * time.Second, Most: 100}, Term: time.Second}
-	first, again := l.Take(0, d), l.Take(time.Millisecond, d)
-	if first.Granted != 10 || again.Granted != 10 || l.used() != 10 {
-		t.Fatalf("%+v, %+v, used %d", first, again, l.used())
+	first, _ := l.Take(0, d)
+	again, changed := l.Take(time.Millisecond, d)
+	if first.Granted != 10 || again.Granted != 10 || l.used() != 10 || changed {
+		t.Fatalf("%+v, %+v, used %d, changed %v", first, again, l.used(), changed)
 	}
-	d.Returned = 4
-	d.Want = 0
+	d.Granted, d.Returned, d.Want = 10, 4, 0
 	l.Take(2*time.Millisecond, d)
 	l.Take(3*time.Millisecond, d)
 	if l.used() != 6 {
@@ -128,12 +144,46 @@
 }
 
 func TestLowerLimitBindsAndOlderVersionDoesNotLiftIt(t *testing.T) {
-	var l Ledger
+	l := Open(0, Reserve{}, time.Second)
 	high, low := Limit{Window: 5 * time.Second, Most: 100}, Limit{Window: 5 * time.Second, Most: 20}
 	l.Take(0, Draw{Holder: "a", Want: 10, Version: 1, Limit: high, Term: time.Second})
-	l.Take(0, Draw{Holder: "b", Want: 5, Version: 2, Limit: low, Term: time.Second})
-	got := l.Take(0, Draw{Holder: "a", Want: 50, Version: 1, Limit: high, Term: time.Second})
+	if _, changed := l.Take(0, Draw{Holder: "b", Want: 5, Version: 2, Limit: low, Term: time.Second}); !changed {
+		t.Fatal("a lower limit does not last")
+	}
+	got, _ := l.Take(0, Draw{Holder: "a", Granted: 10, Want: 50, Version: 1, Limit: high, Term: time.Second})
 	if got.Granted != 15 || got.Retry <= 0 {
 		t.Fatalf("a node that still has the older version was granted %+v", got)
 	}
 }
+
+// TestSpentThoughLate: what was out when a holder's time ended was counted as
+// spent then; the holder may not go on with it.
+func TestSpentThoughLate(t *testing.T) {
+	l := Open(0, Reserve{}, time.Second)
+	limit := Limit{Window: 5 * time.Second, Most: 100}
+	l.Take(0, Draw{Holder: "a", Want: 10, Limit: limit, Term: time.Second})
+	got, _ := l.Take(2*time.Second, Draw{Holder: "a", Granted: 10, Spent: 3, Want: 10, Limit: limit, Term: time.Second})
+	if !got.Expired || got.Granted != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestWritesAreFew: a window's worth of draws changes what must last a few times
+// and not with every draw.
+func TestWritesAreFew(t *testing.T) {
+	l := Open(0, Reserve{}, time.Second)
+	d := Draw{Holder: "a", Limit: Limit{Window: 5 * time.Second, Most: 80}, Term: time.Second}
+	writes := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 50 * time.Millisecond {
+		d.Spent = d.Granted
+		d.Want = 1
+		got, changed := l.Take(now, d)
+		d.Granted = got.Granted
+		if changed {
+			writes++
+		}
+	}
+	if d.Granted < 140 || writes > 24 || len(l.Blocks) > 24 {
+		t.Fatalf("%d granted, %d writes, %d blocks", d.Granted, writes, len(l.Blocks))
+	}
+}
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -201,6 +201,7 @@
 		}
 		names[tenant.Name] = true
 		for _, key := range tenant.Keys {
+			key = strings.ToLower(key)
 			if other, ok := holders[key]; ok && other != tenant.Name {
 				fault(path+".keys", key, "a key of one tenant only; also of "+other)
 			}
@@ -221,7 +222,7 @@
 	}
 	for i := range t.Tenants {
 		for _, key := range t.Tenants[i].Keys {
-			t.byKey[key] = &t.Tenants[i]
+			t.byKey[strings.ToLower(key)] = &t.Tenants[i]
 		}
 	}
 	for i := range t.Services {
--- /dev/null
+++ b/rule/route/table_test.go
@@ -0,0 +1,160 @@
+package route
+
+import (
+	"encoding/json"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+
+	"saffronfall/rule/configuration"
+)
+
+const digest = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
+
+const example = `{"number":3,"routes":[
+{"name":"a","host":"A.example","prefix":"/","mode":"once","timeout_ms":100,"targets":[{"service":"s"}]},
+{"name":"b","host":"a.example","prefix":"/x/","mode":"repeatable","timeout_ms":100,"targets":[{"service":"s","weight":0},{"service":"t","weight":9},{"service":"s","weight":1}]},
+{"name":"c","host":"a.example","prefix":"/x/y/","mode":"stream","resumable":true,"timeout_ms":100,"targets":[{"service":"t"}]},
+{"name":"d","host":"b.example:80","prefix":"/x/","mode":"stream","timeout_ms":100,"targets":[{"service":"t"}]}],
+"services":[{"name":"s"},{"name":"t"}],
+"tenants":[{"name":"one","keys":["` + digest + `"],"rate":5},{"name":"two","keys":[],"urgency":0}]}`
+
+func TestMatch(t *testing.T) {
+	table, faults := Parse([]byte(example))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	for _, c := range []struct{ host, path, name string }{
+		{"a.example", "/", "a"}, {"a.example", "/x", "a"}, {"a.example", "/x/", "b"}, {"a.example", "/x/y", "b"}, {"a.example", "/x/y/z", "c"}, {"A.EXAMPLE:8080", "/x/y/", "c"},
+		{"a.example", "/X/", "a"}, {"a.example", "//x/", "a"}, {"a.example", "/x%2Fy/", "a"}, {"b.example:80", "/x/1", "d"},
+		{"b.example", "/x/1", ""}, {"b.example:81", "/x/1", ""}, {"c.example", "/", ""}, {"", "/", ""}, {"a.example", "*", ""}, {"a.example", "", ""},
+	} {
+		r, ok := table.Match(c.host, c.path)
+		if ok != (c.name != "") || ok && r.Name != c.name {
+			t.Errorf("%s%s: %+v", c.host, c.path, r)
+		}
+	}
+	if b, _ := table.Match("a.example", "/x/"); b.Repeats() != true || b.Pick(0) != "t" || b.Pick(0.89) != "t" || b.Pick(0.91) != "s" || b.Pick(1) == "" {
+		t.Errorf("%+v", b)
+	}
+	if c, _ := table.Match("a.example", "/x/y/"); !c.Repeats() {
+		t.Error("a resumable stream may run again")
+	}
+	if d, _ := table.Match("b.example:80", "/x/"); d.Repeats() {
+		t.Error("a stream runs at most once")
+	}
+	if one, ok := table.Whose("foo"); !ok || one.Name != "one" {
+		t.Errorf("%+v", one)
+	}
+	for _, key := range []string{"", "Foo", "foo ", digest} {
+		if _, ok := table.Whose(key); ok {
+			t.Errorf("%q is a key", key)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"same place in other case": {`"host":"a.example","prefix":"/x/"`, `"host":"a.EXAMPLE","prefix":"/"`},
+		"unknown service":          {`{"service":"t"}]}],`, `{"service":"u"}]}],`},
+		"two services of a name":   {`{"name":"t"}`, `{"name":"s"}`},
+		"no targets":               {`[{"service":"s"}]`, `[]`},
+		"a weight below 0":         {`"weight":9`, `"weight":-9`},
+		"two tenants of a name":    {`"two"`, `"one"`},
+		"a shared key":             {`"keys":[]`, `"keys":["` + strings.ToLower(digest) + `"]`},
+		"half a key":               {digest, digest[:40]},
+		"urgency beyond":           {`"urgency":0`, `"urgency":10`},
+		"no timeout":               {`"timeout_ms":100`, `"timeout_ms":0`},
+		"more after it":            {`"rate":5},`, `"rate":5}]}[`},
+	} {
+		if !strings.Contains(example, change[0]) {
+			t.Fatal(name)
+		}
+		if _, faults := Parse([]byte(strings.Replace(example, change[0], change[1], 1))); faults == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// FuzzParse: a table that is taken finds each of its routes, picks only services
+// that it has, knows each key's holder, and reads the same when written again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(example))
+	f.Add([]byte(`{"number":1,"routes":[],"services":[],"tenants":[]}`))
+	f.Add([]byte(`{"number":1,"source":"x","keyed":false,"routes":[{"host":"","prefix":"/","mode":"once","timeout_ms":1,"targets":[{"service":"","weight":1e-300}]}],"services":[{"name":""}]}`))
+	f.Add([]byte(`{"number":1e400}`))
+	f.Add([]byte(`[{}]`))
+	f.Add([]byte(`{`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		table, faults := Parse(text)
+		if faults != nil {
+			if table != nil {
+				t.Fatal("a faulty table is given back")
+			}
+			return
+		}
+		for i := range table.Routes {
+			r := &table.Routes[i]
+			found, ok := table.Match(r.Host, r.Prefix+"x")
+			if !ok || found != r {
+				t.Fatalf("%+v is not found, but %+v", r, found)
+			}
+			for _, where := range []float64{0, 0.5, math.Nextafter(1, 0), 1} {
+				picked := r.Pick(where)
+				if _, ok := table.Service(picked); !ok {
+					t.Fatalf("%+v at %v: %q", r, where, picked)
+				}
+				weight := 0.0
+				for _, target := range r.Targets {
+					if target.Service == picked {
+						weight += target.Weight
+					}
+				}
+				if weight <= 0 {
+					t.Fatalf("%+v at %v: %q without weight", r, where, picked)
+				}
+			}
+		}
+		for _, tenant := range table.Tenants {
+			for _, key := range tenant.Keys {
+				if table.byKey[key].Name != tenant.Name {
+					t.Fatalf("%s is not %s's", key, tenant.Name)
+				}
+			}
+		}
+		table.Whose("x")
+		// A list that is left out is an empty one.
+		if table.Routes == nil {
+			table.Routes = []Route{}
+		}
+		if table.Services == nil {
+			table.Services = []Service{}
+		}
+		if table.Tenants == nil {
+			table.Tenants = []Tenant{}
+		}
+		written, err := json.Marshal(table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, faults := Parse(written)
+		if faults != nil || !reflect.DeepEqual(again, table) {
+			t.Fatalf("%v: %s", faults, written)
+		}
+	})
+}
+
+// TestKeysOfEitherCase: a digest is the same key however it is written.
+func TestKeysOfEitherCase(t *testing.T) {
+	table, faults := Parse([]byte(strings.Replace(example, digest, strings.ToUpper(digest), 1)))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	if configuration.Sum("foo") != digest {
+		t.Fatal("the example's key is another")
+	}
+	if _, ok := table.Whose("foo"); !ok {
+		t.Error("a key in capital digits is not known")
+	}
+}
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -85,7 +85,7 @@
 	var group run.Group
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
-	handler := front.Handler(front.Options{Owner: s, Names: names, Most: 64 << 20, Closing: s.closing})
+	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
 	serve(&group, server, "requester address")
 	if p.ReadyListen != "" {
