Cores without operators: joining, placement, handing on of seats, retiring

Cause: a disk that came back empty, an empty machine at another address, an added one and a dead one's seats needed an operator's command.

--- a/peer/core/life.go
+++ b/peer/core/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"saffronfall/rule/ordered"
@@ -33,14 +34,15 @@
 
 // returnTo brings a core whose folder is empty into the fleet that told its
 // topology, whether or not that knows its name. It has no vote until groups have
-// changed to admit it. One that has seats already waits for its founding.
+// changed to admit it. One that has seats already waits for its founding, and
+// what was told must say so.
 func (m *Machine) returnTo(now time.Duration, t Topology) {
 	known, ok := t.Cores[m.self.ID]
 	if len(t.Groups) == 0 || known.Retired {
 		return
 	}
 	for _, g := range t.Groups {
-		if g.Has(m.self.Seat()) {
+		if g.Epoch == 0 || g.Has(m.self.Seat()) {
 			return
 		}
 	}
@@ -69,22 +71,32 @@
 // mend makes the fleet's entry of this core true again. The owners of parts
 // then give it the places that an earlier incarnation of it has in groups.
 func (m *Machine) mend(now time.Duration) {
-	if m.mending || m.self.Retired || m.leaving || m.stalled || !m.unknown || m.superseded() {
+	if m.mending || m.self.Retired || m.leaving || m.stalled || !m.unknown || m.outlived {
 		return
 	}
 	m.mending = true
-	told := m.self
+	before, told := m.self, m.self
+	if known := m.cores[m.self.ID]; known.Incarnation != m.self.Incarnation {
+		told.Version = max(told.Version, known.Version+1)
+	}
+	told.Version += m.refused
 	m.caller.Call(now, PutCore{Core: told}, now+10*m.params.MemberTerm, func(now time.Duration, o Outcome) {
 		m.mending = false
-		d, ok := o.Answer.(Done)
-		switch {
-		case !ok || m.superseded():
-		case d.OK:
-			m.unknown = m.self != told
-		default:
-			m.self.Version++
-			m.cores[m.self.ID] = m.self
-			m.changed = true
+		switch a := o.Answer.(type) {
+		case CoreEnded:
+			m.outlived = a.Core.Incarnation != m.self.Incarnation
+			m.learnCore(a.Core)
+		case Done:
+			switch {
+			case !a.OK:
+				m.refused++
+			case m.self == before:
+				m.unknown, m.refused = false, 0
+				if m.self != told {
+					m.self, m.cores[m.self.ID] = told, told
+					m.changed = true
+				}
+			}
 		}
 	})
 }
@@ -98,88 +110,119 @@
 	}
 }
 
-// move makes moves one after the other.
-func (m *Machine) move(now time.Duration, moves []Move, made int, until time.Duration, next func(now time.Duration, made int)) {
-	if made == len(moves) || now >= until {
-		next(now, made)
-		return
-	}
-	one := moves[made]
-	m.caller.Call(now, ChangeSeat{Part: one.Part, Add: one.Add, Remove: one.Remove}, until, func(now time.Duration, o Outcome) {
-		d, ok := o.Answer.(Done)
-		switch {
-		case ok && d.OK:
-			m.move(now, moves, made+1, until, next)
-		case !ok:
-			next(now, made)
-		default:
-			m.later.Add(now+m.params.Pull, func(now time.Duration) { m.move(now, moves, made, until, next) })
-		}
-	})
-}
-
 // PlanChange lists the moves of a change in a core's life, or says why there can
-// be none.
-func PlanChange(cores map[string]Core, groups []part.Group, kind, id, by string) Changed {
+// be none. Silent cores get no seats.
+func PlanChange(cores map[string]Core, silent map[string]bool, groups []part.Group, size int, kind, id, by string) Changed {
 	c, ok := cores[id]
 	if !ok {
 		return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + id}
 	}
+	if fresh, ok := cores[by]; kind == Replace && (!ok || fresh.Retired) {
+		return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by}
+	}
+	var after []Core
+	staying := 0
+	for _, one := range ordered.Keys(cores) {
+		next := cores[one]
+		next.Retired = next.Retired || (one == id && kind != Add)
+		after = append(after, next)
+		if !next.Retired {
+			staying++
+		}
+	}
+	if kind != Add && staying < size && !c.Retired {
+		return Changed{Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"}
+	}
+	var moves []Move
+	for n, wanted := range Place(len(groups), size, after, silent) {
+		moves = append(moves, difference(n, groups[n].Seats, wanted)...)
+	}
+	return Changed{Moves: moves}
+}
+
+// difference pairs the seats that come with those that go.
+func difference(n int, group, wanted []string) []Move {
 	var moves []Move
-	switch kind {
-	case Add:
-		moves = PlanAdd(cores, groups, c)
-	case Replace:
-		fresh, ok := cores[by]
-		if !ok || fresh.Retired {
-			return Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + by}
+	for _, s := range wanted {
+		if !slices.Contains(group, s) {
+			moves = append(moves, Move{Part: n, Add: s})
 		}
-		for n, g := range groups {
-			if g.Has(c.Seat()) {
-				moves = append(moves, Move{Part: n, Add: fresh.Seat(), Remove: c.Seat()})
-			}
+	}
+	next := 0
+	for _, s := range group {
+		if slices.Contains(wanted, s) {
+			continue
 		}
-	case Retire:
-		var short bool
-		if moves, short = PlanRetire(cores, groups, c); short {
-			return Changed{Moves: moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"}
+		if next == len(moves) {
+			moves = append(moves, Move{Part: n})
 		}
+		moves[next].Remove = s
+		next++
 	}
-	return Changed{Moves: moves}
+	return moves
 }
 
-// Change gives a new core its even part of the seats, or empties one and
-// retires it, for whoever has room or for one named core.
+// Change waits until the owners of parts have given a new core its seats, or
+// retires one, by itself or for another, and waits until it has none.
 func (m *Machine) Change(now time.Duration, ticket uint64, kind, id, by string, within time.Duration) Output {
 	m.out = &Output{}
 	m.learn()
 	until := now + within
-	plan := PlanChange(m.cores, m.groups, kind, id, by)
+	plan := PlanChange(m.cores, m.silentCores(now), m.groups, m.size(), kind, id, by)
 	if plan.Code != "" {
 		m.answer(ticket, plan)
 		return *m.out
 	}
-	moves, c := plan.Moves, m.cores[id]
-	m.move(now, moves, 0, until, func(now time.Duration, made int) {
-		if made < len(moves) {
-			m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "not all moves were made in time; ask again to go on"})
-			return
-		}
-		if kind == Add {
-			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
-			return
+	if kind == Add {
+		m.settle(now, ticket, until, plan, func(n int, seats []string) bool {
+			wanted := m.desired(m.tickedAt)[n]
+			seat := m.cores[id].Seat()
+			return slices.Contains(seats, seat) || !slices.Contains(wanted, seat)
+		})
+		return *m.out
+	}
+	m.caller.Call(now, RetireCore{ID: id}, until, func(now time.Duration, o Outcome) {
+		r, ok := o.Answer.(Retiring)
+		switch {
+		case !ok:
+			m.answer(ticket, Changed{Moves: plan.Moves, Code: "not_finished", Reason: "not marked as retired yet; ask again"})
+		case !r.Known:
+			m.answer(ticket, Changed{Code: "unknown_core", Reason: "no core of this fleet is called " + id})
+		case !r.Enough:
+			m.answer(ticket, Changed{Moves: plan.Moves, Code: "no_room", Reason: "without " + id + " some group would have fewer seats; add a core first"})
+		default:
+			m.settle(now, ticket, until, plan, func(n int, seats []string) bool {
+				return !slices.ContainsFunc(seats, func(s string) bool { return SeatID(s) == id })
+			})
 		}
-		c.Retired, c.Version = true, c.Version+1
-		m.caller.Call(now, PutCore{Core: c}, until, func(now time.Duration, o Outcome) {
-			d, ok := o.Answer.(Done)
-			if !ok || !d.OK {
-				m.answer(ticket, Changed{Moves: moves, Made: made, Code: "not_finished", Reason: "emptied, and not yet marked as retired; ask again"})
+	})
+	return *m.out
+}
+
+// settle asks the owners for their groups until all are as they should be.
+func (m *Machine) settle(now time.Duration, ticket uint64, until time.Duration, plan Changed, settled func(n int, seats []string) bool) {
+	waiting, good := m.founding.Parts, 0
+	for n := 0; n < m.founding.Parts; n++ {
+		m.caller.Call(now, ReadSeats{Part: n}, until, func(now time.Duration, o Outcome) {
+			if s, ok := o.Answer.(Seats); ok && settled(n, append(slices.Clone(s.Seats), s.Former...)) {
+				good++
+			}
+			if waiting--; waiting > 0 {
 				return
 			}
-			m.answer(ticket, Changed{Done: true, Moves: moves, Made: made})
+			plan.Made = max(0, len(plan.Moves)-(m.founding.Parts-good))
+			switch {
+			case good == m.founding.Parts:
+				plan.Done, plan.Made = true, len(plan.Moves)
+				m.answer(ticket, plan)
+			case now >= until:
+				plan.Code, plan.Reason = "not_finished", "not all moves were made in time; ask again to go on"
+				m.answer(ticket, plan)
+			default:
+				m.later.Add(now+m.params.Pull, func(now time.Duration) { m.settle(now, ticket, until, plan, settled) })
+			}
 		})
-	})
-	return *m.out
+	}
 }
 
 // Introduce makes a new core known, before it is given seats.
@@ -200,112 +243,3 @@
 	})
 	return *m.out
 }
-
-func seatCounts(cores map[string]Core, groups []part.Group) map[string]int {
-	counts := map[string]int{}
-	for _, id := range ordered.Keys(cores) {
-		if c := cores[id]; !c.Retired {
-			counts[c.Seat()] = 0
-		}
-	}
-	for _, g := range groups {
-		for _, s := range g.Seats {
-			if _, ok := counts[s]; ok {
-				counts[s]++
-			}
-		}
-	}
-	return counts
-}
-
-func zoneOf(cores map[string]Core, seat string) string {
-	for _, c := range cores {
-		if c.Seat() == seat {
-			return c.Zone
-		}
-	}
-	return ""
-}
-
-// PlanAdd moves seats to a new core until it has its even part, from the
-// fullest cores first, and never so that a group has fewer zones than before.
-func PlanAdd(cores map[string]Core, groups []part.Group, c Core) []Move {
-	counts := seatCounts(cores, groups)
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	var moves []Move
-	for n := range groups {
-		if counts[c.Seat()] >= total/max(1, len(counts)) {
-			break
-		}
-		g := groups[n]
-		if g.Has(c.Seat()) {
-			continue
-		}
-		fullest := ""
-		for _, s := range g.Seats {
-			if (fullest == "" || counts[s] > counts[fullest]) && zones(cores, swap(g.Seats, s, c.Seat())) >= zones(cores, g.Seats) {
-				fullest = s
-			}
-		}
-		if fullest != "" && counts[fullest] > counts[c.Seat()]+1 {
-			counts[fullest]--
-			counts[c.Seat()]++
-			moves = append(moves, Move{Part: n, Add: c.Seat(), Remove: fullest})
-		}
-	}
-	return moves
-}
-
-// PlanRetire gives each seat of a core to another core, in a zone of its own
-// where one can be had, the emptiest first. It reports when a group must shrink.
-func PlanRetire(cores map[string]Core, groups []part.Group, c Core) (moves []Move, short bool) {
-	counts := seatCounts(cores, groups)
-	delete(counts, c.Seat())
-	for n, g := range groups {
-		if !g.Has(c.Seat()) {
-			continue
-		}
-		best := ""
-		for _, s := range ordered.Keys(counts) {
-			if g.Has(s) {
-				continue
-			}
-			a, b := zones(cores, swap(g.Seats, c.Seat(), s)), 0
-			if best != "" {
-				b = zones(cores, swap(g.Seats, c.Seat(), best))
-			}
-			if best == "" || a > b || (a == b && counts[s] < counts[best]) {
-				best = s
-			}
-		}
-		if best == "" {
-			short = true
-			continue
-		}
-		counts[best]++
-		moves = append(moves, Move{Part: n, Add: best, Remove: c.Seat()})
-	}
-	return moves, short
-}
-
-func swap(seats []string, out, in string) []string {
-	var list []string
-	for _, s := range seats {
-		if s == out {
-			s = in
-		}
-		list = append(list, s)
-	}
-	return list
-}
-
-func zones(cores map[string]Core, seats []string) int {
-	seen := map[string]bool{}
-	for _, s := range seats {
-		seen[zoneOf(cores, s)] = true
-	}
-	return len(seen)
-}
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -30,47 +29,11 @@
 // can be done, first seats spread evenly.
 func Plan(fleet string, parts, size int, cores []Core) Founding {
 	f := Founding{Fleet: fleet, Parts: parts, Cores: map[string]Core{}, Size: size}
-	sort.Slice(cores, func(i, j int) bool { return cores[i].ID < cores[j].ID })
-	seats, firsts := map[string]int{}, map[string]int{}
 	for _, c := range cores {
 		f.Cores[c.ID] = c
 	}
-	for n := 0; n < parts; n++ {
-		var group []string
-		zones := map[string]bool{}
-		for len(group) < size && len(group) < len(cores) {
-			best := -1
-			better := func(i int) bool {
-				if best < 0 {
-					return true
-				}
-				a, b := cores[i], cores[best]
-				if zones[a.Zone] != zones[b.Zone] {
-					return !zones[a.Zone]
-				}
-				if seats[a.ID] != seats[b.ID] {
-					return seats[a.ID] < seats[b.ID]
-				}
-				return (i+n)%len(cores) < (best+n)%len(cores)
-			}
-			for i, c := range cores {
-				if !slices.Contains(group, c.Seat()) && better(i) {
-					best = i
-				}
-			}
-			group = append(group, cores[best].Seat())
-			zones[cores[best].Zone] = true
-			seats[cores[best].ID]++
-		}
-		first := 0
-		for i, seat := range group {
-			if firsts[seat] < firsts[group[first]] {
-				first = i
-			}
-		}
-		firsts[group[first]]++
-		group = append(append([]string(nil), group[first:]...), group[:first]...)
-		f.Groups = append(f.Groups, part.Group{Epoch: 1, Seats: group})
+	for _, seats := range Place(parts, size, cores, nil) {
+		f.Groups = append(f.Groups, part.Group{Epoch: 1, Seats: seats})
 	}
 	return f
 }
@@ -175,17 +138,23 @@
 	gathered uint64
 	samples  map[string][]rehearsal.Sample
 	bornAt   time.Duration
-	heard    map[string]heard
-	changed  bool
+	tickedAt time.Duration
+	placed   [][]string
+	// placedFor and placedSilent are what the placement was made for.
+	placedFor    []Core
+	placedSilent map[string]bool
+	heard        map[string]heard
+	changed      bool
+	// outlived says that the fleet knows a later incarnation of this core; refused
+	// is how many claims to its entry lost a race.
+	outlived bool
+	refused  uint64
 	tellAt   time.Duration
 	beatAt   time.Duration
 	movedAt  map[int]time.Duration
 	moveAt   time.Duration
 }
 
-// heard is when a core was last heard, and since when without a long silence.
-type heard struct{ last, since time.Duration }
-
 type origin struct {
 	from    string
 	id      uint64
@@ -225,7 +194,7 @@
 	m.learnCoresOf(s.Copies[ConfigurationPart])
 	m.assert()
 	m.unknown = true
-	m.heard, m.bornAt = map[string]heard{}, now
+	m.heard, m.movedAt, m.bornAt, m.tickedAt = map[string]heard{}, map[int]time.Duration{}, now, now
 	for _, n := range ordered.Keys(s.Copies) {
 		m.seat(now, n, s.Copies[n])
 	}
@@ -242,6 +211,7 @@
 	known, ok := m.cores[m.self.ID]
 	if named := m.founding.Cores[m.self.ID]; ok && known.Incarnation != m.self.Incarnation && named.Incarnation == m.self.Incarnation {
 		m.self.Version = named.Version
+		m.unknown = true
 		return
 	}
 	fresh := m.self
@@ -286,7 +256,12 @@
 		m.cores[c.ID] = old
 		m.changed = true
 	}
-	if c.ID != m.self.ID || c.Incarnation != m.self.Incarnation {
+	switch {
+	case c.ID != m.self.ID:
+		return
+	case c.Incarnation != m.self.Incarnation:
+		// The configuration's part knows which of the two came later.
+		m.unknown = m.unknown || c.Version >= m.self.Version
 		return
 	}
 	m.self.Retired = c.Retired
@@ -305,12 +280,6 @@
 	}
 }
 
-// superseded reports whether the fleet knows a later incarnation of this core.
-func (m *Machine) superseded() bool {
-	known := m.cores[m.self.ID]
-	return known.Incarnation != m.self.Incarnation && known.Version > m.self.Version
-}
-
 func (m *Machine) send(to string, body any, synced bool) {
 	m.out.Sends = append(m.out.Sends, Send{To: to, Body: body, Synced: synced})
 }
@@ -366,6 +335,9 @@
 }
 
 func (m *Machine) greet() {
+	if m.outlived {
+		return
+	}
 	for _, seed := range m.seeds {
 		if seed != m.self.Peer {
 			m.send(seed, m.present(), false)
@@ -397,6 +369,7 @@
 		}
 		return *m.out
 	}
+	m.notice(now)
 	for n := 0; n < m.founding.Parts; n++ {
 		p := m.parts[n]
 		if p == nil {
@@ -457,10 +430,11 @@
 // fleet when that has changed, or was not told for long.
 func (m *Machine) gossip(now time.Duration) {
 	whole := m.changed || now >= m.tellAt
-	if !whole && now < m.beatAt {
+	if m.outlived || (!whole && now < m.beatAt) {
 		return
 	}
 	m.beatAt = now + m.beat()
+	topology := m.Topology()
 	for _, id := range ordered.Keys(m.cores) {
 		c := m.cores[id]
 		if id == m.self.ID {
@@ -468,7 +442,7 @@
 		}
 		m.send(c.Peer, m.present(), false)
 		if whole {
-			m.send(c.Peer, m.Topology(), false)
+			m.send(c.Peer, topology, false)
 		}
 	}
 	if whole {
@@ -594,6 +568,17 @@
 		m.take(now, n, p.Change(now, uint64(m.tickets.Keep(from)), c.Add, c.Remove))
 		return
 	}
+	if _, ok := command.(ReadSeats); ok && p != nil {
+		answer := from
+		from = origin{handled: func(now time.Duration, r part.Return) {
+			g := p.Group()
+			if owned, ok := p.Agreed(); ok {
+				g = owned
+			}
+			r.Body = Seats{Seats: g.Seats, Former: g.Former}
+			m.reply(n, answer, r)
+		}}
+	}
 	ticket := m.tickets.Keep(from)
 	if p == nil {
 		m.take(now, n, part.Output{Returns: []part.Return{{Ticket: uint64(ticket), Moved: true}}})
@@ -617,6 +602,7 @@
 		}
 		return *m.out
 	}
+	m.notice(now)
 	switch b := body.(type) {
 	case PartMessage:
 		m.onPart(now, b)
@@ -663,6 +649,7 @@
 }
 
 func (m *Machine) onPart(now time.Duration, b PartMessage) {
+	m.hear(now, b.From)
 	if b.To != m.self.Seat() || b.Part < 0 || b.Part >= m.founding.Parts {
 		return
 	}
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -344,6 +344,7 @@
 	breakerKey        = "breaker"
 	breakerBooks      = "books/breaker"
 	corePrefix        = "core/"
+	outlivedPrefix    = "outlived/"
 	memberPrefix      = "member/"
 	programPrefix     = "program/"
 	oncePrefix        = "once/"
@@ -446,6 +447,9 @@
 	// Retiring answers it: whether there is such a core, whether enough others
 	// remain, and whether it is marked now.
 	Retiring struct{ Known, Enough, Done bool }
+	// CoreEnded answers a PutCore of a retired core, or of an incarnation that has
+	// a successor, with what is known.
+	CoreEnded struct{ Core Core }
 	// ReadSeats asks a part's owner for its agreed group.
 	ReadSeats struct{ Part int }
 	// Seated answers it.
@@ -453,5 +457,5 @@
 )
 
 func init() {
-	message.Register(Present{}, FoundFleet{}, RetireCore{}, Retiring{}, ReadSeats{}, Seats{})
+	message.Register(Present{}, FoundFleet{}, RetireCore{}, Retiring{}, ReadSeats{}, Seats{}, CoreEnded{})
 }
--- a/rehearsalkit/simulator/crash.go
+++ b/rehearsalkit/simulator/crash.go
@@ -94,7 +94,7 @@
 		raw = b.Raw
 	case core.PartMessage:
 		raw = b.Raw
-	case core.Pull, core.News, core.Topology, core.Fresh, node.Announced, core.Samples, core.AskSamples:
+	case core.Pull, core.News, core.Topology, core.Fresh, node.Announced, core.Samples, core.AskSamples, core.Present:
 		return ""
 	default:
 		return reflect.TypeOf(body).Name()
--- /dev/null
+++ b/rule/part/cost_test.go
@@ -0,0 +1,40 @@
+package part
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkTick is an owner's tick when nothing is due, with 3 MB of entries.
+func BenchmarkTick(b *testing.B) {
+	o, t := large(b)
+	b.ResetTimer()
+	for i := 0; i < b.N; i++ {
+		o.Tick(t)
+	}
+}
+
+// BenchmarkSweep is the comparison of copies, at the owner and at a seat.
+func BenchmarkSweep(b *testing.B) {
+	o, t := large(b)
+	b.ResetTimer()
+	for i := 0; i < b.N; i++ {
+		o.owning.renewAt, o.owning.sweepAt = 0, 0
+		for _, s := range o.Tick(t).Sends {
+			if r, ok := s.Body.(Renew); ok {
+				o.Receive(t, "a", r)
+			}
+		}
+	}
+}
+
+func large(b *testing.B) (*Machine, time.Duration) {
+	n := newBench(&testing.T{}, []string{"a"}, "a")
+	n.pass(300 * time.Millisecond)
+	value := string(make([]byte, 600))
+	for i := 0; i < 5000; i++ {
+		n.run("a", put{fmt.Sprint("key/", i), value})
+	}
+	return n.seats["a"], n.now
+}
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -34,6 +34,8 @@
 	highest uint64
 	owning  *owning
 	change  *change
+	// sum is the digest of the copy's entries.
+	sum uint64
 }
 
 type owning struct {
@@ -45,7 +47,9 @@
 	sent      time.Duration
 	serving   bool
 	group     Group
+	agreed    Group
 	table     map[string]Entry
+	sum       uint64
 	seq       uint64
 	committed uint64
 	dropped   uint64
@@ -55,6 +59,8 @@
 	returns   []Return
 	renewed   map[string]time.Duration
 	whole     map[string]uint64
+	filled    map[string]time.Duration
+	wanting   map[string]bool
 	renewAt   time.Duration
 	sweepAt   time.Duration
 	servedAt  time.Duration
@@ -77,7 +83,22 @@
 	group  Group
 	adding string
 	step   int
-}
+	// began and heard are when the change began and when the seat to be added was
+	// last heard of.
+	began, heard time.Duration
+	// held is since when writes wait for that seat to catch up.
+	held time.Duration
+}
+
+const (
+	// silentTerms is after how many terms without a sign of the seat to be added
+	// a change is given up, longestTerms after how many it is in any case.
+	silentTerms  = 8
+	longestTerms = 30
+	// nearly is by how many writes a seat may be behind for the owner to hold its
+	// next write back until the seat has caught up.
+	nearly = 8
+)
 
 // Tx is a command's view of a part.
 type Tx struct {
@@ -124,6 +145,7 @@
 func (t *Tx) put(e Entry) {
 	o := t.m.owning
 	e.Stamp = Stamp{Term: o.term, Seq: o.seq + 1}
+	o.sum += e.digest() - o.table[e.Key].digest()
 	o.table[e.Key] = e
 	o.entries = append(o.entries, e)
 	t.written = true
@@ -147,6 +169,7 @@
 		o.Copy.Entries = map[string]Entry{}
 	}
 	m := &Machine{params: o.Params, seat: o.Seat, number: o.Number, rules: o.Rules, copy: o.Copy, random: o.Random}
+	m.sum = digest(o.Copy.Entries)
 	m.holder = o.Copy.Promised
 	m.until = o.Now + m.hold()
 	if o.Copy.Promised.Round == 0 {
@@ -160,6 +183,8 @@
 	return time.Duration(float64(m.params.OwnerTerm) * (1 + m.params.Drift))
 }
 
+// patience is how long a seat waits longer than it must before it stands, so
+// that not all stand at once.
 func (m *Machine) patience() time.Duration {
 	rank := 0
 	for i, s := range m.copy.Group.Seats {
@@ -227,7 +252,8 @@
 }
 
 // Change asks the owner to move its group: one seat to add, one to remove,
-// either may be empty.
+// either may be empty. The seat that comes takes the place of the one that goes.
+// Where that one has gone already, there is nothing to do.
 func (m *Machine) Change(now time.Duration, ticket uint64, add, remove string) Output {
 	m.out = &Output{}
 	o := m.owning
@@ -236,32 +262,87 @@
 		return *m.out
 	}
 	seats := []string{}
+	comes := add != "" && !holds(o.group.Seats, add)
 	for _, s := range o.group.Seats {
-		if s != remove {
-			seats = append(seats, s)
+		if s == remove {
+			if !comes {
+				continue
+			}
+			s, comes = add, false
 		}
+		seats = append(seats, s)
 	}
-	if add != "" && !holds(seats, add) {
+	if comes {
 		seats = append(seats, add)
 	}
 	if m.change != nil || len(o.group.Former) > 0 || len(seats) == 0 {
 		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Body: false})
 		return *m.out
 	}
-	if same(seats, o.group.Seats) {
+	if same(seats, o.group.Seats) || (remove != "" && !holds(o.group.Seats, remove)) {
 		m.out.Returns = append(m.out.Returns, Return{Ticket: ticket, Body: true})
 		return *m.out
 	}
-	m.change = &change{ticket: ticket, adding: add,
+	m.change = &change{ticket: ticket, adding: add, began: now, heard: now,
 		group: Group{Term: o.term, Epoch: o.group.Epoch + 1, Seats: seats, Former: o.group.Seats}}
 	if add != "" && !o.group.Has(add) {
 		o.whole[add] = 0
+		delete(o.filled, add)
 		m.fill(now, add)
 	}
 	m.stepChange(now)
 	return *m.out
 }
 
+// Changing reports whether a change is under way, and which seat it adds as long
+// as it can still be given up.
+func (m *Machine) Changing() (adding string, changing bool) {
+	switch {
+	case m.change == nil:
+		return "", m.owning != nil && len(m.owning.group.Former) > 0
+	case m.change.step > 0:
+		return "", true
+	}
+	return m.change.adding, true
+}
+
+// Agreed is the group that the owner's seats have agreed on last.
+func (m *Machine) Agreed() (Group, bool) {
+	if m.owning == nil || !m.owning.serving {
+		return Group{}, false
+	}
+	return m.owning.agreed, true
+}
+
+// GiveUp ends a change whose new group was not proposed yet.
+func (m *Machine) GiveUp(now time.Duration) Output {
+	m.out = &Output{}
+	m.giveUp(now)
+	return *m.out
+}
+
+func (m *Machine) giveUp(now time.Duration) {
+	if m.change == nil || m.change.step > 0 {
+		return
+	}
+	m.out.Returns = append(m.out.Returns, Return{Ticket: m.change.ticket, Body: false})
+	m.change = nil
+	m.flush(now)
+}
+
+// Order puts the seats of a group, which stay the same, in another order. The
+// first one is the part's home.
+func (m *Machine) Order(now time.Duration, seats []string) Output {
+	m.out = &Output{}
+	o := m.owning
+	if _, ok := m.Owns(now); !ok || m.change != nil || o.flight != nil || o.regroup != nil || len(o.group.Former) > 0 || !same(seats, o.group.Seats) {
+		return *m.out
+	}
+	o.regroup = &Group{Term: o.term, Epoch: o.group.Epoch + 1, Seats: append([]string(nil), seats...)}
+	m.flush(now)
+	return *m.out
+}
+
 func same(a, b []string) bool {
 	if len(a) != len(b) {
 		return false
@@ -282,6 +363,9 @@
 	switch c.step {
 	case 0:
 		if c.adding != "" && o.whole[c.adding] < o.committed {
+			if o.whole[c.adding]+nearly >= o.committed && now >= c.held+m.params.OwnerTerm/4 {
+				c.held = now
+			}
 			return
 		}
 		c.step = 1
@@ -295,9 +379,23 @@
 	case 2:
 		m.out.Returns = append(m.out.Returns, Return{Ticket: c.ticket, Body: true})
 		m.change = nil
+		for _, seat := range c.group.Former {
+			if !o.group.Has(seat) && seat != m.seat {
+				m.send(seat, Refuse{Term: o.term, Promised: o.term, Group: o.group}, false)
+			}
+		}
+		if !o.group.Has(m.seat) {
+			m.record(Record{Group: &Group{Term: o.group.Term, Epoch: o.group.Epoch, Seats: o.group.Seats}})
+		}
 	}
 }
 
+// holding reports whether writes wait for the seat to be added.
+func (m *Machine) holding(now time.Duration) bool {
+	c, o := m.change, m.owning
+	return c != nil && c.step == 0 && c.adding != "" && c.held > 0 && now < c.held+m.params.OwnerTerm/8 && o.whole[c.adding] < o.committed
+}
+
 // Propose runs a command at the owner. Its answer comes in a return, in this
 // step's output or a later one's, once all that it rests on is agreed.
 func (m *Machine) Propose(now time.Duration, ticket uint64, command any) Output {
@@ -324,7 +422,7 @@
 
 func (m *Machine) flush(now time.Duration) {
 	o := m.owning
-	if o.flight != nil || (len(o.entries) == 0 && o.regroup == nil && len(o.drops) == 0) {
+	if o.flight != nil || m.holding(now) || (len(o.entries) == 0 && o.regroup == nil && len(o.drops) == 0) {
 		return
 	}
 	latest := map[string]Entry{}
@@ -347,8 +445,11 @@
 	m.Counters.Writes++
 	m.Counters.Entries += int64(len(entries))
 	for _, seat := range m.listeners() {
-		m.send(seat, o.flight.write, false)
+		if !o.wanting[seat] {
+			m.send(seat, o.flight.write, false)
+		}
 	}
+	m.fillWanting(now)
 }
 
 func (m *Machine) listeners() []string {
@@ -365,8 +466,25 @@
 
 func (m *Machine) record(r Record) {
 	r.Part = m.number
-	m.copy.Apply(r)
 	m.out.Records = append(m.out.Records, r)
+	if r.Whole {
+		m.copy.Apply(r)
+		m.sum = digest(m.copy.Entries)
+		return
+	}
+	touched := make(map[string]bool, len(r.Entries)+len(r.Drops))
+	for _, list := range [][]Entry{r.Entries, r.Drops} {
+		for _, e := range list {
+			touched[e.Key] = true
+		}
+	}
+	for key := range touched {
+		m.sum -= m.copy.Entries[key].digest()
+	}
+	m.copy.Apply(r)
+	for key := range touched {
+		m.sum += m.copy.Entries[key].digest()
+	}
 }
 
 // Tick lets time pass: owners renew and sweep, others stand when nobody renews.
@@ -391,15 +509,20 @@
 func (m *Machine) tickOwner(now time.Duration) {
 	o := m.owning
 	if now >= o.renewAt {
-		o.renewAt = now + m.params.OwnerTerm/time.Duration(m.params.Renewals)
+		interval := m.params.OwnerTerm / time.Duration(m.params.Renewals)
+		o.renewAt = now + interval
 		r := Renew{Term: o.term, Clock: m.clock(now), Sent: now}
-		if now >= o.sweepAt && o.flight == nil {
+		if now >= o.sweepAt && o.flight == nil && len(o.entries) == 0 {
 			o.sweepAt = now + m.params.OwnerTerm*time.Duration(m.params.Sweeps)
-			r.Digest, r.Seq = digest(o.table), o.committed
+			r.Digest, r.Seq = o.sum|1, o.committed
 			m.Counters.Swept++
 			m.dropMarks()
 		}
 		for _, seat := range m.listeners() {
+			// A write that it took meanwhile has renewed the hold.
+			if at, ok := o.renewed[seat]; r.Digest == 0 && ok && now < at+interval && o.whole[seat] >= o.committed {
+				continue
+			}
 			m.send(seat, r, false)
 		}
 	}
@@ -413,10 +536,22 @@
 			}
 		}
 	}
+	if c := m.change; c != nil && (now > c.heard+silentTerms*m.params.OwnerTerm || now > c.began+longestTerms*m.params.OwnerTerm) {
+		m.giveUp(now)
+	}
 	m.stepChange(now)
 	m.flush(now)
+	m.fillWanting(now)
+	if o.flight != nil || m.change != nil || len(o.group.Former) > 0 {
+		return
+	}
 	home := o.group.Seats[0]
-	if m.params.Home > 0 && home != m.seat && o.flight == nil && m.change == nil && now > o.servedAt+m.params.OwnerTerm*time.Duration(m.params.Home) {
+	switch {
+	case !o.group.Has(m.seat):
+		if best := m.successor(); best != "" {
+			m.handOver(now, best)
+		}
+	case m.params.Home > 0 && home != m.seat && now > o.servedAt+m.params.OwnerTerm*time.Duration(m.params.Home):
 		o.servedAt = now
 		if o.whole[home] >= o.committed && now < o.renewed[home]+m.params.OwnerTerm/2 {
 			m.handOver(now, home)
@@ -424,6 +559,18 @@
 	}
 }
 
+// successor is the most complete other seat of the group, of those the one that
+// was heard of last.
+func (m *Machine) successor() string {
+	o, best := m.owning, ""
+	for _, seat := range o.group.Seats {
+		if seat != m.seat && (best == "" || o.whole[seat] > o.whole[best] || (o.whole[seat] == o.whole[best] && o.renewed[seat] > o.renewed[best])) {
+			best = seat
+		}
+	}
+	return best
+}
+
 func (m *Machine) handOver(now time.Duration, seat string) {
 	m.send(seat, Handover{Term: m.owning.term}, false)
 	m.stepDown(now)
@@ -450,24 +597,30 @@
 
 func digest(table map[string]Entry) uint64 {
 	var sum uint64
-	for key, e := range table {
-		if e.Gone {
-			continue
-		}
-		h := fnv.New64a()
-		h.Write([]byte(key))
-		h.Write(e.Value)
-		h.Write([]byte{byte(e.Stamp.Seq), byte(e.Stamp.Seq >> 8), byte(e.Stamp.Seq >> 16), byte(e.Stamp.Term.Round)})
-		sum += h.Sum64()
+	for _, e := range table {
+		sum += e.digest()
 	}
-	return sum | 1
+	return sum
+}
+
+// digest is an entry's share of the sum over a table. Marks of removal, and what
+// is not there, have none.
+func (e Entry) digest() uint64 {
+	if e.Gone || e.Stamp == (Stamp{}) {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(e.Key))
+	h.Write(e.Value)
+	h.Write([]byte{byte(e.Stamp.Seq), byte(e.Stamp.Seq >> 8), byte(e.Stamp.Seq >> 16), byte(e.Stamp.Term.Round)})
+	return h.Sum64()
 }
 
 func (m *Machine) stand(now time.Duration, released Term) {
 	m.Counters.Stands++
 	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
 	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
-		group: m.copy.Group, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, refused: map[string]bool{}}
+		group: m.copy.Group, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
 	m.ask(now)
 }
 
@@ -497,6 +650,10 @@
 	if m.change != nil {
 		m.out.Returns = append(m.out.Returns, Return{Ticket: m.change.ticket, Unsure: true})
 	}
+	if m.owning != nil && m.holder == m.owning.term {
+		// Nobody serves under this term any more.
+		m.until = now
+	}
 	m.owning, m.change = nil, nil
 	m.standAt = now + m.patience() + m.params.OwnerTerm/10
 }
@@ -509,16 +666,9 @@
 	if _, ok := m.Owns(now); !ok || o.flight != nil {
 		return *m.out
 	}
-	best := ""
-	for _, seat := range o.group.Seats {
-		if seat != m.seat && (best == "" || o.whole[seat] > o.whole[best]) {
-			best = seat
-		}
+	if best := m.successor(); best != "" {
+		m.handOver(now, best)
 	}
-	if best == "" {
-		return *m.out
-	}
-	m.handOver(now, best)
 	return *m.out
 }
 
@@ -558,7 +708,10 @@
 	case b.Group.Before(m.copy.Group):
 		m.send(from, refuse, false)
 	case held:
-		refuse.Wait = m.until - now
+		// One that stands itself may give up at any time.
+		if m.owning == nil || m.owning.serving {
+			refuse.Wait = m.until - now
+		}
 		m.send(from, refuse, false)
 	case b.Term.Less(m.copy.Promised):
 		m.send(from, refuse, false)
@@ -626,6 +779,7 @@
 		}
 	}
 	o.clockAt = now
+	o.sum = 0
 	keys := make([]string, 0, len(o.table))
 	for k := range o.table {
 		keys = append(keys, k)
@@ -635,6 +789,7 @@
 		e := o.table[k]
 		e.Stamp = Stamp{Term: o.term, Seq: 1}
 		o.table[k] = e
+		o.sum += e.digest()
 		o.entries = append(o.entries, e)
 	}
 	if len(o.group.Former) > 0 {
@@ -663,7 +818,7 @@
 	if o.serving {
 		// The seat has promised a later term to somebody who did not come to
 		// own the part. The owner takes a later one still, without waiting.
-		if o.term.Less(b.Promised) && m.change == nil {
+		if o.term.Less(b.Promised) {
 			m.stepDown(now)
 			m.stand(now, b.Term)
 		}
@@ -672,7 +827,7 @@
 	o.refused[from] = true
 	if o.group.Before(b.Group) || !o.group.agreed(func(seat string) bool { return !o.refused[seat] }) {
 		m.stepDown(now)
-		m.standAt = max(m.standAt, now+b.Wait)
+		m.standAt = max(m.standAt, now+b.Wait+m.patience())
 	}
 }
 
@@ -685,7 +840,7 @@
 		m.stepDown(now)
 	}
 	group := b.Group
-	m.record(Record{Promised: b.Term, Group: &group, Clock: b.Clock, Entries: b.Entries, Drops: b.Drops, Whole: b.Whole})
+	m.record(Record{Promised: b.Term, Group: &group, Clock: b.Clock, Entries: b.Entries, Drops: b.Drops, Whole: b.Whole, Upto: b.Seq})
 	m.keepHold(now, b.Term)
 	if m.wholeOf != b.Term {
 		m.wholeOf, m.whole = b.Term, 0
@@ -708,16 +863,18 @@
 	}
 	o.whole[from] = max(o.whole[from], b.Whole)
 	o.renewed[from] = max(o.renewed[from], b.Sent)
+	m.hearAdding(now, from)
 	f := o.flight
 	if f == nil || f.seq != b.Seq {
 		m.stepChange(now)
+		m.flush(now)
 		return
 	}
 	f.taken[from] = true
 	if !o.group.agreed(func(seat string) bool { return f.taken[seat] }) {
 		return
 	}
-	o.flight, o.committed = nil, f.seq
+	o.flight, o.committed, o.agreed = nil, f.seq, o.group
 	m.out.Returns = append(m.out.Returns, f.returns...)
 	if !o.serving {
 		o.serving, o.servedAt = true, now
@@ -744,7 +901,7 @@
 	if m.wholeOf == b.Term {
 		r.Whole = m.whole
 	}
-	if b.Digest != 0 && r.Whole == b.Seq && digest(m.copy.Entries) != b.Digest {
+	if b.Digest != 0 && r.Whole == b.Seq && m.sum|1 != b.Digest {
 		r.Stale = true
 	}
 	m.send(from, r, false)
@@ -757,25 +914,49 @@
 	}
 	o.renewed[from] = max(o.renewed[from], b.Sent)
 	o.whole[from] = max(o.whole[from], b.Whole)
-	if o.serving && (b.Whole < o.committed || b.Stale) {
-		if o.flight == nil || b.Whole < o.flight.write.Prior {
-			m.Counters.Mended++
-			m.fill(now, from)
-		}
+	m.hearAdding(now, from)
+	if o.serving && (b.Whole < o.committed || b.Stale) && (o.flight == nil || b.Whole < o.flight.write.Prior) && holds(m.listeners(), from) {
+		m.fill(now, from)
 	}
 	m.stepChange(now)
+	m.flush(now)
 }
 
+func (m *Machine) hearAdding(now time.Duration, from string) {
+	if m.change != nil && m.change.adding == from {
+		m.change.heard = now
+	}
+}
+
+// fill sends a seat all that there is, unless that is on its way. It waits until
+// nothing is queued, so that what it sends is what the last write left.
 func (m *Machine) fill(now time.Duration, to string) {
 	o := m.owning
-	w := Write{Term: o.term, Seq: o.committed, Group: o.group, Clock: m.clock(now), Whole: true, Sent: now}
+	if at, ok := o.filled[to]; ok && now < at+2*m.params.OwnerTerm {
+		return
+	}
+	o.wanting[to] = true
+	m.fillWanting(now)
+}
+
+func (m *Machine) fillWanting(now time.Duration) {
+	o := m.owning
+	if len(o.wanting) == 0 || len(o.entries) > 0 || len(o.drops) > 0 || o.regroup != nil {
+		return
+	}
+	w := Write{Term: o.term, Seq: o.seq, Group: o.group, Clock: m.clock(now), Whole: true, Sent: now, Entries: make([]Entry, 0, len(o.table))}
 	for _, e := range o.table {
-		if e.Stamp.Seq <= o.committed {
-			w.Entries = append(w.Entries, e)
-		}
+		w.Entries = append(w.Entries, e)
 	}
 	sort.Slice(w.Entries, func(i, j int) bool { return w.Entries[i].Key < w.Entries[j].Key })
-	m.send(to, w, false)
+	for _, seat := range m.listeners() {
+		if o.wanting[seat] {
+			m.Counters.Mended++
+			o.filled[seat] = now
+			m.send(seat, w, false)
+		}
+	}
+	clear(o.wanting)
 }
 
 // Dropped is the sequence up to which marks of removal may be missing.
--- a/rule/part/types.go
+++ b/rule/part/types.go
@@ -115,6 +115,8 @@
 	Entries  []Entry       `msgpack:"e"`
 	Drops    []Entry       `msgpack:"d"`
 	Whole    bool          `msgpack:"w"`
+	// Upto is the sequence up to which a whole record is all there is of its term.
+	Upto uint64 `msgpack:"u"`
 }
 
 // Apply brings a copy up to a record.
@@ -136,8 +138,12 @@
 	}
 	if r.Whole {
 		c.Base = r.Promised
+		present := make(map[string]bool, len(r.Entries))
+		for _, e := range r.Entries {
+			present[e.Key] = true
+		}
 		for key, e := range c.Entries {
-			if e.Stamp.Term.Less(r.Promised) {
+			if e.Stamp.Term.Less(r.Promised) || (e.Stamp.Term == r.Promised && e.Stamp.Seq <= r.Upto && !present[key]) {
 				delete(c.Entries, key)
 			}
 		}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -157,7 +157,7 @@
 // own is the one goroutine that drives the machine.
 func (s *process) own(ctx, life context.Context) error {
 	runtime.LockOSThread()
-	ticker := time.NewTicker(s.params.Core().Part.OwnerTerm / 40)
+	ticker := time.NewTicker(s.params.Core().Part.OwnerTerm / 20)
 	defer ticker.Stop()
 	var leaveBy time.Duration
 	stop, drain := ctx.Done(), s.drain
