A former owner stands at once after a restart; a rate's successor knows what was spent

Change: a seat whose promise is its own stands at once and asks again every tenth of a term; what lasts of a ledger holds its slices, what was out and the open block.

--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -339,7 +339,7 @@
 	changed := false
 	if len(m.topology.Owners) == 0 && len(t.Owners) > 0 {
 		cores := m.topology.Cores
-		m.topology = core.Topology{Fleet: t.Fleet, Cores: cores, Owners: slices.Clone(t.Owners), Groups: slices.Clone(t.Groups)}
+		m.topology = core.Topology{Fleet: t.Fleet, Size: t.Size, Cores: cores, Owners: slices.Clone(t.Owners), Groups: slices.Clone(t.Groups)}
 		changed = true
 	}
 	if m.topology.Fleet != t.Fleet && t.Fleet != "" {
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -45,6 +45,7 @@
 	refused   map[string]bool
 	promises  map[string]Promise
 	sent      time.Duration
+	askedAt   time.Duration
 	serving   bool
 	group     Group
 	agreed    Group
@@ -176,6 +177,10 @@
 		m.until = o.Now
 	}
 	m.standAt = m.until + m.patience()
+	if o.Copy.Promised.Owner == o.Seat {
+		// The hold that it may have renewed was its own, and ended with it.
+		m.until, m.standAt = o.Now, o.Now
+	}
 	return m
 }
 
@@ -498,6 +503,9 @@
 		}
 	case !o.serving && now > o.sent+m.params.OwnerTerm:
 		m.stepDown(now)
+	case !o.serving && o.table == nil && now > o.askedAt+m.params.OwnerTerm/10:
+		// Some may have been away when they were asked.
+		m.ask(now)
 	case o.serving && !m.leased(now) && now > o.sent+m.params.OwnerTerm:
 		m.stepDown(now)
 	case o.serving:
@@ -626,6 +634,7 @@
 
 func (m *Machine) ask(now time.Duration) {
 	o := m.owning
+	o.askedAt = now
 	if !o.asking && m.copy.Promised != o.term {
 		// This seat's own promise is on disk before any other is asked for, so
 		// that no later life of it can stand for the same term.
--- a/rule/rate/ledger.go
+++ b/rule/rate/ledger.go
@@ -10,19 +10,14 @@
 	Most   int64         `msgpack:"m"`
 }
 
-// Block is a number of requests that were reserved durably at a time, to be
-// granted from then on.
-type Block struct {
-	At    time.Duration `msgpack:"a"`
-	Count int64         `msgpack:"c"`
-}
-
-// Reserve is what must last of a ledger. Whoever takes a part over knows no
-// more, and counts all that was reserved as granted and spent late.
+// Reserve is what must last of a ledger: what was spent up to a time, what was
+// out then, and how many may be granted since. Whoever takes a part over knows
+// no more, and counts all of the last two as granted and spent late.
 type Reserve struct {
 	Version uint64  `msgpack:"v"`
 	Limit   Limit   `msgpack:"l"`
-	Blocks  []Block `msgpack:"b"`
+	Open    int64   `msgpack:"o"`
+	Spent   []Slice `msgpack:"s"`
 }
 
 // Holding is what one life of a node has drawn. All counts only grow, so a
@@ -36,8 +31,9 @@
 
 // Slice is what was spent in a short time.
 type Slice struct {
-	End   time.Duration
-	Count int64
+	_msgpack struct{} `msgpack:",as_array"`
+	End      time.Duration
+	Count    int64
 }
 
 // Ledger is a tenant's books. What is out counts as though it were spent now,
@@ -50,16 +46,12 @@
 	left int64
 }
 
-// Open makes a ledger of what lasted. What was reserved up to now may have been
-// granted up to now, and used for a term after that.
+// Open makes a ledger of what lasted. What was open may have been granted up to
+// now, and used for a term after that.
 func Open(now time.Duration, r Reserve, term time.Duration) *Ledger {
-	l := &Ledger{Reserve: r, Holdings: map[string]Holding{}}
-	for i, b := range r.Blocks {
-		end := now
-		if i+1 < len(r.Blocks) {
-			end = r.Blocks[i+1].At
-		}
-		l.Slices = append(l.Slices, Slice{End: end + term, Count: b.Count})
+	l := &Ledger{Reserve: r, Holdings: map[string]Holding{}, Slices: append([]Slice(nil), r.Spent...)}
+	if r.Open > 0 {
+		l.Slices = append(l.Slices, Slice{End: now + term, Count: r.Open})
 	}
 	return l
 }
@@ -134,14 +126,15 @@
 		h.Granted += granted
 		l.Holdings[d.Holder] = h
 		if l.left -= granted; l.left < 0 {
-			block := max(l.Limit.Most/blocks, 1) - l.left
-			l.left += block
-			l.Blocks = append(l.Blocks, Block{At: now, Count: block})
+			l.left = max(l.Limit.Most/blocks, 1)
 			changed = true
 		}
 	}
 	if changed {
-		l.forget(now, d.Term)
+		l.Open, l.Spent = l.left, append([]Slice(nil), l.Slices...)
+		for _, h := range l.Holdings {
+			l.Open += h.out()
+		}
 	}
 	answer.Granted = h.Granted
 	if h.out() < d.Want {
@@ -150,13 +143,6 @@
 	return answer, changed
 }
 
-// forget drops blocks of which nothing can be in the window any more.
-func (l *Ledger) forget(now, term time.Duration) {
-	for len(l.Blocks) > 1 && now >= l.Blocks[1].At+term+l.Limit.Window {
-		l.Blocks = l.Blocks[1:]
-	}
-}
-
 // book counts what was spent when it was: the newest first, as an earlier report
 // may have told the older.
 func (l *Ledger) book(now time.Duration, recent []Spend, count int64) {
