A new owner of equal copies restamps them where they are

Change: promises carry a digest (xxhash over keys, stamps, values); where a majority's are alike, the owner takes its own copy and tells the others to restamp theirs; else entries are asked for as before. A seat that has not promised gets nothing until it has; one that lacks entries gets them. Dials hang a third of the patience.

--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -172,7 +172,9 @@
 func (s *Streams) dial(to string) net.Conn {
 	// A stream whose bytes are not acknowledged, as behind a cut, is given up and
 	// dialled anew: left alone, it would stay silent long after the cut is over.
-	dialer := net.Dialer{Timeout: s.params.Patience, KeepAlive: -1, Control: socket.UserTimeout(s.params.Patience)}
+	// A machine that is away lets a dial hang; it must not hang long after the
+	// machine is back.
+	dialer := net.Dialer{Timeout: s.params.Patience / 3, KeepAlive: -1, Control: socket.UserTimeout(s.params.Patience)}
 	if host, _, err := net.SplitHostPort(s.params.Advertise); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -1,9 +1,11 @@
 package part
 
 import (
-	"hash/fnv"
+	"encoding/binary"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Rules decide what a command does to the entries of a part.
@@ -39,13 +41,17 @@
 }
 
 type owning struct {
-	term      Term
-	released  Term
-	asking    bool
-	refused   map[string]bool
-	promises  map[string]Promise
-	sent      time.Duration
-	askedAt   time.Duration
+	term     Term
+	released Term
+	asking   bool
+	refused  map[string]bool
+	promises map[string]Promise
+	sent     time.Duration
+	askedAt  time.Duration
+	// full is set when the digests of a majority differ, so that entries are
+	// needed; light has the digests that seats promised with.
+	full      bool
+	light     map[string]uint64
 	serving   bool
 	group     Group
 	agreed    Group
@@ -472,7 +478,7 @@
 func (m *Machine) record(r Record) {
 	r.Part = m.number
 	m.out.Records = append(m.out.Records, r)
-	if r.Whole {
+	if r.Whole || r.Restamp {
 		m.copy.Apply(r)
 		m.sum = digest(m.copy.Entries)
 		return
@@ -506,6 +512,13 @@
 	case !o.serving && o.table == nil && now > o.askedAt+m.params.OwnerTerm/10:
 		// Some may have been away when they were asked.
 		m.ask(now)
+	case !o.serving && o.flight != nil && now > o.flight.sentAt+m.params.OwnerTerm/4:
+		o.flight.sentAt = now
+		for _, seat := range o.group.All() {
+			if !o.flight.taken[seat] {
+				m.sendFirst(now, seat)
+			}
+		}
 	case o.serving && !m.leased(now) && now > o.sent+m.params.OwnerTerm:
 		m.stepDown(now)
 	case o.serving:
@@ -617,10 +630,16 @@
 	if e.Gone || e.Stamp == (Stamp{}) {
 		return 0
 	}
-	h := fnv.New64a()
-	h.Write([]byte(e.Key))
+	var h xxhash.Digest
+	h.Reset()
+	h.WriteString(e.Key)
+	var tail [24]byte
+	binary.LittleEndian.PutUint64(tail[0:], e.Stamp.Seq)
+	binary.LittleEndian.PutUint64(tail[8:], e.Stamp.Term.Round)
+	binary.LittleEndian.PutUint64(tail[16:], uint64(len(e.Key)))
+	h.Write(tail[:])
+	h.WriteString(e.Stamp.Term.Owner)
 	h.Write(e.Value)
-	h.Write([]byte{byte(e.Stamp.Seq), byte(e.Stamp.Seq >> 8), byte(e.Stamp.Seq >> 16), byte(e.Stamp.Term.Round)})
 	return h.Sum64()
 }
 
@@ -628,7 +647,7 @@
 	m.Counters.Stands++
 	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
 	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
-		group: m.copy.Group, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
+		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
 	m.ask(now)
 }
 
@@ -642,7 +661,7 @@
 	}
 	for _, seat := range o.group.All() {
 		if _, ok := o.promises[seat]; !ok {
-			m.send(seat, Stand{Ask: o.asking, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
+			m.send(seat, Stand{Ask: o.asking, Light: !o.full, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
 		}
 	}
 }
@@ -730,10 +749,16 @@
 		if m.owning != nil && m.owning.term.Less(b.Term) {
 			m.stepDown(now)
 		}
-		m.record(Record{Promised: b.Term})
+		if m.copy.Promised != b.Term {
+			m.record(Record{Promised: b.Term})
+		}
 		m.holder, m.until = b.Term, now+m.hold()
 		m.standAt = m.until + m.patience()
-		m.send(from, Promise{Term: b.Term, Base: m.copy.Base, Group: m.copy.Group, Clock: m.copy.Clock, Entries: m.entries(), Sent: b.Sent}, true)
+		promise := Promise{Term: b.Term, Base: m.copy.Base, Group: m.copy.Group, Clock: m.copy.Clock, Sent: b.Sent, Light: b.Light, Sum: m.sum}
+		if !b.Light {
+			promise.Entries = m.entries()
+		}
+		m.send(from, promise, true)
 	}
 }
 
@@ -748,7 +773,16 @@
 
 func (m *Machine) onPromise(now time.Duration, from string, b Promise) {
 	o := m.owning
-	if o == nil || o.serving || o.table != nil || b.Term != o.term || b.Ask != o.asking {
+	if o == nil || b.Term != o.term || b.Ask != o.asking {
+		return
+	}
+	if b.Light {
+		o.light[from] = b.Sum
+	}
+	if o.table != nil && !o.serving && o.flight != nil && !o.flight.taken[from] {
+		m.sendFirst(now, from)
+	}
+	if o.serving || o.table != nil || b.Light && o.full {
 		return
 	}
 	o.promises[from] = b
@@ -769,8 +803,25 @@
 		m.ask(now)
 		return
 	}
+	if !promised(m.seat) {
+		return
+	}
+	alike, light := true, false
+	for _, p := range o.promises {
+		light = light || p.Light
+		alike = alike && p.Light && p.Sum == m.sum
+	}
+	if light && !alike {
+		o.full, o.promises, o.sent = true, map[string]Promise{}, now
+		m.ask(now)
+		return
+	}
 	o.table = map[string]Entry{}
 	var base Term
+	if alike {
+		// All that a majority has is what this seat has.
+		o.promises[m.seat] = Promise{Entries: m.entries(), Base: m.copy.Base, Clock: m.copy.Clock}
+	}
 	for _, p := range o.promises {
 		o.clockBase = max(o.clockBase, p.Clock)
 		if base.Less(p.Base) {
@@ -779,7 +830,7 @@
 	}
 	for _, p := range o.promises {
 		for _, e := range p.Entries {
-			if e.Stamp.Term.Less(base) {
+			if e.Stamp.Term.Less(base) || alike && e.Gone {
 				continue
 			}
 			if old, ok := o.table[e.Key]; !ok || old.Stamp.Less(e.Stamp) {
@@ -807,12 +858,30 @@
 	o.seq = 1
 	o.group.Term = o.term
 	first := Write{Term: o.term, Seq: 1, Group: o.group, Clock: o.clockBase, Entries: o.entries, Whole: true, Sent: now}
+	if alike {
+		first.Sum, first.Restamp = m.sum, true
+	}
 	o.flight = &flight{seq: 1, taken: map[string]bool{}, sentAt: now, write: first}
 	o.entries = nil
 	o.sent = now
 	for _, seat := range o.group.All() {
-		m.send(seat, first, false)
+		m.sendFirst(now, seat)
+	}
+}
+
+// sendFirst sends an owner's first write, which makes a copy whole: to a seat
+// that has all entries already no more than word of it, to one that may have them
+// nothing until it has promised.
+func (m *Machine) sendFirst(now time.Duration, seat string) {
+	o := m.owning
+	w := o.flight.write
+	w.Sent = now
+	if sum, ok := o.light[seat]; w.Restamp && !ok {
+		return
+	} else if w.Restamp = w.Restamp && sum == w.Sum; w.Restamp {
+		w.Entries, w.Whole = nil, false
 	}
+	m.send(seat, w, false)
 }
 
 func (m *Machine) onRefuse(now time.Duration, from string, b Refuse) {
@@ -848,13 +917,20 @@
 	if m.owning != nil && m.owning.term.Less(b.Term) {
 		m.stepDown(now)
 	}
-	group := b.Group
-	m.record(Record{Promised: b.Term, Group: &group, Clock: b.Clock, Entries: b.Entries, Drops: b.Drops, Whole: b.Whole, Upto: b.Seq})
-	m.keepHold(now, b.Term)
 	if m.wholeOf != b.Term {
 		m.wholeOf, m.whole = b.Term, 0
 	}
-	if b.Whole || m.whole >= b.Prior {
+	again := b.Restamp && m.whole >= b.Seq
+	if b.Restamp && !again && m.sum != b.Sum {
+		m.send(from, Taken{Term: b.Term, Sent: b.Sent, Lacks: true}, false)
+		return
+	}
+	group := b.Group
+	if !again {
+		m.record(Record{Promised: b.Term, Group: &group, Clock: b.Clock, Entries: b.Entries, Drops: b.Drops, Whole: b.Whole, Restamp: b.Restamp, Upto: b.Seq})
+	}
+	m.keepHold(now, b.Term)
+	if b.Whole || b.Restamp || m.whole >= b.Prior {
 		m.whole = max(m.whole, b.Seq)
 	}
 	m.send(from, Taken{Term: b.Term, Seq: b.Seq, Whole: m.whole, Sent: b.Sent}, true)
@@ -874,6 +950,13 @@
 	o.renewed[from] = max(o.renewed[from], b.Sent)
 	m.hearAdding(now, from)
 	f := o.flight
+	if b.Lacks && f != nil && f.write.Restamp {
+		// What it promised with is not what it has now; it gets the entries.
+		o.light[from] = f.write.Sum + 1
+		w := f.write
+		w.Restamp, w.Sent = false, now
+		m.send(from, w, false)
+	}
 	if f == nil || f.seq != b.Seq {
 		m.stepChange(now)
 		m.flush(now)
--- a/rule/part/types.go
+++ b/rule/part/types.go
@@ -117,6 +117,8 @@
 	Whole    bool          `msgpack:"w"`
 	// Upto is the sequence up to which a whole record is all there is of its term.
 	Upto uint64 `msgpack:"u"`
+	// Restamp brings all entries under the promised term, with the sequence Upto.
+	Restamp bool `msgpack:"x"`
 }
 
 // Apply brings a copy up to a record.
@@ -136,6 +138,17 @@
 			c.Entries[e.Key] = e
 		}
 	}
+	if r.Restamp {
+		c.Base = r.Promised
+		for key, e := range c.Entries {
+			if e.Gone {
+				delete(c.Entries, key)
+				continue
+			}
+			e.Stamp = Stamp{Term: r.Promised, Seq: r.Upto}
+			c.Entries[key] = e
+		}
+	}
 	if r.Whole {
 		c.Base = r.Promised
 		present := make(map[string]bool, len(r.Entries))
@@ -174,15 +187,20 @@
 	// Stand asks for the promise of a term. One that only asks binds nobody; it
 	// keeps a seat that was cut off from unseating an owner that serves.
 	Stand struct {
-		Ask      bool          `msgpack:"a"`
+		Ask bool `msgpack:"a"`
+		// Light asks for the copy's digest alone.
+		Light    bool          `msgpack:"l"`
 		Term     Term          `msgpack:"t"`
 		Group    Group         `msgpack:"g"`
 		Released Term          `msgpack:"r"`
 		Sent     time.Duration `msgpack:"s"`
 	}
-	// Promise gives it, with the whole copy of the seat.
+	// Promise gives it, with the whole copy of the seat or its digest.
 	Promise struct {
-		Ask     bool          `msgpack:"a"`
+		Ask bool `msgpack:"a"`
+		// Light: Sum stands for the entries, of which there are none.
+		Light   bool          `msgpack:"l"`
+		Sum     uint64        `msgpack:"u"`
 		Term    Term          `msgpack:"t"`
 		Base    Term          `msgpack:"b"`
 		Group   Group         `msgpack:"g"`
@@ -200,6 +218,10 @@
 	// Write carries entries under a term. Prior is the sequence that must have
 	// been taken for the copy to be whole.
 	Write struct {
+		// Restamp: the entries are those that the seat has, if they have this sum;
+		// they come under the write's term.
+		Restamp bool          `msgpack:"x"`
+		Sum     uint64        `msgpack:"u"`
 		Term    Term          `msgpack:"t"`
 		Seq     uint64        `msgpack:"q"`
 		Prior   uint64        `msgpack:"p"`
@@ -216,6 +238,8 @@
 		Seq   uint64        `msgpack:"q"`
 		Whole uint64        `msgpack:"w"`
 		Sent  time.Duration `msgpack:"s"`
+		// Lacks: the seat has other entries than a restamping write is for.
+		Lacks bool `msgpack:"l"`
 	}
 	// Renew prolongs the owner's hold on its part.
 	Renew struct {
