--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -63,7 +63,9 @@
 			leaving[id] = leaving[id] || p.Replica.Leaving
 			final[id] = final[id] || p.Final
 			old, ok := best[id]
-			if !ok || old.Replica.Call < p.Replica.Call || (old.Replica.Call == p.Replica.Call && old.Gone && !p.Gone) {
+			// That one desk has not heard of it for long is no word against another
+			// that has.
+			if !ok || old.Gone && !p.Gone || old.Gone == p.Gone && old.Replica.Call < p.Replica.Call {
 				best[id] = p.Listed
 			}
 		}
@@ -112,7 +114,7 @@
 	}
 	var chosen, suspect *standing
 	var best, bestSuspect float64
-	service, _ := m.table.Service(w.service)
+	service, _ := w.table.Service(w.service)
 	most := int64(1 << 30)
 	if service != nil {
 		most = max(2, service.Connections/int64(max(m.nodes, 1)+1))
@@ -174,7 +176,7 @@
 	s.since++
 	s.usedAt = now
 	var most int64 = 1 << 40
-	if service, ok := m.table.Service(w.service); ok && service.CacheTokens > 0 {
+	if service, ok := w.table.Service(w.service); ok && service.CacheTokens > 0 {
 		most = service.CacheTokens * 3 / 4
 	}
 	for _, p := range w.ask.Prompt {
--- a/peer/relay/pace.go
+++ b/peer/relay/pace.go
@@ -111,8 +111,7 @@
 	p.usedAt = now
 	w.pace = p
 	if len(p.waiting) == 0 && p.free(now) > 0 {
-		p.spend(now)
-		w.paid, w.paidBirth = true, p.births
+		m.pay(now, w)
 		m.admitted(now, w)
 		return
 	}
@@ -131,6 +130,36 @@
 	m.refuse(now, w, Step{Status: 429, Check: "tenant rate", Reason: "the tenant's rate is used up", RetryAfter: retry})
 }
 
+// stale is after which part of a window a request that waited, for its books or
+// at a replica that did not run it, counts as another one of its tenant's: it
+// would run in another window than it was booked in.
+const stale = 20
+
+func (m *Machine) pay(now time.Duration, w *way) {
+	w.pace.spend(now)
+	w.paid, w.paidBirth, w.paidAt = true, w.pace.births, now
+}
+
+// paysAgain pays for a request that has waited for long since it was paid for, or
+// lets it wait for that. It reports whether the request may go on.
+func (m *Machine) paysAgain(now time.Duration, w *way) bool {
+	if w.pace == nil || w.paid && now < w.paidAt+m.params.Window/stale {
+		return true
+	}
+	p := w.pace
+	if p.free(now) > 0 {
+		m.pay(now, w)
+		return true
+	}
+	w.admitted, w.hold = true, now+min((w.until-now)/4, m.params.Window/5)
+	w.state, w.patience = stateAdmitting, now+(w.until-now)/2
+	p.usedAt = now
+	p.waiting = append(p.waiting, w)
+	p.wanted = true
+	m.draw(now)
+	return false
+}
+
 // unpay gives a request back to its tenant's rate that surely did not run.
 func (m *Machine) unpay(w *way) {
 	// What a draw has told as spent stays spent.
@@ -265,9 +294,12 @@
 		if w.ended {
 			continue
 		}
-		p.spend(now)
-		w.paid, w.paidBirth = true, p.births
-		m.admitted(now, w)
+		m.pay(now, w)
+		if w.admitted {
+			m.dispatch(now, w)
+		} else {
+			m.admitted(now, w)
+		}
 	}
 	p.wanted = len(p.waiting) > 0
 	if d.Retry <= 0 {
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -16,8 +16,11 @@
 
 // way is one request on its way through this node.
 type way struct {
-	ticket   uint64
-	ask      Ask
+	ticket uint64
+	ask    Ask
+	// table is the one that the request came under: it is served by that one to
+	// its end.
+	table    *route.Table
 	route    *route.Route
 	tenant   *route.Tenant
 	service  string
@@ -37,6 +40,9 @@
 	hold      time.Duration
 	paid      bool
 	paidBirth int
+	paidAt    time.Duration
+	// admitted: all but the rate is there.
+	admitted bool
 
 	reserving bool
 	reserved  bool
@@ -67,6 +73,7 @@
 // enter checks a request against the table in force.
 func (m *Machine) enter(now time.Duration, w *way) {
 	a := w.ask
+	w.table = m.table
 	limits := m.table.Limits
 	switch {
 	case a.HeadBytes > limits.HeaderBytes:
@@ -272,6 +279,9 @@
 		m.end(now, w, Step{Kind: StepRefuse, Status: 503, Check: "replicas", Reason: "as many replicas were asked as the route allows", RetryAfter: m.params.Core.Retry})
 		return
 	}
+	if !m.paysAgain(now, w) {
+		return
+	}
 	s := m.choose(now, w)
 	if s == nil && w.state == stateAdmitting && len(m.services[w.service]) == 0 && now < w.patience {
 		// Nobody has said yet which replicas there are.
@@ -365,7 +375,7 @@
 	if may && w.paid && w.pace != nil {
 		// It may have run: another run is another request of the tenant's.
 		if w.pace.births == w.paidBirth && w.pace.free(now) > 0 {
-			w.pace.spend(now)
+			m.pay(now, w)
 		} else {
 			may = false
 		}
@@ -428,7 +438,7 @@
 
 func (m *Machine) tokens(w *way) int64 {
 	per := int64(1)
-	if s, ok := m.table.Service(w.service); ok {
+	if s, ok := w.table.Service(w.service); ok {
 		per = s.TokensPerEvent
 	}
 	return w.events * per
--- /dev/null
+++ b/rehearsalkit/capacity/hollow.go
@@ -0,0 +1,179 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"saffronfall/peer/desk"
+	"saffronfall/peer/relay"
+)
+
+// replica is a hollow replica: it announces itself and answers after a time.
+type replica struct {
+	id, service, address string
+	zone                 int
+	call, running        int64
+}
+
+func (w *world) beats(r *replica) {
+	r.call++
+	d := w.desks[r.zone%len(w.desks)]
+	if !d.alive {
+		for _, other := range w.desks {
+			if other.alive {
+				d = other
+				break
+			}
+		}
+	}
+	if d.alive {
+		word := desk.Replica{ID: r.id, Service: r.service, Address: r.address, Zone: fmt.Sprintf("zone-%d", r.zone), Slots: 16, Call: r.call}
+		raw, err := json.Marshal(word)
+		if err != nil {
+			panic(err)
+		}
+		d.meter.Received++
+		d.meter.ReceivedBytes += int64(len(raw))
+		d.meter.kind("received heartbeat", len(raw))
+		d.takeDesk(timed(d, func() desk.Output { return d.desk.Beat(w.now, word) }))
+	}
+	w.after(w.between(beat*9/10, beat*11/10), func() { w.beats(r) })
+}
+
+// program is a hollow requester: turn after turn, from any node.
+type program struct {
+	world    *world
+	tenant   int
+	name     string
+	model    int
+	depth    int
+	previous string
+	tries    int
+}
+
+func (w *world) startPrograms() {
+	i := 0
+	for tenant, share := range w.shares {
+		for n := 0; n < max(1, int(share*float64(w.point.Programs)+0.5)) && i < w.point.Programs; n++ {
+			w.program(i, tenant)
+			i++
+		}
+	}
+	for ; i < w.point.Programs; i++ {
+		w.program(i, i%w.point.Tenants)
+	}
+}
+
+func (w *world) program(i, tenant int) {
+	p := &program{world: w, tenant: tenant, model: i % w.point.Models}
+	w.programs = append(w.programs, p)
+	p.renew()
+	w.after(w.between(0, w.point.think()), p.turn)
+}
+
+func (p *program) renew() {
+	p.world.attempts++
+	p.name, p.depth, p.previous = fmt.Sprintf("program-%d", p.world.attempts), 0, ""
+}
+
+// turn is one request at a node.
+type turn struct {
+	program *program
+	node    *process
+	life    int
+	ticket  uint64
+	attempt string
+	at      time.Duration
+	ended   bool
+	target  *replica
+}
+
+func (p *program) turn() {
+	w := p.world
+	w.attempts++
+	w.tickets++
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	t := &turn{program: p, node: n, life: n.life, ticket: w.tickets, attempt: fmt.Sprintf("attempt-%016d", w.attempts), at: w.now}
+	w.counts["asked"]++
+	if !n.alive {
+		t.end("unreached")
+		return
+	}
+	n.ways[t.ticket] = t
+	a := relay.Ask{Host: "tier", Path: fmt.Sprintf("/model-%d/turn", p.model), Key: fmt.Sprintf("key-%d", p.tenant), HasKey: true, Attempt: t.attempt, Program: p.name, Previous: p.previous,
+		Budget: 1 << 30, Most: 1000, Left: 4 * time.Second, HeadBytes: 300, BodyBytes: int64(w.point.TurnBytes / 2), Input: w.bytes(w.point.TurnBytes / 2),
+		Prompt: []relay.Piece{{ID: uint64(p.tenant*8 + p.model), Tokens: 512}, {ID: uint64(1<<32 + w.attempts), Tokens: 600}}}
+	n.takeNode(timed(n, func() relay.Output { return n.node.Arrive(w.now, t.ticket, a) }))
+}
+
+func (w *world) bytes(n int) []byte {
+	raw := make([]byte, n)
+	for i := range raw {
+		raw[i] = 'a' + byte(i%26)
+	}
+	return raw
+}
+
+func (t *turn) step(s relay.Step) {
+	w, n := t.program.world, t.node
+	switch s.Kind {
+	case relay.StepSend:
+		r := w.services[s.Replica.Address]
+		if w.cut(n.zone, r.zone) {
+			w.after(contact/10, func() { t.came(relay.Outcome{Kind: relay.NotRun, Unreached: true}) })
+			return
+		}
+		r.running++
+		w.after(w.between(service/2, service*3/2), func() {
+			r.running--
+			t.came(relay.Outcome{Kind: relay.Whole, Begun: true, Events: 215, Output: w.bytes(w.point.TurnBytes - w.point.TurnBytes/2), Load: &relay.Load{Running: r.running, Slots: 16}})
+		})
+	case relay.StepPass:
+		delete(n.ways, t.ticket)
+		t.end("whole")
+	case relay.StepBreak:
+		delete(n.ways, t.ticket)
+		t.end("broken")
+	default:
+		delete(n.ways, t.ticket)
+		t.end(fmt.Sprintf("refused %d %s", s.Status, s.Check))
+	}
+}
+
+func (t *turn) came(o relay.Outcome) {
+	n := t.node
+	if t.ended || n.life != t.life || !n.alive {
+		return
+	}
+	n.takeNode(timed(n, func() relay.Output { return n.node.Came(n.world.now, t.ticket, o) }))
+}
+
+// end books what became of a turn and plans the program's next one. A turn that
+// was not served is asked again; one whose history is gone begins anew.
+func (t *turn) end(outcome string) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	p, w := t.program, t.program.world
+	w.counts[outcome]++
+	pause := w.between(w.point.think()*3/4, w.point.think()*5/4) - (w.now - t.at)
+	if outcome == "whole" {
+		p.depth, p.previous, p.tries = p.depth+1, t.attempt, 0
+	} else {
+		p.tries++
+		w.after(w.between(100*time.Millisecond, 300*time.Millisecond), func() {
+			if p.tries > 20 || outcome == "refused 404 history" {
+				p.tries = 0
+				p.renew()
+			}
+			p.turn()
+		})
+		return
+	}
+	if p.depth >= w.point.Turns {
+		p.renew()
+	}
+	w.after(max(pause, time.Millisecond), p.turn)
+}
--- /dev/null
+++ b/rehearsalkit/capacity/measure.go
@@ -0,0 +1,240 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
+)
+
+// Failures that a run may hold: a third of the measured time after its begin,
+// for a fifth of it.
+const (
+	None   = "none"
+	Core   = "core"
+	Wipe   = "wipe"
+	Node   = "node"
+	Desk   = "desk"
+	Zone   = "zone"
+	Region = "split"
+)
+
+// Span is how long a run lasts in simulated time. Before it is measured, a run
+// goes on for Warm and for as many turns as a program has.
+type Span struct {
+	Warm, Measured time.Duration
+}
+
+// Figure is one measure of one role: a mean over its processes, a second.
+type Figure struct {
+	Role, Measure string
+	Value         float64
+	// Time tells figures that the machine's speed decides.
+	Time bool
+}
+
+// Measure runs one point and tells what each role did and holds.
+func Measure(p Point, seed uint64, span Span, failure string) ([]Figure, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	if !slices.Contains([]string{None, Core, Wipe, Node, Desk, Zone, Region}, failure) {
+		return nil, errors.Newf("no failure %q", failure)
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	w := newWorld(p, seed)
+	for !w.settled() {
+		if w.now > time.Minute {
+			return nil, errors.New("the fleet was not founded within a minute")
+		}
+		w.run(w.now + 100*time.Millisecond)
+	}
+	ok := false
+	for !ok {
+		w.change(func(agreed bool) { ok = agreed })
+		w.run(w.now + time.Second)
+		if w.now > time.Minute {
+			return nil, errors.New("no table was agreed within a minute")
+		}
+	}
+	w.run(w.now + 2*beat)
+	w.startPrograms()
+	w.run(w.now + span.Warm + time.Duration(p.Turns)*p.think())
+	if p.Changes > 0 {
+		every := time.Hour / time.Duration(p.Changes)
+		var next func()
+		next = func() {
+			w.change(func(bool) {})
+			w.after(every, next)
+		}
+		w.after(every/2, next)
+	}
+	for _, list := range [][]*process{w.cores, w.desks, w.nodes} {
+		for _, x := range list {
+			x.meter = meter{kinds: map[string]*kind{}}
+		}
+	}
+	clear(w.counts)
+	w.lag = 0
+	began := w.now
+	if failure != None {
+		w.after(span.Measured/3, func() { w.fail(failure, span.Measured/5) })
+	}
+	w.run(began + span.Measured)
+	return w.figures(span.Measured), nil
+}
+
+func (w *world) settled() bool {
+	for _, c := range w.cores {
+		if c.core == nil || !c.core.Founded() {
+			return false
+		}
+	}
+	for _, d := range w.desks {
+		if d.desk == nil || !d.desk.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) fail(failure string, length time.Duration) {
+	var struck []*process
+	switch failure {
+	case Core, Wipe:
+		struck = w.cores[1:2]
+	case Node:
+		struck = w.nodes[:1]
+	case Desk:
+		struck = w.desks[1:2]
+	case Zone:
+		for _, list := range [][]*process{w.cores, w.desks, w.nodes} {
+			for _, x := range list {
+				if x.zone == 1%w.point.Zones {
+					struck = append(struck, x)
+				}
+			}
+		}
+	case Region:
+		w.split = true
+		w.after(length, func() { w.split = false })
+	}
+	for _, x := range struck {
+		x.kill()
+		if failure == Wipe {
+			x.stored.Copies, x.stored.Founding.Parts = nil, 0
+			x.stored.Incarnation = x.id + "-anew"
+		}
+		w.after(length, x.boot)
+	}
+}
+
+func (w *world) figures(length time.Duration) []Figure {
+	var list []Figure
+	add := func(role, measure string, value float64, time bool) {
+		list = append(list, Figure{Role: role, Measure: measure, Value: value, Time: time})
+	}
+	seconds := length.Seconds()
+	for _, name := range ordered.Keys(w.counts) {
+		add("requester", name+"/s", float64(w.counts[name])/seconds, false)
+	}
+	add("requester", "change in force after ms", float64(w.lag.Milliseconds()), false)
+	roles := []struct {
+		name string
+		list []*process
+	}{{"node", w.nodes}, {"desk", w.desks}, {"core", w.cores}}
+	for _, role := range roles {
+		var sum meter
+		kinds := map[string]kind{}
+		var most int64
+		var busiest time.Duration
+		for _, x := range role.list {
+			m := x.meter
+			sum.Sent += m.Sent
+			sum.Received += m.Received
+			sum.SentBytes += m.SentBytes
+			sum.ReceivedBytes += m.ReceivedBytes
+			sum.Syncs += m.Syncs
+			sum.Written += m.Written
+			sum.Step += m.Step
+			sum.Pack += m.Pack
+			most = max(most, m.SentBytes+m.ReceivedBytes)
+			busiest = max(busiest, m.Step+m.Pack)
+			for name, k := range m.kinds {
+				all := kinds[name]
+				all.count += k.count
+				all.bytes += k.bytes
+				kinds[name] = all
+			}
+		}
+		each := 1 / seconds / float64(len(role.list))
+		add(role.name, "messages sent/s", float64(sum.Sent)*each, false)
+		add(role.name, "messages received/s", float64(sum.Received)*each, false)
+		add(role.name, "bytes sent/s", float64(sum.SentBytes)*each, false)
+		add(role.name, "bytes received/s", float64(sum.ReceivedBytes)*each, false)
+		add(role.name, "bytes of the busiest/s", float64(most)/seconds, false)
+		if role.name == "core" {
+			add(role.name, "syncs/s", float64(sum.Syncs)*each, false)
+			add(role.name, "bytes written/s", float64(sum.Written)*each, false)
+			var stored int64
+			for _, c := range w.cores {
+				stored += int64(len(message.Marshal(c.stored)))
+			}
+			add(role.name, "bytes stored", float64(stored)/float64(len(w.cores)), false)
+		}
+		add(role.name, "step us/s", float64(sum.Step.Nanoseconds())/1e3*each, true)
+		add(role.name, "packing us/s", float64(sum.Pack.Nanoseconds())/1e3*each, true)
+		add(role.name, "processor of the busiest us/s", float64(busiest.Nanoseconds())/1e3/seconds, true)
+		for _, name := range ordered.Keys(kinds) {
+			add(role.name, name+" n/s", float64(kinds[name].count)*each, false)
+			add(role.name, name+" bytes/s", float64(kinds[name].bytes)*each, false)
+		}
+	}
+	var cache int64
+	for _, n := range w.nodes {
+		cache += n.node.Status(w.now)["cache_bytes"]
+	}
+	add("node", "cache bytes", float64(cache)/float64(len(w.nodes)), false)
+	// The heap that each role holds is what its end sets free.
+	w.agenda, w.programs = nil, nil
+	for _, n := range w.nodes {
+		n.ways = nil
+	}
+	last := heapNow()
+	for _, role := range roles {
+		for _, x := range role.list {
+			x.node, x.desk, x.core = nil, nil, nil
+			if role.name != "core" {
+				x.calls = nil
+			}
+		}
+		now := heapNow()
+		add(role.name, "heap bytes", float64(last-now)/float64(len(role.list)), true)
+		last = now
+	}
+	return list
+}
+
+func heapNow() int64 {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Print tells a point's figures, for reading.
+func Print(list []Figure) string {
+	var b strings.Builder
+	for _, f := range list {
+		fmt.Fprintf(&b, "%-10s %-52s %14.1f\n", f.Role, f.Measure, f.Value)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/rehearsalkit/capacity/point.go
@@ -0,0 +1,116 @@
+// Package capacity measures what the control plane costs at a given size: the
+// real state machines of nodes, desks and cores, many in one process, on a
+// simulated clock, with hollow replicas and requesters around them. Every
+// message is packed and opened as on the wire.
+package capacity
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Point is one size of a deployment.
+type Point struct {
+	Nodes    int `help:"Relaying nodes." default:"16"`
+	Desks    int `help:"Desks." default:"3"`
+	Cores    int `help:"Cores." default:"3"`
+	Zones    int `help:"Zones." default:"3"`
+	Regions  int `help:"Regions that the zones are in." default:"1"`
+	Replicas int `help:"Replicas." default:"32"`
+	Models   int `help:"Models that replicas serve." default:"4"`
+	Tenants  int `help:"Tenants, spread unevenly." default:"16"`
+	Programs int `help:"Programs under way; each takes one turn at a time." default:"100"`
+	// Rate is requests a second, all of them turns.
+	Rate int `help:"Turns a second." default:"200"`
+	// Turns is after how many turns a program ends.
+	Turns int `help:"Turns of a program." default:"4"`
+	// TurnBytes is the input and output of one turn.
+	TurnBytes int `help:"Bytes of one turn's input and output." default:"2000"`
+	// Changes is changes of the configuration an hour.
+	Changes int `help:"Changes of the configuration an hour." default:"0"`
+}
+
+// Base is where sweeps start from.
+var Base = Point{Nodes: 16, Desks: 3, Cores: 3, Zones: 3, Regions: 1, Replicas: 32, Models: 4, Tenants: 16, Programs: 100, Rate: 200, Turns: 4, TurnBytes: 2000}
+
+// Axis is one size that is swept.
+type Axis struct {
+	Name  string
+	Sizes []int
+	Set   func(p *Point, size int)
+}
+
+// Axes are all sizes that are swept, one at a time, from Base.
+var Axes = []Axis{
+	{"nodes", []int{8, 16, 32, 64, 128}, func(p *Point, n int) { p.Nodes = n }},
+	{"desks", []int{2, 3, 4, 6}, func(p *Point, n int) { p.Desks = n }},
+	{"cores", []int{3, 4, 5, 6, 9}, func(p *Point, n int) { p.Cores = n }},
+	{"replicas", []int{32, 64, 128, 256}, func(p *Point, n int) { p.Replicas = n }},
+	{"tenants", []int{8, 16, 32, 64, 128}, func(p *Point, n int) { p.Tenants = n }},
+	{"programs", []int{50, 100, 200, 400}, func(p *Point, n int) { p.Programs = n }},
+	{"rate", []int{50, 100, 200, 400}, func(p *Point, n int) { p.Rate, p.Programs = n, n/2 }},
+	{"turns", []int{2, 4, 8, 16}, func(p *Point, n int) { p.Turns = n }},
+	{"turn_bytes", []int{1000, 2000, 4000, 8000, 16000}, func(p *Point, n int) { p.TurnBytes = n }},
+	{"changes", []int{0, 600, 1200, 2400}, func(p *Point, n int) { p.Changes = n }},
+}
+
+func (p Point) check() error {
+	for _, n := range []int{p.Nodes, p.Desks, p.Replicas, p.Tenants, p.Programs, p.Rate, p.Turns, p.TurnBytes, p.Zones, p.Regions} {
+		if n < 1 {
+			return errors.New("every size but the changes must be at least 1")
+		}
+	}
+	if p.Models < 1 || p.Models > p.Replicas {
+		return errors.New("there must be a replica of each model")
+	}
+	if p.Cores < seats {
+		return errors.Newf("at least %d cores are needed", seats)
+	}
+	return nil
+}
+
+// Memory estimates the heap that a run needs. The constants are rounded up from
+// heaps that runs showed; programs that have ended are kept for as long again.
+func (p Point) Memory() int64 {
+	node := 200_000 + int64(p.Replicas)*(int64(p.Desks)*600+3000) + int64(p.Tenants)*2200 + min(nodeCache, int64(p.Rate)*int64(p.TurnBytes)*60/int64(p.Nodes))
+	desk := 200_000 + int64(p.Replicas)*600 + int64(p.Nodes)*400 + int64(p.Tenants)*1500
+	kept := int64(p.Programs) * int64(p.Turns) * (int64(p.TurnBytes) + 40*int64(p.Turns) + 800) * 2 * seats
+	return 64_000_000 + 2*(int64(p.Nodes)*node+int64(p.Desks)*desk+kept)
+}
+
+// Room is how much memory a run may take: half of the machine's.
+func Room() (int64, error) {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0, errors.Wrap(err, "machine's memory")
+	}
+	return int64(info.Totalram) * int64(info.Unit) / 2, nil
+}
+
+// Check refuses a point that needs more than there is room for, and says how
+// much of its nodes and programs would fit.
+func (p Point) Check(room int64) error {
+	if err := p.check(); err != nil {
+		return err
+	}
+	need := p.Memory()
+	if need <= room {
+		return nil
+	}
+	for _, part := range slices.Backward([]int{1, 2, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90}) {
+		q := p
+		q.Nodes, q.Programs = max(1, p.Nodes*part/100), max(1, p.Programs*part/100)
+		if q.Memory() <= room {
+			return errors.Newf("needs about %d MB and may take %d MB; %d nodes with %d programs would fit (about %d MB)", need>>20, room>>20, q.Nodes, q.Programs, q.Memory()>>20)
+		}
+	}
+	return errors.Newf("needs about %d MB and may take %d MB; not even a hundredth of its nodes and programs fits, make turns or their bytes fewer", need>>20, room>>20)
+}
+
+// think is the time from a program's turn to its next.
+func (p Point) think() time.Duration {
+	return time.Duration(float64(p.Programs) / float64(p.Rate) * float64(time.Second))
+}
--- /dev/null
+++ b/rehearsalkit/capacity/world.go
@@ -0,0 +1,521 @@
+package capacity
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
+	"saffronfall/peer/relay"
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/part"
+	"saffronfall/rule/route"
+)
+
+// Bounds of the simulated deployment: those of the users' smallest site, by the
+// ratios of platform/settings.go.
+const (
+	contact   = 3 * time.Second
+	beat      = 1200 * time.Millisecond
+	follow    = 500 * time.Millisecond
+	window    = 5 * time.Second
+	seats     = 3
+	nodeCache = 16 << 20
+	// keepOfThink is how long a turn is kept, by the time to the next turn: 60 s
+	// at the users' target, where a program's turns are 41 s apart.
+	keepOfThink = 60.0 / 41
+	service     = 150 * time.Millisecond
+)
+
+func coreParams() core.Params {
+	return core.Params{Part: part.Params{OwnerTerm: contact / 6, Drift: 0.1, Renewals: 5, Sweeps: 40, Home: 20}, MemberTerm: contact / 2, Retry: contact / 24,
+		Pull: contact / 20, Gone: 2200 * time.Millisecond, ColdStart: true}
+}
+
+func deskParams() desk.Params {
+	return desk.Params{Core: coreParams(), Beat: beat, Seats: seats, PartsPerCore: 2, Within: 3 * time.Second}
+}
+
+func nodeParams() relay.Params {
+	return relay.Params{Core: coreParams(), Beat: beat, Follow: follow, Window: window, Overshoot: 0.1, Slack: 4, PromptRate: 80, Buffer: 2000, Cache: nodeCache, BookKeep: 10 * time.Minute}
+}
+
+// cpu is the processor time that this thread has had: another process on the
+// machine takes none of it.
+func cpu() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
+
+type event struct {
+	at   time.Duration
+	seq  uint64
+	what func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*a = old[:len(old)-1]
+	return last
+}
+
+// meter counts one process.
+type meter struct {
+	Sent, Received, SentBytes, ReceivedBytes int64
+	Syncs, Written                           int64
+	Step, Pack                               time.Duration
+	kinds                                    map[string]*kind
+}
+
+type kind struct{ count, bytes int64 }
+
+func (m *meter) kind(name string, bytes int) {
+	k := m.kinds[name]
+	if k == nil {
+		k = &kind{}
+		m.kinds[name] = k
+	}
+	k.count++
+	k.bytes += int64(bytes)
+}
+
+type process struct {
+	world   *world
+	id      string
+	zone    int
+	address string
+	life    int
+	alive   bool
+	meter   meter
+
+	core    *core.Machine
+	stored  core.Stored
+	pending [][]core.Change
+	issued  uint64
+	synced  uint64
+	held    []held
+	busy    bool
+
+	desk  *desk.Machine
+	calls map[uint64]func(body any)
+
+	node   *relay.Machine
+	ways   map[uint64]*turn
+	number uint64
+}
+
+type held struct {
+	after uint64
+	send  core.Send
+}
+
+type world struct {
+	point     Point
+	now       time.Duration
+	seq       uint64
+	agenda    agenda
+	random    *rand.Rand
+	cores     []*process
+	desks     []*process
+	nodes     []*process
+	processes map[string]*process
+	replicas  []*replica
+	programs  []*program
+	services  map[string]*replica
+	shares    []float64
+	tickets   uint64
+	attempts  int
+	split     bool
+	counts    map[string]int64
+	table     uint64
+	// handedAt is when a table was handed over, lag the longest until a node went by
+	// it.
+	handedAt map[uint64]time.Duration
+	lag      time.Duration
+}
+
+func newWorld(p Point, seed uint64) *world {
+	w := &world{point: p, random: rand.New(rand.NewPCG(seed, 0xca9ac)), processes: map[string]*process{}, services: map[string]*replica{}, counts: map[string]int64{}, handedAt: map[uint64]time.Duration{}}
+	for i := 0; i < p.Cores; i++ {
+		c := w.add("core", 2, i)
+		c.stored = core.Stored{Incarnation: fmt.Sprintf("%s-%d", c.id, w.random.Uint32())}
+		w.cores = append(w.cores, c)
+	}
+	for i := 0; i < p.Desks; i++ {
+		w.desks = append(w.desks, w.add("desk", 0, i))
+	}
+	for i := 0; i < p.Nodes; i++ {
+		w.nodes = append(w.nodes, w.add("node", 1, i))
+	}
+	for i := 0; i < p.Replicas; i++ {
+		r := &replica{address: fmt.Sprintf("10.3.%d.%d:80", i/250, i%250), service: fmt.Sprintf("model-%d", i%p.Models), zone: i % p.Zones, id: fmt.Sprintf("replica-%d", i)}
+		w.replicas, w.services[r.address] = append(w.replicas, r), r
+	}
+	var sum float64
+	for i := 0; i < p.Tenants; i++ {
+		sum += 1 / math.Sqrt(float64(i+1))
+	}
+	for i := 0; i < p.Tenants; i++ {
+		w.shares = append(w.shares, 1/math.Sqrt(float64(i+1))/sum)
+	}
+	for _, list := range [][]*process{w.cores, w.desks, w.nodes} {
+		for _, x := range list {
+			w.after(w.between(0, 50*time.Millisecond), x.boot)
+		}
+	}
+	for _, r := range w.replicas {
+		w.after(w.between(0, beat), func() { w.beats(r) })
+	}
+	return w
+}
+
+func (w *world) add(role string, net, n int) *process {
+	p := &process{world: w, id: fmt.Sprintf("%s-%d", role, n), zone: n % w.point.Zones, address: fmt.Sprintf("10.%d.%d.%d:7000", net, n/250, n%250+1)}
+	p.meter.kinds = map[string]*kind{}
+	w.processes[p.address] = p
+	return p
+}
+
+func (w *world) after(d time.Duration, what func()) {
+	w.seq++
+	heap.Push(&w.agenda, event{at: w.now + d, seq: w.seq, what: what})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.agenda) > 0 && w.agenda[0].at <= until {
+		e := heap.Pop(&w.agenda).(event)
+		w.now = e.at
+		e.what()
+	}
+	w.now = until
+}
+
+func (w *world) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(w.random.Int64N(int64(b-a)+1))
+}
+
+func (w *world) region(zone int) int { return zone * w.point.Regions / w.point.Zones }
+
+// delay is as on the users' sites.
+func (w *world) delay(a, b int) time.Duration {
+	switch {
+	case a == b:
+		return 200 * time.Microsecond
+	case w.region(a) == w.region(b):
+		return 500 * time.Microsecond
+	}
+	return 12 * time.Millisecond
+}
+
+func (w *world) cut(a, b int) bool { return w.split && w.region(a) != w.region(b) }
+
+func (w *world) seeds() []string {
+	var list []string
+	for _, d := range w.desks {
+		if len(list) < 3 {
+			list = append(list, d.address)
+		}
+	}
+	return list
+}
+
+func (p *process) boot() {
+	w := p.world
+	if p.alive {
+		return
+	}
+	p.life++
+	p.alive = true
+	zone := fmt.Sprintf("zone-%d", p.zone)
+	every := coreParams().Pull / 3
+	switch p.id[:4] {
+	case "core":
+		p.pending, p.held, p.busy, p.issued, p.synced = nil, nil, false, 0, 0
+		var image core.Stored
+		image.CopyFrom(p.stored)
+		p.core = core.New(core.Options{Params: coreParams(), ID: p.id, Zone: zone, Address: p.address, Seeds: w.seeds(), Stored: image, Now: w.now, Random: w.random.Float64})
+		every = coreParams().Part.OwnerTerm / 20
+	case "desk":
+		p.calls = map[uint64]func(any){}
+		p.desk = desk.New(desk.Options{Params: deskParams(), ID: p.id, Life: fmt.Sprintf("%s.%d", p.id, p.life), Address: p.address, Seeds: w.seeds(), Founds: p == w.desks[0] && p.life == 1, Now: w.now, Random: w.random.Float64})
+	default:
+		p.ways = map[uint64]*turn{}
+		p.node = relay.New(relay.Options{Params: nodeParams(), ID: p.id, Life: fmt.Sprintf("%s.%d", p.id, p.life), Zone: zone, Address: p.address, Seeds: w.seeds(), Now: w.now, Random: w.random.Float64})
+	}
+	p.tick(p.life, every)
+}
+
+func (p *process) tick(life int, every time.Duration) {
+	if p.life != life || !p.alive {
+		return
+	}
+	w := p.world
+	switch {
+	case p.core != nil:
+		p.takeCore(timed(p, func() core.Output { return p.core.Tick(w.now) }))
+	case p.desk != nil:
+		p.takeDesk(timed(p, func() desk.Output { return p.desk.Tick(w.now) }))
+	default:
+		p.takeNode(timed(p, func() relay.Output { return p.node.Tick(w.now) }))
+	}
+	w.after(every, func() { p.tick(life, every) })
+}
+
+func (p *process) kill() {
+	if !p.alive {
+		return
+	}
+	p.alive = false
+	p.life++
+	p.pending = nil
+	for _, t := range ordered.Keys(p.ways) {
+		p.ways[t].end("closed")
+	}
+}
+
+func timed[T any](p *process, step func() T) T {
+	began := cpu()
+	out := step()
+	p.meter.Step += cpu() - began
+	return out
+}
+
+// pack packs as on the wire, with the four bytes that frame a message there.
+func (p *process) pack(body any) []byte {
+	began := cpu()
+	raw := message.Pack(body)
+	p.meter.Pack += cpu() - began
+	return raw
+}
+
+const frame = 4
+
+func (p *process) send(to string, body any) {
+	w := p.world
+	raw := p.pack(body)
+	name := kindOf(body)
+	p.meter.Sent++
+	p.meter.SentBytes += int64(len(raw) + frame)
+	p.meter.kind("sent "+name, len(raw)+frame)
+	target := w.processes[to]
+	if target == nil || w.cut(p.zone, target.zone) {
+		return
+	}
+	from := p.address
+	w.after(w.delay(p.zone, target.zone), func() {
+		if target.alive {
+			target.meter.Received++
+			target.meter.ReceivedBytes += int64(len(raw) + frame)
+			target.receive(from, raw)
+		}
+	})
+}
+
+// kindOf names a message, and what it carries.
+func kindOf(body any) string {
+	name := strings.TrimPrefix(fmt.Sprintf("%T", body), "core.")
+	var raw []byte
+	switch b := body.(type) {
+	case core.Command:
+		raw = b.Raw
+	case core.CommandReturn:
+		raw = b.Raw
+	case core.PartMessage:
+		raw = b.Raw
+	case desk.Bulletin:
+		switch {
+		case b.Table != nil:
+			return name + " with table"
+		case len(b.List) > 0:
+			return name + " with list"
+		case b.Topology != nil:
+			return name + " with topology"
+		}
+	}
+	if len(raw) > 1 {
+		// A msgpack string of up to 31 bytes: its length is in the first one.
+		if n := int(raw[0] & 31); n < len(raw) {
+			return name + " " + strings.TrimPrefix(string(raw[1:1+n]), "core.")
+		}
+	}
+	return name
+}
+
+func (p *process) receive(from string, raw []byte) {
+	w := p.world
+	began := cpu()
+	value, err := message.Open(raw)
+	p.meter.Pack += cpu() - began
+	if err != nil {
+		panic(err)
+	}
+	switch {
+	case p.core != nil:
+		p.takeCore(timed(p, func() core.Output { return p.core.Receive(w.now, from, value) }))
+	case p.desk != nil:
+		p.takeDesk(timed(p, func() desk.Output { return p.desk.Receive(w.now, from, value) }))
+	default:
+		p.takeNode(timed(p, func() relay.Output { return p.node.Receive(w.now, from, value) }))
+	}
+}
+
+func (p *process) takeCore(o core.Output) {
+	if len(o.Changes) > 0 {
+		p.pending = append(p.pending, o.Changes)
+		p.issued++
+	}
+	for _, s := range o.Sends {
+		if s.Synced && p.issued > p.synced {
+			p.held = append(p.held, held{after: p.issued, send: s})
+			continue
+		}
+		p.sendCore(s)
+	}
+	p.sync()
+}
+
+func (p *process) sendCore(s core.Send) {
+	if s.To == p.address {
+		// As in the real process: no packing on the way to itself.
+		p.takeCore(timed(p, func() core.Output { return p.core.Receive(p.world.now, p.address, s.Body) }))
+		return
+	}
+	p.send(s.To, s.Body)
+}
+
+// sync writes all that is pending in one frame.
+func (p *process) sync() {
+	if p.busy || len(p.pending) == 0 {
+		return
+	}
+	p.busy = true
+	var all []core.Change
+	for _, batch := range p.pending {
+		all = append(all, batch...)
+	}
+	p.pending = nil
+	began := cpu()
+	raw := message.Marshal(all)
+	p.meter.Pack += cpu() - began
+	p.meter.Syncs++
+	p.meter.Written += int64(len(raw) + 12)
+	upto, life := p.issued, p.life
+	p.world.after(700*time.Microsecond, func() {
+		if p.life != life {
+			return
+		}
+		for _, c := range all {
+			p.stored.Apply(c)
+		}
+		p.busy, p.synced = false, upto
+		ready := p.held
+		p.held = nil
+		for _, h := range ready {
+			if h.after <= p.synced {
+				p.sendCore(h.send)
+			} else {
+				p.held = append(p.held, h)
+			}
+		}
+		p.sync()
+	})
+}
+
+func (p *process) takeDesk(o desk.Output) {
+	for _, s := range o.Sends {
+		p.send(s.To, s.Body)
+	}
+	for _, a := range o.Answers {
+		if call, ok := p.calls[a.Ticket]; ok {
+			delete(p.calls, a.Ticket)
+			call(a.Body)
+		}
+	}
+}
+
+func (p *process) takeNode(o relay.Output) {
+	for _, s := range o.Sends {
+		p.send(s.To, s.Body)
+	}
+	for _, r := range o.Returns {
+		if t, ok := p.ways[r.Ticket]; ok {
+			t.step(r.Step)
+		}
+	}
+	if number := p.node.Number(); number > p.number {
+		p.number = number
+		p.world.lag = max(p.world.lag, p.world.now-p.world.handedAt[number])
+	}
+}
+
+// text is a routing table of the point's size; its source is about as long.
+func (w *world) text(number uint64) []byte {
+	t := route.Table{Number: number, Keyed: true, Limits: route.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20}}
+	for i := 0; i < w.point.Models; i++ {
+		name := fmt.Sprintf("model-%d", i)
+		t.Services = append(t.Services, route.Service{Name: name, Connections: 100_000, TokensPerEvent: 1, Slots: 16, CacheTokens: 186629})
+		t.Routes = append(t.Routes, route.Route{Name: "chat-" + name, Host: "tier", Prefix: "/" + name + "/", Mode: route.Stream, Kept: true, KeepSeconds: w.point.think().Seconds() * keepOfThink, TimeoutMS: 4000,
+			Tries: 2, Targets: []route.Target{{Service: name, Weight: 1}}})
+	}
+	for i, share := range w.shares {
+		t.Tenants = append(t.Tenants, route.Tenant{Name: fmt.Sprintf("tenant-%d", i), Keys: []string{configuration.Sum(fmt.Sprintf("key-%d", i))}, Rate: share*float64(w.point.Rate)*3 + 5, Burst: 10})
+	}
+	bare, err := json.Marshal(t)
+	if err != nil {
+		panic(err)
+	}
+	t.Source = string(bare)
+	whole, err := json.Marshal(t)
+	if err != nil {
+		panic(err)
+	}
+	return whole
+}
+
+// change hands a new table over, and again until it is agreed.
+func (w *world) change(then func(ok bool)) {
+	d := w.desks[w.random.IntN(len(w.desks))]
+	if !d.alive {
+		then(false)
+		return
+	}
+	number := w.table + 1
+	text := w.text(number)
+	w.tickets++
+	if _, ok := w.handedAt[number]; !ok {
+		w.handedAt[number] = w.now
+	}
+	d.calls[w.tickets] = func(body any) {
+		h := body.(desk.Handed)
+		if h.OK {
+			w.table = number
+		}
+		then(h.OK)
+	}
+	d.takeDesk(timed(d, func() desk.Output { return d.desk.Apply(w.now, w.tickets, w.table, text, fmt.Sprint(number)) }))
+}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -17,8 +17,10 @@
 	"github.com/cockroachdb/errors"
 
 	"saffronfall/rehearsalkit/breaks"
+	"saffronfall/rehearsalkit/capacity"
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rehearsalkit/relaysim"
 	"saffronfall/rehearsalkit/simulator"
 	"saffronfall/rule/ordered"
 )
@@ -200,6 +202,51 @@
 	return nil
 }
 
+type relaysimCommand struct {
+	Seeds int    `help:"How many seeds." default:"100"`
+	First uint64 `help:"First seed; 0: a random one, which is printed." default:"0"`
+	Logs  bool   `help:"Print what happens in each run; for single seeds."`
+}
+
+func (c *relaysimCommand) Run() error {
+	first := c.First
+	if first == 0 {
+		first = rand.Uint64N(1 << 40)
+	}
+	fmt.Printf("seeds %d to %d\n", first, first+uint64(c.Seeds)-1)
+	var logf func(format string, args ...any)
+	if c.Logs {
+		logf = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+	}
+	broken, bad, whole := 0, 0, int64(0)
+	counts, rules := map[string]int64{}, map[string]int64{}
+	relaysim.RunSeeds(first, c.Seeds, logf, func(o relaysim.Outcome) {
+		whole += o.Counts["asked chat whole 200"]
+		for name, n := range o.Counts {
+			counts[name] += n
+		}
+		for _, b := range o.Breaches {
+			broken++
+			rules[b.Rule]++
+			fmt.Printf("BROKEN seed %d: %s\n", o.Seed, b)
+		}
+		if len(o.Breaches) > 0 {
+			bad++
+		}
+	})
+	for _, name := range ordered.Keys(counts) {
+		fmt.Printf("  came about %-44s %d\n", name, counts[name])
+	}
+	for _, name := range ordered.Keys(rules) {
+		fmt.Printf("  broken: %-40s %d\n", name, rules[name])
+	}
+	fmt.Printf("%d seeds, %d whole turns, %d breaches in %d seeds\n", c.Seeds, whole, broken, bad)
+	if broken > 0 {
+		return errors.Newf("%d breaches", broken)
+	}
+	return nil
+}
+
 type termsCommand struct {
 	Terms []time.Duration `help:"Terms of members." default:"2s,5s,15s,40s"`
 	Cuts  []time.Duration `help:"How long all cores are cut off." default:"1s,5s,30s"`
@@ -313,13 +360,15 @@
 }
 
 var commands struct {
-	Backend  backendCommand  `cmd:"" help:"Run one stand-in back end."`
-	Fleet    fleetCommand    `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
-	Breaks   breaksCommand   `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
-	Loads    loadsCommand    `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
-	Terms    termsCommand    `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
-	Crash    crashCommand    `cmd:"" help:"Lose each process concerned after each message and round each sync of each operation, and judge."`
-	Simulate simulateCommand `cmd:"" help:"Run the simulator over seeds."`
+	Backend  backendCommand   `cmd:"" help:"Run one stand-in back end."`
+	Fleet    fleetCommand     `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
+	Capacity capacity.Command `cmd:"" help:"Measure what nodes, desks and cores cost at a size, with hollow processes in simulated time."`
+	Breaks   breaksCommand    `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
+	Loads    loadsCommand     `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
+	Terms    termsCommand     `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
+	Crash    crashCommand     `cmd:"" help:"Lose each process concerned after each message and round each sync of each operation, and judge."`
+	Simulate simulateCommand  `cmd:"" help:"Run the simulator over seeds."`
+	Relaysim relaysimCommand  `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
 }
 
 func main() {
--- /dev/null
+++ b/rehearsalkit/relaysim/relaysim_test.go
@@ -0,0 +1,316 @@
+package relaysim
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
+	"saffronfall/peer/relay"
+	"saffronfall/rule/message"
+	"saffronfall/rule/rate"
+)
+
+func TestSeeds(t *testing.T) {
+	count := 12
+	if testing.Short() {
+		count = 4
+	}
+	RunSeeds(1, count, nil, func(o Outcome) {
+		for _, b := range o.Breaches {
+			t.Errorf("seed %d: %s", o.Seed, b)
+		}
+		if o.Counts["asked chat whole 200"] < 100 {
+			t.Errorf("seed %d: only %d turns came whole", o.Seed, o.Counts["asked chat whole 200"])
+		}
+	})
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	one, _ := Run(Defaults(7))
+	two, _ := Run(Defaults(7))
+	if !maps.Equal(one.Counts, two.Counts) {
+		t.Errorf("the same seed went two ways: %v and %v", one.Summary(), two.Summary())
+	}
+}
+
+// calm is a fleet without faults, in which nothing may be broken.
+func calm(seed uint64) Params {
+	p := Defaults(seed)
+	p.Faults, p.Loss, p.Closing, p.Length = false, 0, "", 10*time.Second
+	return p
+}
+
+func TestCalm(t *testing.T) {
+	w, breaches := Run(calm(3))
+	for _, b := range breaches {
+		t.Error(b)
+	}
+	for _, bad := range []string{"asked chat closed", "asked chat gave up", "asked probe gave up"} {
+		if bad != "asked chat closed" && w.Counts[bad] > 0 {
+			t.Errorf("%s: %d times, with no fault", bad, w.Counts[bad])
+		}
+	}
+}
+
+// broken is a node whose machine does one thing wrong.
+type broken struct {
+	Node
+	arrive func(a relay.Ask) relay.Ask
+	came   func(o relay.Outcome) relay.Outcome
+	step   func(s relay.Step) (relay.Step, bool)
+}
+
+func (b *broken) out(o relay.Output) relay.Output {
+	if b.step == nil {
+		return o
+	}
+	var kept []relay.Return
+	for _, r := range o.Returns {
+		var pass bool
+		if r.Step, pass = b.step(r.Step); pass {
+			kept = append(kept, r)
+		}
+	}
+	o.Returns = kept
+	return o
+}
+
+func (b *broken) Arrive(now time.Duration, ticket uint64, a relay.Ask) relay.Output {
+	if b.arrive != nil {
+		a = b.arrive(a)
+	}
+	return b.out(b.Node.Arrive(now, ticket, a))
+}
+
+func (b *broken) Came(now time.Duration, ticket uint64, o relay.Outcome) relay.Output {
+	if b.came != nil {
+		o = b.came(o)
+	}
+	return b.out(b.Node.Came(now, ticket, o))
+}
+
+func (b *broken) Receive(now time.Duration, from string, body any) relay.Output {
+	return b.out(b.Node.Receive(now, from, body))
+}
+
+func (b *broken) Tick(now time.Duration) relay.Output { return b.out(b.Node.Tick(now)) }
+
+// forger is a desk that answers operators wrongly.
+type forger struct {
+	Desk
+	forge func(h desk.Handed) desk.Handed
+}
+
+func (f *forger) out(o desk.Output) desk.Output {
+	for i, a := range o.Answers {
+		if h, ok := a.Body.(desk.Handed); ok {
+			o.Answers[i].Body = f.forge(h)
+		}
+	}
+	return o
+}
+
+func (f *forger) Receive(now time.Duration, from string, body any) desk.Output {
+	return f.out(f.Desk.Receive(now, from, body))
+}
+
+func (f *forger) Tick(now time.Duration) desk.Output { return f.out(f.Desk.Tick(now)) }
+
+func (f *forger) Apply(now time.Duration, ticket uint64, base uint64, text []byte, digest string) desk.Output {
+	return f.out(f.Desk.Apply(now, ticket, base, text, digest))
+}
+
+func forging(forge func(h desk.Handed) desk.Handed) func(p *Params) {
+	return func(p *Params) {
+		p.WrapDesk = func(d Desk) Desk { return &forger{Desk: d, forge: forge} }
+	}
+}
+
+// answering changes answers of the cores.
+func answering[T any](change func(a T) T) func(p *Params) {
+	return func(p *Params) {
+		p.Alter = func(from, to string, body any) (any, bool) {
+			r, ok := body.(core.CommandReturn)
+			if !ok || r.Raw == nil {
+				return body, true
+			}
+			inner, err := message.Open(r.Raw)
+			if answer, ok := inner.(T); err == nil && ok {
+				r.Raw = message.Pack(change(answer))
+			}
+			return r, true
+		}
+	}
+}
+
+func every(n int) func() bool {
+	at := 0
+	return func() bool { at++; return at%n == 0 }
+}
+
+// TestBreaks breaks the machines on purpose and wants the judge to name the very
+// rule that is broken.
+func TestBreaks(t *testing.T) {
+	nodes := func(b func() *broken) func(p *Params) {
+		return func(p *Params) {
+			p.WrapNode = func(n Node) Node {
+				one := b()
+				one.Node = n
+				return one
+			}
+		}
+	}
+	for _, c := range []struct {
+		name, rule string
+		harm       func(p *Params)
+	}{
+		{"what broke off is sent again", RuleTwice, nodes(func() *broken {
+			return &broken{came: func(o relay.Outcome) relay.Outcome {
+				if o.Kind == relay.Broken && !o.Gone {
+					o.Kind, o.Begun = relay.NotRun, false
+				}
+				return o
+			}}
+		})},
+		{"what may have run is refused", RulePromised, nodes(func() *broken {
+			return &broken{step: func(s relay.Step) (relay.Step, bool) {
+				if s.Kind == relay.StepBreak && s.Status == 502 {
+					s.Kind, s.Status = relay.StepRefuse, 503
+				}
+				return s, true
+			}}
+		})},
+		{"cores always reserve", RuleBudget, answering(func(a core.TurnReserved) core.TurnReserved { a.OK = true; return a })},
+		{"turns are booked at too much", RuleSpent, func(p *Params) {
+			p.Alter = func(from, to string, body any) (any, bool) {
+				if c, ok := body.(core.Command); ok {
+					inner, _ := message.Open(c.Raw)
+					if s, ok := inner.(core.SettleTurn); ok {
+						s.Tokens += 100
+						c.Raw = message.Pack(s)
+						return c, true
+					}
+				}
+				return body, true
+			}
+		}},
+		{"kept turns get lost", RuleKept, answering(func(a core.KeptTurn) core.KeptTurn { return core.KeptTurn{} })},
+		{"kept turns change", RuleChain, answering(func(a core.KeptTurn) core.KeptTurn { a.Input = append(a.Input, 'x'); return a })},
+		{"a former turn is left out", RuleChain, nodes(func() *broken {
+			return &broken{step: func(s relay.Step) (relay.Step, bool) {
+				if len(s.Before) > 2 {
+					s.Before = s.Before[2:]
+				}
+				return s, true
+			}}
+		})},
+		{"what broke off passes for whole", RuleWhole, nodes(func() *broken {
+			return &broken{came: func(o relay.Outcome) relay.Outcome {
+				if o.Kind == relay.Broken {
+					o.Kind = relay.Whole
+				}
+				return o
+			}}
+		})},
+		{"cores grant more of a rate", RuleRate, answering(func(a core.RatesDrawn) core.RatesDrawn {
+			var more []rate.Drawn
+			for _, d := range a.Drawn {
+				d.Granted += 1000
+				more = append(more, d)
+			}
+			return core.RatesDrawn{Drawn: more}
+		})},
+		{"requests run as another tenant", RuleAllowed, nodes(func() *broken {
+			return &broken{step: func(s relay.Step) (relay.Step, bool) {
+				if s.Tenant == "t1" {
+					s.Tenant = "t2"
+				}
+				return s, true
+			}}
+		})},
+		{"a node hears of no table after the first", RuleFollow, func(p *Params) {
+			p.Alter = func(from, to string, body any) (any, bool) {
+				if b, ok := body.(desk.Bulletin); ok && to == "node1" && b.Number > 1 {
+					b.Table = nil
+					return b, true
+				}
+				return body, true
+			}
+		}},
+		{"a node forgets what was new", RuleBack, nodes(func() *broken {
+			third := every(3)
+			return &broken{arrive: func(a relay.Ask) relay.Ask {
+				if len(a.Path) > 7 && a.Path[:7] == "/probe-" && third() {
+					a.Path = "/none/x"
+				}
+				return a
+			}}
+		})},
+		{"desks acknowledge what lost its race", RuleRace, forging(func(h desk.Handed) desk.Handed {
+			h.OK, h.Race = h.OK || h.Race, false
+			return h
+		})},
+		{"desks acknowledge what is invalid", RuleRace, forging(func(h desk.Handed) desk.Handed {
+			h.OK, h.Faults = h.OK || h.Faults != nil, nil
+			return h
+		})},
+		{"desks refuse what is agreed", RuleLost, forging(func(h desk.Handed) desk.Handed {
+			if h.OK && h.Number > 1 {
+				return desk.Handed{Race: true}
+			}
+			return h
+		})},
+		{"nodes do not hear who leaves", RuleLeaving, func(p *Params) {
+			p.Faults = true
+			p.Alter = func(from, to string, body any) (any, bool) {
+				if b, ok := body.(desk.Bulletin); ok {
+					list := append([]desk.Listed(nil), b.List...)
+					for i := range list {
+						list[i].Replica.Leaving = false
+					}
+					b.List = list
+					return b, true
+				}
+				return body, true
+			}
+		}},
+		{"later lives of nodes refuse everything", RuleServed, func(p *Params) {
+			p.Closing = ClosingKill
+			lives := 0
+			p.WrapNode = func(n Node) Node {
+				if lives++; lives <= p.Nodes {
+					return n
+				}
+				return &broken{Node: n, step: func(s relay.Step) (relay.Step, bool) {
+					return relay.Step{Kind: relay.StepRefuse, Status: 503}, true
+				}}
+			}
+		}},
+		{"some last steps are forgotten", RuleHeld, nodes(func() *broken {
+			some := every(40)
+			return &broken{step: func(s relay.Step) (relay.Step, bool) {
+				return s, s.Kind == relay.StepSend || !some()
+			}}
+		})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var seen []string
+			for seed := uint64(1); seed <= 6; seed++ {
+				p := calm(seed)
+				c.harm(&p)
+				_, breaches := Run(p)
+				for _, b := range breaches {
+					if b.Rule == c.rule {
+						return
+					}
+					seen = append(seen, fmt.Sprint(b))
+				}
+			}
+			t.Errorf("no breach of %q in any seed, only %.300v", c.rule, seen)
+		})
+	}
+}
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -203,7 +203,7 @@
 			rank = i
 		}
 	}
-	return time.Duration(float64(m.params.OwnerTerm) * (float64(rank)*0.2 + m.random()*0.3))
+	return time.Duration(float64(m.params.OwnerTerm) * (float64(rank)*0.25 + m.random()*0.15))
 }
 
 func (m *Machine) clock(now time.Duration) time.Duration {
