--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -46,6 +46,8 @@
 	list      map[string]*listed
 	followers map[string]*follower
 	desks     map[string]time.Duration
+	// lives are the desks' lives that this one has heard of.
+	lives     map[string]string
 	topology  core.Topology
 	mark      uint64
 	present   map[string]core.Core
@@ -80,7 +82,7 @@
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		list: map[string]*listed{}, followers: map[string]*follower{}, desks: map[string]time.Duration{o.Address: o.Now},
+		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, desks: map[string]time.Duration{o.Address: o.Now},
 		present: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
@@ -286,6 +288,7 @@
 
 func (m *Machine) onBulletin(now time.Duration, from string, b Bulletin) {
 	m.learnDesk(now, from)
+	m.lives[from] = b.Life
 	if b.Topology != nil {
 		m.adopt(now, *b.Topology)
 	}
@@ -432,7 +435,7 @@
 			}
 		}
 		for _, to := range targets {
-			m.send(to, Follow{Node: m.id, Table: m.table.Number, Desk: true, Life: m.life})
+			m.send(to, Follow{Node: m.id, Table: m.table.Number, Desk: true, Life: m.lives[to]})
 		}
 	}
 	if now >= m.pullAt {
@@ -481,6 +484,7 @@
 	for address, heard := range m.desks {
 		if address != m.address && now > heard+10*lost*m.params.Beat {
 			delete(m.desks, address)
+			delete(m.lives, address)
 		}
 	}
 }
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -131,7 +131,8 @@
 	}
 	m.nodes = max(b.Nodes, 1)
 	if len(b.List) > 0 {
-		m.gather(now)
+		// They are joined when the next one is chosen.
+		m.gatherAt = now
 		m.unpark(now)
 	}
 	if b.Topology != nil {
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -210,6 +210,7 @@
 	g.hear("d1:1", at(12, false), 1, nil)
 	g.hear("d1:1", at(12, true), 1, nil)
 	found := false
+	g.m.gather(g.now)
 	for _, s := range g.m.services["app"] {
 		found = found || s.replica.ID == "r"
 	}
@@ -219,6 +220,7 @@
 	final := at(12, true)
 	final[0].Final = true
 	g.hear("d1:1", final, 1, nil)
+	g.m.gather(g.now)
 	for _, s := range g.m.services["app"] {
 		if s.replica.ID == "r" {
 			t.Fatal("a replica that left is still chosen")
