Suspicion is a cost; holders of a rate are known again after a takeover

Change: a failure of late costs 60 ms each, for a quarter of a beat doubled up to four beats, and once-only requests avoid a replica until a repeatable one found it well; when others are full it is tried. A holder that tells of what it has after a takeover keeps it, out of the pool that the successor counts; a node does not take up what had ended before the answer. Tests: TestSuspicion, TestTakenOverKnowsWhatWasSpent.

--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -112,8 +112,8 @@
 	if now >= m.gatherAt {
 		m.gather(now)
 	}
-	var chosen, suspect *standing
-	var best, bestSuspect float64
+	var chosen *standing
+	var best float64
 	service, _ := w.table.Service(w.service)
 	most := int64(1 << 30)
 	if service != nil {
@@ -124,22 +124,17 @@
 			continue
 		}
 		cost := m.cost(now, w, s) + m.random()*0.5
-		if now < s.until {
-			if suspect == nil || cost < bestSuspect {
-				suspect, bestSuspect = s, cost
-			}
-			continue
-		}
 		if chosen == nil || cost < best {
 			chosen, best = s, cost
 		}
 	}
-	if chosen == nil {
-		return suspect
-	}
 	return chosen
 }
 
+// suspicion is what one failure of late costs, in milliseconds. It is a cost and
+// no ejection: when the others are full, a suspect is tried.
+const suspicion = 60
+
 // cost is in milliseconds.
 func (m *Machine) cost(now time.Duration, w *way, s *standing) float64 {
 	running := s.running(now, m.params.Beat/4)
@@ -148,6 +143,13 @@
 	if running >= slots {
 		cost += float64(running-slots+1) * 100 / float64(slots) * 2
 	}
+	switch {
+	case now < s.until:
+		cost += suspicion * float64(max(1, min(s.failures, 8)))
+	case s.failures > 0 && (s.outstanding > 0 || !w.route.Repeats()):
+		// One request that may run again finds out whether it is well.
+		cost += suspicion
+	}
 	if s.replica.Cold > 0 {
 		cost += 5
 	}
@@ -212,7 +214,7 @@
 		s.until = now + m.params.Beat
 	case o.Kind == Broken && !o.Gone, o.Unreached:
 		s.failures++
-		s.until = now + min(m.params.Beat, m.params.Beat/16<<min(s.failures, 4))
+		s.until = now + m.params.Beat/4<<min(s.failures, 4)
 	case o.Kind == NotRun:
 		s.until = now + m.params.Beat/40
 	default:
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -443,3 +443,49 @@
 		t.Fatal("the table went back")
 	}
 }
+
+// TestSuspicion: a replica that breaks once-only requests is avoided while others
+// have room, is tried when they have none, and is forgiven by itself.
+func TestSuspicion(t *testing.T) {
+	g := newRig(t)
+	g.begin()
+	broke := 0
+	for i := 0; i < 60; i++ {
+		w := g.arrive(ask("/once/x", nil))
+		o := Outcome{Kind: Whole}
+		if g.last(w).Replica.ID == "a2" {
+			o, broke = Outcome{Kind: Broken}, broke+1
+		}
+		g.came(w, o)
+		g.pass(20 * time.Millisecond)
+	}
+	if broke == 0 || broke > 3 {
+		t.Errorf("%d of 60 went to a replica that breaks all", broke)
+	}
+	// The others are full: better a suspect than none.
+	seen := map[string]int{}
+	var open []uint64
+	for i := 0; i < 40; i++ {
+		w := g.arrive(ask("/once/x", nil))
+		seen[g.last(w).Replica.ID]++
+		open = append(open, w)
+	}
+	if seen["a2"] == 0 {
+		t.Errorf("%v: a suspect is not tried though the others are full", seen)
+	}
+	for _, w := range open {
+		g.came(w, Outcome{Kind: Whole})
+	}
+	g.pass(5 * time.Second)
+	again := 0
+	for i := 0; i < 60; i++ {
+		w := g.arrive(ask("/again/x", nil))
+		if g.last(w).Replica.ID == "a2" {
+			again++
+		}
+		g.came(w, Outcome{Kind: Whole})
+	}
+	if again == 0 {
+		t.Error("a suspect is never forgiven")
+	}
+}
--- a/peer/relay/pace.go
+++ b/peer/relay/pace.go
@@ -263,7 +263,8 @@
 					m.drawFailed(at, p)
 					continue
 				}
-				if answer.Drawn[i].Expired {
+				if answer.Drawn[i].Expired || p.granted > 0 && at >= p.until {
+					// What this node had has ended, there or here.
 					m.rename(p)
 					p.wanted, m.drawAt = true, at
 					continue
--- a/rule/rate/ledger.go
+++ b/rule/rate/ledger.go
@@ -44,16 +44,16 @@
 	Slices   []Slice
 	// left is what is still to be granted of what was reserved.
 	left int64
+	// pool is what may be out since before this ledger was taken over, unless its
+	// holders have told of it since, and poolEnd when that has surely ended.
+	pool    int64
+	poolEnd time.Duration
 }
 
 // Open makes a ledger of what lasted. What was open may have been granted up to
 // now, and used for a term after that.
 func Open(now time.Duration, r Reserve, term time.Duration) *Ledger {
-	l := &Ledger{Reserve: r, Holdings: map[string]Holding{}, Slices: append([]Slice(nil), r.Spent...)}
-	if r.Open > 0 {
-		l.Slices = append(l.Slices, Slice{End: now + term, Count: r.Open})
-	}
-	return l
+	return &Ledger{Reserve: r, Holdings: map[string]Holding{}, Slices: append([]Slice(nil), r.Spent...), pool: r.Open, poolEnd: now + term}
 }
 
 // blocks is into how many blocks a window's limit is reserved.
@@ -110,7 +110,13 @@
 	l.turn(now)
 	h, known := l.Holdings[d.Holder]
 	if !known && d.Granted > 0 {
-		return Drawn{Expired: true}, changed
+		// What it holds may be of the pool. Either way the sum stays the same.
+		out := d.Granted - d.Spent - d.Returned
+		if out < 0 || out > l.pool || now >= l.poolEnd {
+			return Drawn{Expired: true}, changed
+		}
+		l.pool -= out
+		h = Holding{Granted: d.Granted, Spent: d.Spent, Returned: d.Returned}
 	}
 	if spent := min(d.Spent-h.Spent, h.out()); spent > 0 {
 		h.Spent += spent
@@ -132,6 +138,9 @@
 	}
 	if changed {
 		l.Open, l.Spent = l.left, append([]Slice(nil), l.Slices...)
+		if l.pool > 0 {
+			l.Spent = append(l.Spent, Slice{End: l.poolEnd, Count: l.pool})
+		}
 		for _, h := range l.Holdings {
 			l.Open += h.out()
 		}
@@ -199,10 +208,13 @@
 		}
 	}
 	l.Slices = kept
+	if now >= l.poolEnd+l.Limit.Window {
+		l.pool = 0
+	}
 }
 
 func (l *Ledger) used() int64 {
-	var sum int64
+	sum := l.pool
 	for _, s := range l.Slices {
 		sum += s.Count
 	}
--- a/rule/rate/ledger_test.go
+++ b/rule/rate/ledger_test.go
@@ -104,6 +104,9 @@
 					waiting = append(waiting, a)
 				} else if h.births == a.births && a.drawn.Expired {
 					*h = holder{name: h.name, births: h.births + 1}
+				} else if h.births == a.births && h.granted > 0 && now >= h.until {
+					// What it had ended before the answer came.
+					*h = holder{name: h.name, births: h.births + 1}
 				} else if h.births == a.births {
 					h.granted, h.until = max(h.granted, a.drawn.Granted), max(h.until, a.sent+term)
 				}
@@ -208,4 +211,16 @@
 	if used := Open(now, lasting, term).used(); used > 80 || used < 50 {
 		t.Fatalf("a successor counts %d as used, of 50", used)
 	}
+	// A holder that goes on tells what is still out, and keeps it.
+	d.Want = 5
+	got, _ := l.Take(now, d)
+	lasting = l.Reserve
+	successor := Open(now, lasting, term)
+	d.Granted = got.Granted
+	successor.turn(now)
+	before := successor.used()
+	again, _ := successor.Take(now, d)
+	if again.Expired || again.Granted != got.Granted || successor.used() != before {
+		t.Fatalf("%+v, %d used before, %d after", again, before, successor.used())
+	}
 }
