Subcommands desk and relay: the relaying tier without the platform

Seen by hand: three cores with cold_start, a desk that founds, a relay; a table put, a replica announced, a request answered, counters and readiness read.

--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -514,11 +514,12 @@
 type Handed struct {
 	// OK: agreed, and durable. Unsure: nobody knows yet; the same may be handed
 	// over again.
-	OK, Unsure bool
+	OK     bool `json:"taken"`
+	Unsure bool `json:"unsure"`
 	// Race: another is in force than it was based on.
-	Race   bool
-	Number uint64
-	Faults configuration.Faults
+	Race   bool                 `json:"race_lost"`
+	Number uint64               `json:"number"`
+	Faults configuration.Faults `json:"faults,omitempty"`
 }
 
 // Apply checks a table and has it agreed by the cores.
@@ -562,10 +563,10 @@
 // Emptied tells how far the emptying of a core is.
 type Emptied struct {
 	// Unsure: the cores gave no answer.
-	Unsure bool
-	Known  bool
-	Enough bool
-	Done   bool
+	Unsure bool `json:"unsure"`
+	Known  bool `json:"known"`
+	Enough bool `json:"enough"`
+	Done   bool `json:"done"`
 }
 
 // Retire asks for a core to be emptied; it gets no seats any more.
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -18,12 +18,16 @@
 	"github.com/go-logr/stdr"
 
 	"saffronfall/peer/core"
+	"saffronfall/peer/desk"
 	"saffronfall/peer/operator"
+	"saffronfall/peer/replica"
 	"saffronfall/rule/configuration"
 	"saffronfall/rule/ordered"
 	"saffronfall/saffronfall/coreprocess"
+	"saffronfall/saffronfall/deskprocess"
 	"saffronfall/saffronfall/nodeprocess"
 	"saffronfall/saffronfall/params"
+	"saffronfall/saffronfall/relayprocess"
 )
 
 type role struct {
@@ -76,6 +80,22 @@
 	}
 }
 
+type deskCommand struct{ role }
+
+func (c *deskCommand) Run() error {
+	return c.start(func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
+		return deskprocess.Run(ctx, p, adopt, log, desk.Surface(p.Operators, p.Replicas, p.Largest))
+	})
+}
+
+type relayCommand struct{ role }
+
+func (c *relayCommand) Run() error {
+	return c.start(func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
+		return relayprocess.Run(ctx, p, adopt, log, replica.OwnNames)
+	})
+}
+
 type coreCommand struct {
 	Run     coreRun     `cmd:"" default:"withargs" help:"Run a core: a part of the control plane, on a machine with a disk."`
 	Add     coreAdd     `cmd:"" help:"Bring a running core with an empty folder into the fleet and give it its seats."`
@@ -381,6 +401,8 @@
 var commands struct {
 	Core     coreCommand     `cmd:"" help:"Run a core, the control plane."`
 	Node     nodeCommand     `cmd:"" help:"Run a node, the data plane."`
+	Desk     deskCommand     `cmd:"" help:"Run a desk, where replicas announce themselves and operators hand routing tables over."`
+	Relay    relayCommand    `cmd:"" help:"Run a node that relays requests by the routing table."`
 	Found    foundCommand    `cmd:"" help:"Found a fleet, once."`
 	Check    checkCommand    `cmd:"" help:"Check a description or settings."`
 	Apply    applyCommand    `cmd:"" help:"Hand over a whole description: checked, rehearsed, measured, agreed, taken."`
