--- /dev/null
+++ b/peer/desk/machine_test.go
@@ -0,0 +1,241 @@
+package desk
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/message"
+	"saffronfall/rule/part"
+	"saffronfall/rule/route"
+)
+
+const beat = time.Second
+
+func newDesk(change func(o *Options)) *Machine {
+	o := Options{ID: "d1", Life: "l1", Address: "d1:1", Seeds: []string{"d1:1", "d2:1"}, Random: func() float64 { return 0.5 },
+		Params: Params{Core: core.Params{MemberTerm: time.Second, Retry: 100 * time.Millisecond, Pull: 100 * time.Millisecond}, Beat: beat, Seats: 3, PartsPerCore: 2, Within: time.Second}}
+	if change != nil {
+		change(&o)
+	}
+	return New(o)
+}
+
+// sentTo lists what was sent to an address.
+func sentTo[T any](o Output, to string) []T {
+	var list []T
+	for _, s := range o.Sends {
+		if body, ok := s.Body.(T); ok && s.To == to {
+			list = append(list, body)
+		}
+	}
+	return list
+}
+
+func replica(call int64, leaving bool) Replica {
+	return Replica{ID: "r1", Service: "app", Address: "r1:1", Slots: 4, Call: call, Leaving: leaving}
+}
+
+// TestNewsIsToldAtOnce to every node that follows, and told again until it says
+// that it has it.
+func TestNewsIsToldAtOnce(t *testing.T) {
+	m := newDesk(nil)
+	first := sentTo[Bulletin](m.Receive(0, "n1:1", Follow{Node: "n1"}), "n1:1")
+	if len(first) != 1 {
+		t.Fatalf("%d bulletins for a follower", len(first))
+	}
+	o := m.Beat(time.Millisecond, replica(1, false))
+	if b := sentTo[Bulletin](o, "n1:1"); len(b) != 1 || len(b[0].List) != 1 || len(o.Changes) != 1 {
+		t.Fatalf("%+v, changes %+v", b, o.Changes)
+	}
+	if o := m.Beat(2*time.Millisecond, replica(2, false)); len(o.Sends)+len(o.Changes) != 0 {
+		t.Fatalf("a beat that says nothing new is told: %+v", o)
+	}
+	if b := sentTo[Bulletin](m.Beat(3*time.Millisecond, replica(3, true)), "n1:1"); len(b) != 1 || !b[0].List[0].Replica.Leaving {
+		t.Fatalf("leaving: %+v", b)
+	}
+	// The bulletins were lost: the node says what it has.
+	if b := sentTo[Bulletin](m.Receive(4*time.Millisecond, "n1:1", Follow{Node: "n1", Life: first[0].Life, Version: first[0].Version}), "n1:1"); len(b) != 1 || len(b[0].List) != 1 {
+		t.Fatalf("after a loss: %+v", b)
+	}
+}
+
+// TestLeavingIsNeverTakenBack, not by a late call, and whoever left stays gone.
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	m := newDesk(nil)
+	m.Beat(0, replica(5, true))
+	m.Beat(1, replica(4, false))
+	m.Beat(2, replica(6, false))
+	if l := m.List(); !l[0].Replica.Leaving {
+		t.Fatalf("%+v", l)
+	}
+	m.Leave(3, "r1")
+	m.Beat(4, replica(7, false))
+	if l := m.List(); !l[0].Gone || !l[0].Final {
+		t.Fatalf("%+v", l)
+	}
+}
+
+// TestSilentReplicaIsTakenOffAndComesBack with a newer call.
+func TestSilentReplicaIsTakenOffAndComesBack(t *testing.T) {
+	m := newDesk(nil)
+	m.Beat(0, replica(1, false))
+	m.Tick(3 * beat)
+	if m.List()[0].Gone {
+		t.Fatal("gone after three beats")
+	}
+	m.Tick(5 * beat)
+	if l := m.List()[0]; !l.Gone || l.Final {
+		t.Fatalf("after five beats: %+v", l)
+	}
+	m.Beat(6*beat, replica(1, false))
+	if !m.List()[0].Gone {
+		t.Fatal("an old call brought it back")
+	}
+	m.Beat(6*beat, replica(2, false))
+	if m.List()[0].Gone {
+		t.Fatal("it does not come back")
+	}
+}
+
+// TestKeptListIsBelievedForTwoBeats after a restart.
+func TestKeptListIsBelievedForTwoBeats(t *testing.T) {
+	m := newDesk(func(o *Options) { o.Known, o.Now = []Listed{{Replica: replica(1, false)}}, 100*beat })
+	m.Tick(101 * beat)
+	if m.List()[0].Gone {
+		t.Fatal("not believed for a beat")
+	}
+	m.Tick(103 * beat)
+	if !m.List()[0].Gone {
+		t.Fatal("believed for three beats")
+	}
+}
+
+// TestFounding: once all that came have been there for a beat, with as many cores
+// as a group has seats, at one desk only, and the same however often it is sent.
+func TestFounding(t *testing.T) {
+	present := func(m *Machine, now time.Duration, ids ...string) {
+		for _, id := range ids {
+			m.Receive(now, id+":1", core.Present{Core: core.Core{ID: id, Incarnation: "i", Zone: id, Peer: id + ":1"}, Cold: true})
+		}
+	}
+	m := newDesk(func(o *Options) { o.Founds = true })
+	present(m, 0, "a", "b")
+	if o := m.Tick(5 * beat); len(sentTo[core.FoundFleet](o, "a:1")) != 0 {
+		t.Fatal("founded with two of three")
+	}
+	present(m, 5*beat, "c")
+	if o := m.Tick(5*beat + beat/2); len(sentTo[core.FoundFleet](o, "a:1")) != 0 {
+		t.Fatal("founded before others had time to come")
+	}
+	first := sentTo[core.FoundFleet](m.Tick(6*beat+beat/2), "a:1")
+	present(m, 7*beat, "d")
+	again := sentTo[core.FoundFleet](m.Tick(9*beat), "a:1")
+	if len(first) != 1 || len(again) != 1 || !reflect.DeepEqual(first[0], again[0]) {
+		t.Fatalf("%d and %d foundings, or other ones", len(first), len(again))
+	}
+	if f := first[0].Founding; f.Parts != 7 || len(f.Cores) != 3 || len(f.Groups[0].Seats) != 3 {
+		t.Fatalf("%+v", f)
+	}
+	other := newDesk(nil)
+	present(other, 0, "a", "b", "c")
+	for now := time.Duration(0); now < 10*beat; now += beat / 4 {
+		if o := other.Tick(now); len(sentTo[core.FoundFleet](o, "a:1")) != 0 {
+			t.Fatal("a desk that may not founds")
+		}
+	}
+}
+
+func founded(m *Machine) core.Topology {
+	t := core.Topology{Fleet: "f", Size: 1, Cores: map[string]core.Core{"c": {ID: "c", Incarnation: "1", Peer: "c:1", Version: 1}}, Owners: []part.Term{{Round: 1, Owner: "c.1"}, {Round: 1, Owner: "c.1"}}, Groups: make([]part.Group, 2)}
+	m.Receive(0, "c:1", t)
+	return t
+}
+
+func table(number uint64) []byte {
+	text, _ := json.Marshal(route.Table{Number: number, Limits: route.Limits{HeaderBytes: 1000, BodyBytes: 1000}, Routes: []route.Route{}, Services: []route.Service{}, Tenants: []route.Tenant{}})
+	return text
+}
+
+// TestApply: faulty tables are not agreed on; what the cores say is the answer;
+// a taken one is told to followers in the same step.
+func TestApply(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		text   []byte
+		answer any
+		want   Handed
+		told   bool
+	}{
+		{"faulty", []byte(`{"number":1,"routes":[{"host":"h","prefix":"nowhere","mode":"once","timeout_ms":1}]}`), nil, Handed{}, false},
+		{"taken", table(3), core.TableAgreed{OK: true, Number: 3}, Handed{OK: true, Number: 3}, true},
+		{"another in force", table(3), core.TableAgreed{Number: 2}, Handed{Race: true, Number: 2}, false},
+		{"no answer", table(3), nil, Handed{Unsure: true}, false},
+	} {
+		m := newDesk(nil)
+		founded(m)
+		m.Receive(0, "n1:1", Follow{Node: "n1"})
+		o := m.Apply(time.Millisecond, 7, 1, c.text, "digest")
+		commands := sentTo[core.Command](o, "c:1")
+		if c.name == "faulty" {
+			if len(commands) != 0 || len(o.Answers) != 1 || o.Answers[0].Body.(Handed).Faults == nil {
+				t.Errorf("%s: %+v", c.name, o)
+			}
+			continue
+		}
+		if len(commands) != 1 || len(o.Answers) != 0 {
+			t.Fatalf("%s: %+v", c.name, o)
+		}
+		if c.answer != nil {
+			o = m.Receive(2*time.Millisecond, "c:1", core.CommandReturn{ID: commands[0].ID, Part: commands[0].Part, Raw: message.Pack(c.answer)})
+		} else {
+			o = m.Tick(2 * time.Second)
+		}
+		if len(o.Answers) != 1 {
+			t.Fatalf("%s: %+v", c.name, o)
+		}
+		got := o.Answers[0].Body.(Handed)
+		if got.OK != c.want.OK || got.Race != c.want.Race || got.Unsure != c.want.Unsure || got.Number != c.want.Number {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+		if b := sentTo[Bulletin](o, "n1:1"); (len(b) == 1 && len(b[0].Table) > 0) != c.told {
+			t.Errorf("%s: told %+v", c.name, b)
+		}
+	}
+}
+
+// TestEmptiedOnlyWhenEveryPartSaysSo: one part with a seat, new or former, or one
+// without an answer, and the core is not done.
+func TestEmptiedOnlyWhenEveryPartSaysSo(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		seats []core.Seats
+		done  bool
+	}{
+		{"no seat", []core.Seats{{Seats: []string{"a.1"}}, {Seats: []string{"b.1"}}}, true},
+		{"a seat", []core.Seats{{Seats: []string{"a.1"}}, {Seats: []string{"c.1"}}}, false},
+		{"a former seat", []core.Seats{{Seats: []string{"a.1"}}, {Seats: []string{"a.1"}, Former: []string{"c.1"}}}, false},
+		{"one part silent", []core.Seats{{Seats: []string{"a.1"}}}, false},
+	} {
+		m := newDesk(nil)
+		topology := founded(m)
+		retired := topology.Cores["c"]
+		retired.Retired, retired.Version = true, 2
+		m.Receive(0, "x:1", core.Topology{Fleet: "f", Cores: map[string]core.Core{"c": retired, "x": {ID: "x", Incarnation: "1", Peer: "x:1", Version: 1}}, Owners: []part.Term{{Round: 2, Owner: "x.1"}, {Round: 2, Owner: "x.1"}}})
+		o := m.Retired(time.Millisecond, 9, "c")
+		answers := o.Answers
+		for i, command := range sentTo[core.Command](o, "x:1") {
+			if i < len(c.seats) {
+				answers = append(answers, m.Receive(2*time.Millisecond, "x:1", core.CommandReturn{ID: command.ID, Part: command.Part, Raw: message.Pack(c.seats[i])}).Answers...)
+			}
+		}
+		if len(answers) == 0 {
+			answers = m.Tick(3 * time.Second).Answers
+		}
+		if len(answers) != 1 || answers[0].Body.(Emptied).Done != c.done {
+			t.Errorf("%s: %+v", c.name, answers)
+		}
+	}
+}
