--- /dev/null
+++ b/saffronfall/deskprocess/process_test.go
@@ -0,0 +1,77 @@
+package deskprocess
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"saffronfall/peer/desk"
+	"saffronfall/rule/message"
+)
+
+func listed(id string, leaving bool) desk.Listed {
+	return desk.Listed{Replica: desk.Replica{ID: id, Service: "app", Address: id + ":1", Leaving: leaving}}
+}
+
+// TestListIsKept over lives of the process, the newest word of each replica, also
+// after the slot was written anew; a damaged folder is set aside and begun again.
+func TestListIsKept(t *testing.T) {
+	path := t.TempDir()
+	folder, known := open(path, logr.Discard())
+	if folder == nil || len(known) != 0 {
+		t.Fatalf("%v, %+v", folder, known)
+	}
+	s := &process{folder: folder, log: logr.Discard()}
+	s.keep([]desk.Listed{listed("a", false), listed("b", false)})
+	s.keep([]desk.Listed{listed("b", true)})
+	s.keep(nil)
+	folder.Close()
+	folder, known = open(path, logr.Discard())
+	if len(known) != 2 || known[0].Replica.Leaving || !known[1].Replica.Leaving {
+		t.Fatalf("%+v", known)
+	}
+	if err := folder.Replace(message.Marshal(known)); err != nil {
+		t.Fatal(err)
+	}
+	s.folder = folder
+	s.keep([]desk.Listed{listed("c", false)})
+	folder.Close()
+	folder, known = open(path, logr.Discard())
+	if len(known) != 3 {
+		t.Fatalf("%+v", known)
+	}
+	folder.Close()
+	names, _ := filepath.Glob(filepath.Join(path, "slot-*"))
+	for _, name := range names {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw[len(raw)-1] ^= 0xff
+		if err := os.WriteFile(name, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	folder, known = open(path, logr.Discard())
+	if folder == nil || len(known) != 0 {
+		t.Fatalf("after damage: %v, %+v", folder, known)
+	}
+	folder.Close()
+	if aside, _ := filepath.Glob(filepath.Join(path, "lost-*")); len(aside) != 1 {
+		t.Fatalf("the damaged list is not set aside: %v", aside)
+	}
+}
+
+// TestFailingFolderIsGivenUp: a desk goes on without a list on disk.
+func TestFailingFolderIsGivenUp(t *testing.T) {
+	folder, _ := open(t.TempDir(), logr.Discard())
+	s := &process{folder: folder, log: logr.Discard()}
+	folder.Close()
+	s.keep([]desk.Listed{listed("a", false)})
+	if s.folder != nil {
+		t.Fatal("a folder that failed is used on")
+	}
+	s.keep([]desk.Listed{listed("b", false)})
+}
