--- /dev/null
+++ b/peer/core/relay_test.go
@@ -0,0 +1,122 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saffronfall/rule/part"
+	"saffronfall/rule/rate"
+)
+
+// TestKeptTurnLastsAndGoes: a kept turn is there for its time, longer where it was
+// prolonged, for its own tenant only, and then it is gone and takes no room.
+func TestKeptTurnLastsAndGoes(t *testing.T) {
+	a := newAlone(t)
+	keep := 20 * time.Second
+	for i := 0; i < 20; i++ {
+		a.run(KeepTurn{Tenant: "t", Attempt: fmt.Sprint("k", i), Before: []string{"x"}, Input: []byte("in"), Output: []byte("out"), Keep: keep})
+	}
+	// Repeated with other bytes: the first stands.
+	a.run(KeepTurn{Tenant: "t", Attempt: "k0", Input: []byte("other"), Keep: keep})
+	found := func(tenant, attempt string) KeptTurn {
+		return a.run(ReadTurn{Tenant: tenant, Attempt: attempt}).(KeptTurn)
+	}
+	if k := found("t", "k0"); !k.Found || string(k.Input) != "in" || string(k.Output) != "out" || len(k.Before) != 1 || k.Left > keep {
+		t.Fatalf("%+v", k)
+	}
+	if found("other", "k0").Found || found("t", "none").Found {
+		t.Fatal("another tenant's, or none, is found")
+	}
+	a.pass(15 * time.Second)
+	if d := a.run(ProlongTurn{Tenant: "t", Attempt: "k1", Keep: keep}).(Done); !d.OK {
+		t.Fatal("not prolonged")
+	}
+	if a.run(ProlongTurn{Tenant: "other", Attempt: "k2", Keep: keep}).(Done).OK || a.run(ProlongTurn{Tenant: "t", Attempt: "none", Keep: keep}).(Done).OK {
+		t.Fatal("prolonged what is not there")
+	}
+	a.pass(4 * time.Second)
+	if !found("t", "k0").Found {
+		t.Fatal("gone before its time")
+	}
+	a.pass(12 * time.Second)
+	if !found("t", "k1").Found {
+		t.Fatal("a prolonged turn is gone before its time")
+	}
+	a.pass(time.Minute)
+	left := 0
+	for n := 0; n < 4; n++ {
+		for key, e := range a.m.Part(n).Copied().Entries {
+			if !e.Gone && len(key) > len(keptPrefix) && key[:len(keptPrefix)] == keptPrefix {
+				left++
+			}
+		}
+	}
+	if left != 0 || found("t", "k1").Found {
+		t.Fatalf("%d kept turns are left after their time", left)
+	}
+}
+
+// TestBooksOfAProgram by the commands: side by side, repeated, late, and gone
+// after their time.
+func TestBooksOfAProgram(t *testing.T) {
+	a := newAlone(t)
+	reserve := func(attempt string, most int64) bool {
+		return a.run(ReserveTurn{Tenant: "t", Program: "p", Attempt: attempt, Most: most, Budget: 100, Keep: 30 * time.Second}).(TurnReserved).OK
+	}
+	settle := func(attempt string, tokens int64) {
+		a.run(SettleTurn{Tenant: "t", Program: "p", Attempt: attempt, Tokens: tokens})
+	}
+	settle("early", 0)
+	if !reserve("a", 60) || !reserve("a", 60) || reserve("b", 60) {
+		t.Fatal("side by side")
+	}
+	settle("a", 10)
+	settle("a", 10)
+	if !reserve("b", 90) || reserve("c", 1) {
+		t.Fatal("after the first turn's end")
+	}
+	if !reserve("early", 50) || reserve("c", 1) {
+		t.Fatal("a reservation after its end was refused, or booked")
+	}
+	settle("b", 0)
+	if !reserve("c", 90) {
+		t.Fatal("what never ran is charged")
+	}
+	a.pass(2 * time.Minute)
+	if !reserve("d", 100) {
+		t.Fatal("books are kept for ever")
+	}
+}
+
+// TestRateOverATakeover: whoever takes the part over knows what was spent, goes on
+// with what holders have, and never grants beyond the window.
+func TestRateOverATakeover(t *testing.T) {
+	a := newAlone(t)
+	n := RatePart(4, "t")
+	limit := rate.Limit{Window: 5 * time.Second, Most: 40}
+	draw := func(d rate.Draw) rate.Drawn {
+		d.Limit, d.Term = limit, 2500*time.Millisecond
+		return a.run(DrawRates{Part: n, Draws: []TenantDraw{{Tenant: "t", Draw: d}}}).(RatesDrawn).Drawn[0]
+	}
+	if got := draw(rate.Draw{Holder: "x", Want: 30}); got.Granted != 30 {
+		t.Fatalf("%+v", got)
+	}
+	// The owner is seated anew: its memory is gone.
+	copies := map[int]part.Copy{}
+	for number := 0; number < 4; number++ {
+		copies[number] = a.m.Part(number).Copied()
+	}
+	a.m = New(Options{Params: a.m.params, ID: "c", Address: "c", Stored: Stored{Incarnation: "1", Founding: a.m.founding, Copies: copies}, Now: a.now, Random: func() float64 { return 0.5 }})
+	a.pass(time.Second)
+	if got := draw(rate.Draw{Holder: "y", Want: 20}); got.Granted > 10 {
+		t.Fatalf("a successor granted %d beside 30 of 40", got.Granted)
+	}
+	if got := draw(rate.Draw{Holder: "x", Granted: 30, Spent: 25, Want: 5}); got.Expired || got.Granted != 30 {
+		t.Fatalf("a holder that goes on: %+v", got)
+	}
+	a.pass(10 * time.Second)
+	if got := draw(rate.Draw{Holder: "z", Want: 20}); got.Granted != 20 {
+		t.Fatalf("after the window: %+v", got)
+	}
+}
