--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -54,7 +54,6 @@
 	presentAt time.Duration
 	startedAt time.Duration
 	table     core.AgreedTable
-	parsed    *route.Table
 	stamp     part.Stamp
 	confirmed time.Duration
 	fresh     core.Fresh
@@ -413,12 +412,11 @@
 	if agreed.Number <= m.table.Number {
 		return
 	}
-	parsed, faults := route.Parse(agreed.Text)
-	if faults != nil {
+	if _, faults := route.Parse(agreed.Text); faults != nil {
 		m.Counters.BadMessages++
 		return
 	}
-	m.table, m.parsed = agreed, parsed
+	m.table = agreed
 	m.tellAll(now)
 }
 
@@ -612,6 +610,9 @@
 	return list
 }
 
+// Number is the newest table that this desk knows to be agreed.
+func (m *Machine) Number() uint64 { return m.table.Number }
+
 // Ready reports whether this desk has a table and cores to ask.
 func (m *Machine) Ready() bool { return len(m.topology.Owners) > 0 }
 
--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -33,7 +33,6 @@
 	until    time.Duration
 	kept     map[uint64]keptPiece
 	tokens   int64
-	usedAt   time.Duration
 }
 
 type keptPiece struct {
@@ -176,7 +175,6 @@
 func (m *Machine) sent(now time.Duration, w *way, s *standing) {
 	s.outstanding++
 	s.since++
-	s.usedAt = now
 	var most int64 = 1 << 40
 	if service, ok := w.table.Service(w.service); ok && service.CacheTokens > 0 {
 		most = service.CacheTokens * 3 / 4
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -9,7 +9,6 @@
 	"saffronfall/peer/desk"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/route"
-	"saffronfall/rule/slab"
 )
 
 // Options make a machine.
@@ -45,9 +44,8 @@
 	table   *route.Table
 	pending *route.Table
 	tenants map[string]*route.Tenant
-	// confirmed is set once a desk has said that no newer table was agreed.
-	confirmed bool
-	none      bool
+	// none is set once a desk has said that no table was agreed yet.
+	none bool
 
 	services  map[string][]*standing
 	standings map[string]*standing
@@ -57,9 +55,7 @@
 	paces     map[string]*pace
 	births    int
 	cache     *cache
-	ways      slab.Slab[*way]
 	live      map[uint64]*way
-	later     core.Later
 	leaving   bool
 	// early are requests that wait for a first table, parked those that wait for
 	// a first replica.
@@ -153,13 +149,13 @@
 	if fresh && b.Number == 0 {
 		m.none = true
 	}
-	if m.pending != nil && (m.table == nil || m.table.Number < m.pending.Number) && (m.confirmed || fresh && b.Number <= m.pending.Number || now > m.started+2*m.params.Beat) {
+	if m.pending != nil && (m.table == nil || m.table.Number < m.pending.Number) && (m.table != nil || fresh && b.Number <= m.pending.Number || now > m.started+2*m.params.Beat) {
 		m.install(now)
 	}
 }
 
 func (m *Machine) install(now time.Duration) {
-	m.table, m.confirmed = m.pending, true
+	m.table = m.pending
 	m.tenants = map[string]*route.Tenant{}
 	for i := range m.table.Tenants {
 		m.tenants[m.table.Tenants[i].Name] = &m.table.Tenants[i]
@@ -235,7 +231,6 @@
 		m.drawAt = now + m.params.Window/50
 		m.draw(now)
 	}
-	m.later.Tick(now)
 	for _, ticket := range ordered.Keys(m.live) {
 		if w := m.live[ticket]; now >= w.patience && w.state == stateAdmitting {
 			m.Counters.RefusedUnsure++
@@ -253,17 +248,6 @@
 // Leave makes the node no longer ready; what runs goes on.
 func (m *Machine) Leave() { m.leaving = true }
 
-// Live is how many requests are under way.
-func (m *Machine) Live() int { return len(m.live) }
-
-// Limits are the bounds on a request's size.
-func (m *Machine) Limits() route.Limits {
-	if m.table == nil {
-		return route.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20}
-	}
-	return m.table.Limits
-}
-
 // Number is the table in force here.
 func (m *Machine) Number() uint64 {
 	if m.table == nil {
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -151,5 +151,4 @@
 	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages      int64
 	NewConnections, RefusedRate, RefusedBudget, RefusedFull, RefusedUnsure   int64
 	UnknownKey, UnknownRoute, UnknownTurn, TooLarge, DeadlinePassed, Settles int64
-	CarriedForOthers                                                         int64
 }
--- a/rehearsalkit/capacity/measure.go
+++ b/rehearsalkit/capacity/measure.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"saffronfall/rehearsalkit/agenda"
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
 )
@@ -204,7 +205,7 @@
 	}
 	add("node", "cache bytes", float64(cache)/float64(len(w.nodes)), false)
 	// The heap that each role holds is what its end sets free.
-	w.agenda, w.programs = nil, nil
+	w.agenda, w.programs = agenda.Agenda{}, nil
 	for _, n := range w.nodes {
 		n.ways = nil
 	}
--- a/rehearsalkit/capacity/world.go
+++ b/rehearsalkit/capacity/world.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -14,6 +13,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
 	"saffronfall/peer/relay"
+	"saffronfall/rehearsalkit/agenda"
 	"saffronfall/rule/configuration"
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
@@ -59,31 +59,6 @@
 	return time.Duration(t.Nano())
 }
 
-type event struct {
-	at   time.Duration
-	seq  uint64
-	what func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*a = old[:len(old)-1]
-	return last
-}
-
 // meter counts one process.
 type meter struct {
 	Sent, Received, SentBytes, ReceivedBytes int64
@@ -137,8 +112,7 @@
 type world struct {
 	point     Point
 	now       time.Duration
-	seq       uint64
-	agenda    agenda
+	agenda    agenda.Agenda
 	random    *rand.Rand
 	cores     []*process
 	desks     []*process
@@ -202,18 +176,10 @@
 }
 
 func (w *world) after(d time.Duration, what func()) {
-	w.seq++
-	heap.Push(&w.agenda, event{at: w.now + d, seq: w.seq, what: what})
+	w.agenda.Add(w.now+d, what)
 }
 
-func (w *world) run(until time.Duration) {
-	for len(w.agenda) > 0 && w.agenda[0].at <= until {
-		e := heap.Pop(&w.agenda).(event)
-		w.now = e.at
-		e.what()
-	}
-	w.now = until
-}
+func (w *world) run(until time.Duration) { w.agenda.Run(until, &w.now) }
 
 func (w *world) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(w.random.Int64N(int64(b-a)+1))
--- a/rehearsalkit/relaysim/world.go
+++ b/rehearsalkit/relaysim/world.go
@@ -4,7 +4,6 @@
 package relaysim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,6 +12,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
 	"saffronfall/peer/relay"
+	"saffronfall/rehearsalkit/agenda"
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
@@ -115,30 +115,6 @@
 		Buffer: 2000, Cache: 1 << 20, BookKeep: 10 * time.Minute}
 }
 
-type event struct {
-	at   time.Duration
-	seq  uint64
-	what func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // World is one run.
 type World struct {
 	Params Params
@@ -146,8 +122,7 @@
 	Counts map[string]int64
 
 	now       time.Duration
-	seq       uint64
-	agenda    agenda
+	agenda    agenda.Agenda
 	random    *rand.Rand
 	processes map[string]*process
 	stores    []*store
@@ -263,18 +238,10 @@
 func (w *World) Now() time.Duration { return w.now }
 
 func (w *World) after(d time.Duration, what func()) {
-	w.seq++
-	heap.Push(&w.agenda, event{at: w.now + d, seq: w.seq, what: what})
+	w.agenda.Add(w.now+d, what)
 }
 
-func (w *World) run(until time.Duration) {
-	for len(w.agenda) > 0 && w.agenda[0].at <= until {
-		e := heap.Pop(&w.agenda).(event)
-		w.now = e.at
-		e.what()
-	}
-	w.now = until
-}
+func (w *World) run(until time.Duration) { w.agenda.Run(until, &w.now) }
 
 func (w *World) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(w.random.Int64N(int64(b-a)+1))
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -3,13 +3,13 @@
 package simulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/node"
+	"saffronfall/rehearsalkit/agenda"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
@@ -74,30 +74,6 @@
 		Settle: 8 * time.Second, Faults: true, Operators: 2, Loss: 0.005, Rate: 20, Burst: 16, MinuteCost: 50, DayTokens: 100_000_000, Newest: 1700 * time.Millisecond, MemberTerm: 2 * time.Second, Sync: 4 * time.Millisecond}
 }
 
-type event struct {
-	at   time.Duration
-	seq  uint64
-	what func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // World is one run.
 type World struct {
 	Params Params
@@ -105,8 +81,7 @@
 	Counts map[string]int64
 
 	now    time.Duration
-	seq    uint64
-	agenda agenda
+	agenda agenda.Agenda
 	random *rand.Rand
 	procs  map[string]*proc
 	cores  []*proc
@@ -208,18 +183,10 @@
 func (w *World) Now() time.Duration { return w.now }
 
 func (w *World) after(d time.Duration, what func()) {
-	w.seq++
-	heap.Push(&w.agenda, event{at: w.now + d, seq: w.seq, what: what})
+	w.agenda.Add(w.now+d, what)
 }
 
-func (w *World) run(until time.Duration) {
-	for len(w.agenda) > 0 && w.agenda[0].at <= until {
-		e := heap.Pop(&w.agenda).(event)
-		w.now = e.at
-		e.what()
-	}
-	w.now = until
-}
+func (w *World) run(until time.Duration) { w.agenda.Run(until, &w.now) }
 
 func (w *World) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(w.random.Int64N(int64(b-a)+1))
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -38,7 +38,7 @@
 	sent    int64
 	dropped int64
 	bad     int64
-	table   int64
+	table   uint64
 	folder  *disk.Folder
 }
 
@@ -159,7 +159,7 @@
 			s.bad += c.BadStreams
 		case <-ticker.C:
 			s.take(s.machine.Tick(s.now()))
-			if table := s.machine.Status(s.now())["table"]; table != s.table {
+			if table := s.machine.Number(); table != s.table {
 				s.table = table
 				s.log.Info("routing table known", "number", table)
 			}
