--- /dev/null
+++ b/peer/core/stored.go
@@ -0,0 +1,53 @@
+package core
+
+import (
+	"saffronfall/rule/part"
+)
+
+// Stored is what a core's disk holds.
+type Stored struct {
+	Incarnation string            `msgpack:"i"`
+	Founding    Founding          `msgpack:"f"`
+	Copies      map[int]part.Copy `msgpack:"c"`
+}
+
+// Change is one thing to write to disk.
+type Change struct {
+	Founding *Founding    `msgpack:"f"`
+	Record   *part.Record `msgpack:"r"`
+}
+
+// Apply brings what is stored up to a change.
+func (s *Stored) Apply(c Change) {
+	if s.Copies == nil {
+		s.Copies = map[int]part.Copy{}
+	}
+	if c.Founding != nil {
+		s.Founding = *c.Founding
+		for n, g := range c.Founding.Groups {
+			p := s.Copies[n]
+			if p.Group.Epoch == 0 {
+				p.Group = g
+			}
+			s.Copies[n] = p
+		}
+	}
+	if c.Record != nil {
+		p := s.Copies[c.Record.Part]
+		p.Apply(*c.Record)
+		s.Copies[c.Record.Part] = p
+	}
+}
+
+// CopyFrom makes an image that can be changed apart from its source.
+func (s *Stored) CopyFrom(o Stored) {
+	s.Incarnation, s.Founding, s.Copies = o.Incarnation, o.Founding, map[int]part.Copy{}
+	for n, c := range o.Copies {
+		entries := make(map[string]part.Entry, len(c.Entries))
+		for k, e := range c.Entries {
+			entries[k] = e
+		}
+		c.Entries = entries
+		s.Copies[n] = c
+	}
+}
--- /dev/null
+++ b/peer/desk/replicas.go
@@ -0,0 +1,73 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/rule/ordered"
+)
+
+type listed struct {
+	Listed
+	heard time.Duration
+}
+
+// Beat takes what a replica says of itself. What is new is told at once.
+func (m *Machine) Beat(now time.Duration, r Replica) Output {
+	m.out = &Output{}
+	m.Counters.Beats++
+	old, ok := m.list[r.ID]
+	if ok && r.Call < old.Replica.Call {
+		return *m.out
+	}
+	if ok && (old.Final || old.Gone && r.Call <= old.Replica.Call) {
+		return *m.out
+	}
+	if !ok {
+		old = &listed{}
+		m.list[r.ID] = old
+	}
+	old.heard = now
+	before := old.Replica
+	if before.Leaving {
+		r.Leaving = true
+	}
+	changed := !ok || old.Gone || before.Leaving != r.Leaving || before.Address != r.Address || before.Service != r.Service || before.Slots != r.Slots
+	old.Replica, old.Gone = r, false
+	if changed {
+		m.change(now, old)
+	}
+	return *m.out
+}
+
+// Leave takes a replica off the list.
+func (m *Machine) Leave(now time.Duration, id string) Output {
+	m.out = &Output{}
+	old, ok := m.list[id]
+	if !ok {
+		old = &listed{Listed: Listed{Replica: Replica{ID: id}}}
+		m.list[id] = old
+	}
+	old.heard = now
+	if !old.Final {
+		old.Gone, old.Final = true, true
+		m.change(now, old)
+	}
+	return *m.out
+}
+
+func (m *Machine) change(now time.Duration, l *listed) {
+	m.Counters.Changes++
+	m.version++
+	l.Version = m.version
+	m.out.Changes = append(m.out.Changes, l.Listed)
+	m.tellAll(now)
+}
+
+// List is the whole list.
+func (m *Machine) List() []Listed {
+	var list []Listed
+	for _, id := range ordered.Keys(m.list) {
+		list = append(list, m.list[id].Listed)
+	}
+	return list
+}
--- /dev/null
+++ b/peer/desk/subscribers.go
@@ -0,0 +1,111 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/ordered"
+)
+
+type follower struct {
+	life    string
+	version uint64
+	table   uint64
+	mark    uint64
+	heard   time.Duration
+	desk    bool
+}
+
+func (m *Machine) tellAll(now time.Duration) {
+	for _, address := range ordered.Keys(m.followers) {
+		m.tell(now, address, m.followers[address], false)
+	}
+}
+
+// tell sends a follower what it lacks. What was sent counts as had until the
+// follower says otherwise in its next word.
+func (m *Machine) tell(now time.Duration, to string, f *follower, always bool) {
+	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.Number, Confirmed: -1, Nodes: m.nodes()}
+	if m.confirmed >= 0 {
+		b.Confirmed = now - m.confirmed
+	}
+	if f.life != m.life {
+		b.Since = 0
+	}
+	if !f.desk {
+		for _, id := range ordered.Keys(m.list) {
+			if l := m.list[id]; l.Version > b.Since {
+				b.List = append(b.List, l.Listed)
+			}
+		}
+	}
+	if f.table < m.table.Number {
+		b.Table = m.table.Text
+	}
+	if f.mark != m.mark {
+		t := m.topology
+		b.Topology = &t
+		b.Desks = ordered.Keys(m.desks)
+	}
+	if !always && len(b.List) == 0 && b.Table == nil && b.Topology == nil {
+		return
+	}
+	f.life, f.version, f.table, f.mark = m.life, m.version, max(f.table, m.table.Number), m.mark
+	m.Counters.Bulletins++
+	m.send(to, b)
+}
+
+func (m *Machine) nodes() int {
+	n := 0
+	for _, f := range m.followers {
+		if !f.desk {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) onFollow(now time.Duration, from string, b Follow) {
+	f := m.followers[from]
+	if f == nil {
+		f = &follower{}
+		m.followers[from] = f
+	}
+	f.heard, f.desk = now, b.Desk
+	f.life, f.version, f.table = b.Life, b.Version, b.Table
+	if b.Life != m.life {
+		f.mark = 0
+	}
+	if b.Desk {
+		m.learnDesk(now, from)
+	}
+	if b.Table > m.table.Number {
+		// The follower knows a newer one: the cores are asked at once.
+		m.pullAt = now
+	}
+	m.tell(now, from, f, true)
+}
+
+func (m *Machine) learnDesk(now time.Duration, address string) {
+	if _, ok := m.desks[address]; !ok {
+		m.mark++
+	}
+	m.desks[address] = now
+}
+
+func (m *Machine) onBulletin(now time.Duration, from string, b Bulletin) {
+	m.learnDesk(now, from)
+	m.lives[from] = b.Life
+	if b.Topology != nil {
+		m.adopt(now, *b.Topology)
+	}
+	for _, address := range b.Desks {
+		if _, ok := m.desks[address]; !ok {
+			m.learnDesk(now, address)
+			m.followAt = now
+		}
+	}
+	if b.Table != nil {
+		m.install(now, core.AgreedTable{Number: b.Number, Text: b.Table})
+	}
+}
--- /dev/null
+++ b/peer/desk/table.go
@@ -0,0 +1,125 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/part"
+	"saffronfall/rule/route"
+)
+
+// confirm notes as of when this desk has missed no table.
+func (m *Machine) confirm(now time.Duration) {
+	if m.fresh.Upto == (part.Stamp{}) || m.stamp.Less(m.fresh.Upto) {
+		return
+	}
+	first := m.confirmed < 0
+	m.confirmed = max(m.confirmed, m.fresh.Sent-m.fresh.Age)
+	if first {
+		for _, address := range ordered.Keys(m.followers) {
+			m.tell(now, address, m.followers[address], true)
+		}
+	}
+}
+
+func (m *Machine) onNews(now time.Duration, b core.News) {
+	if b.Part != core.ConfigurationPart || !m.stamp.Less(b.Upto) || (!b.Whole && m.stamp.Less(b.After)) {
+		return
+	}
+	m.stamp = b.Upto
+	t := core.Topology{Fleet: m.topology.Fleet, Cores: map[string]core.Core{}}
+	for _, e := range b.Entries {
+		switch {
+		case e.Key == core.TableKey:
+			var agreed core.AgreedTable
+			if message.Unmarshal(e.Value, &agreed) == nil {
+				m.install(now, agreed)
+			}
+		case core.IsCoreKey(e.Key) && !e.Gone:
+			var one core.Core
+			if message.Unmarshal(e.Value, &one) == nil {
+				t.Cores[one.ID] = one
+			}
+		}
+	}
+	m.adopt(now, t)
+	m.confirm(now)
+}
+
+// install takes a newer agreed table and passes it on at once.
+func (m *Machine) install(now time.Duration, agreed core.AgreedTable) {
+	if agreed.Number <= m.table.Number {
+		return
+	}
+	if _, faults := route.Parse(agreed.Text); faults != nil {
+		m.Counters.BadMessages++
+		return
+	}
+	m.table = agreed
+	m.tellAll(now)
+}
+
+func (m *Machine) pull(now time.Duration) {
+	ask := core.Pull{Versions: map[int]part.Stamp{core.ConfigurationPart: m.stamp}, Fresh: true, Sent: now, Want: len(m.topology.Owners) == 0 || m.random() < 0.2}
+	if to := m.caller.HintOf(core.ConfigurationPart); to != "" && m.confirmed >= 0 && now-m.confirmed < 3*m.params.Core.Pull {
+		m.send(to, ask)
+		return
+	}
+	ask.Want = true
+	for _, to := range m.coreAddresses() {
+		m.send(to, ask)
+	}
+}
+
+// Handed is what became of a table that was handed over.
+type Handed struct {
+	// OK: agreed, and durable. Unsure: nobody knows yet; the same may be handed
+	// over again.
+	OK     bool `json:"taken"`
+	Unsure bool `json:"unsure"`
+	// Race: another is in force than it was based on.
+	Race   bool                 `json:"race_lost"`
+	Number uint64               `json:"number"`
+	Faults configuration.Faults `json:"faults,omitempty"`
+}
+
+// Apply checks a table and has it agreed by the cores.
+func (m *Machine) Apply(now time.Duration, ticket uint64, base uint64, text []byte, digest string) Output {
+	m.out = &Output{}
+	parsed, faults := route.Parse(text)
+	if faults != nil {
+		m.Counters.Refused++
+		m.answer(ticket, Handed{Faults: faults})
+		return *m.out
+	}
+	c := core.AgreeTable{Base: base, Number: parsed.Number, Text: text, Digest: digest}
+	m.caller.Call(now, c, now+m.params.Within, func(now time.Duration, o core.Outcome) {
+		agreed, ok := o.Answer.(core.TableAgreed)
+		switch {
+		case !ok:
+			m.answer(ticket, Handed{Unsure: true})
+		case agreed.OK:
+			m.Counters.Applied++
+			m.install(now, core.AgreedTable{Number: parsed.Number, Text: text, Digest: digest})
+			m.answer(ticket, Handed{OK: true, Number: agreed.Number})
+		case parsed.Number <= agreed.Number && base == agreed.Number:
+			m.answer(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
+		default:
+			m.answer(ticket, Handed{Race: true, Number: agreed.Number})
+		}
+	})
+	return *m.out
+}
+
+// Read reads the table in force from the cores: what they answer is the newest.
+func (m *Machine) Read(now time.Duration, ticket uint64) Output {
+	m.out = &Output{}
+	m.caller.Call(now, core.ReadTable{}, now+m.params.Within, func(now time.Duration, o core.Outcome) {
+		t, _ := o.Answer.(core.AgreedTable)
+		m.answer(ticket, t)
+	})
+	return *m.out
+}
--- /dev/null
+++ b/peer/desk/topology.go
@@ -0,0 +1,122 @@
+package desk
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/ordered"
+)
+
+func (m *Machine) coreAddresses() []string { return CoreAddresses(m.topology) }
+
+// CoreAddresses lists where the cores of a topology are.
+func CoreAddresses(t core.Topology) []string {
+	var list []string
+	for _, c := range t.Cores {
+		if !c.Retired && c.Peer != "" && !slices.Contains(list, c.Peer) {
+			list = append(list, c.Peer)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// others are nodes and desks that may pass a command on when cores stay silent.
+func (m *Machine) others() []string {
+	var list []string
+	for _, address := range ordered.Keys(m.followers) {
+		list = append(list, address)
+	}
+	return list
+}
+
+// onPresent notes a core that says it is there.
+func (m *Machine) onPresent(now time.Duration, from string, b core.Present) {
+	if len(m.topology.Owners) == 0 {
+		if _, ok := m.present[b.Core.ID]; !ok || m.present[b.Core.ID].Incarnation != b.Core.Incarnation {
+			m.presentAt = now
+		}
+		if b.Cold {
+			m.present[b.Core.ID] = b.Core
+		}
+	}
+	if known, ok := m.topology.Cores[b.Core.ID]; !ok || known.Version < b.Core.Version || (known.Version == b.Core.Version && known.Incarnation != b.Core.Incarnation && len(m.topology.Owners) == 0) {
+		m.topology.Cores[b.Core.ID] = b.Core
+		m.mark++
+	}
+	m.send(from, m.topology)
+	if len(m.topology.Owners) == 0 {
+		m.send(from, core.Pull{Want: true})
+	}
+}
+
+// adopt takes over what is newer in another's topology.
+func (m *Machine) adopt(now time.Duration, t core.Topology) {
+	changed := false
+	if len(m.topology.Owners) == 0 && len(t.Owners) > 0 {
+		cores := m.topology.Cores
+		m.topology = core.Topology{Fleet: t.Fleet, Size: t.Size, Cores: cores, Owners: slices.Clone(t.Owners), Groups: slices.Clone(t.Groups)}
+		changed = true
+	}
+	if m.topology.Fleet != t.Fleet && t.Fleet != "" {
+		return
+	}
+	for n := range t.Owners {
+		if n < len(m.topology.Owners) && m.topology.Owners[n].Less(t.Owners[n]) {
+			m.topology.Owners[n] = t.Owners[n]
+			changed = true
+		}
+	}
+	for n := range t.Groups {
+		if n < len(m.topology.Groups) && m.topology.Groups[n].Before(t.Groups[n]) {
+			m.topology.Groups[n] = t.Groups[n]
+			changed = true
+		}
+	}
+	for id, c := range t.Cores {
+		if known, ok := m.topology.Cores[id]; !ok || known.Version < c.Version {
+			m.topology.Cores[id] = c
+			changed = true
+		}
+	}
+	if changed {
+		m.mark++
+		HintOwners(m.caller, m.topology)
+		m.tellAll(now)
+	}
+}
+
+// HintOwners tells a caller who owns which part.
+func HintOwners(caller *core.Caller, t core.Topology) {
+	for n, owner := range t.Owners {
+		for _, c := range t.Cores {
+			if c.Seat() == owner.Owner {
+				caller.Hint(n, c.Peer)
+			}
+		}
+	}
+}
+
+// found founds the fleet, once all cores that came have been there for a while.
+func (m *Machine) found(now time.Duration) {
+	settle := m.params.Beat
+	if !m.founds || len(m.topology.Owners) > 0 || len(m.present) < m.params.Seats || now < m.foundAt || now < m.presentAt+settle {
+		return
+	}
+	m.foundAt = now + settle/4
+	if m.founding == nil {
+		// It is planned once, so that it is the same whenever it is sent again.
+		var cores []core.Core
+		for _, id := range ordered.Keys(m.present) {
+			cores = append(cores, m.present[id])
+		}
+		founding := core.Plan(fmt.Sprintf("%s-%s", m.id, m.life), 1+m.params.PartsPerCore*len(cores), m.params.Seats, cores)
+		m.founding = &founding
+	}
+	for _, id := range ordered.Keys(m.founding.Cores) {
+		m.send(m.founding.Cores[id].Peer, core.FoundFleet{Founding: *m.founding})
+	}
+}
--- /dev/null
+++ b/rule/part/election.go
@@ -0,0 +1,263 @@
+package part
+
+import (
+	"sort"
+	"time"
+)
+
+// successor is the most complete other seat of the group, of those the one that
+// was heard of last.
+func (m *Machine) successor() string {
+	o, best := m.owning, ""
+	for _, seat := range o.group.Seats {
+		if seat != m.seat && (best == "" || o.whole[seat] > o.whole[best] || (o.whole[seat] == o.whole[best] && o.renewed[seat] > o.renewed[best])) {
+			best = seat
+		}
+	}
+	return best
+}
+
+func (m *Machine) handOver(now time.Duration, seat string) {
+	m.send(seat, Handover{Term: m.owning.term}, false)
+	m.stepDown(now)
+	m.standAt = now + 2*m.params.OwnerTerm
+}
+
+func (m *Machine) stand(now time.Duration, released Term) {
+	m.Counters.Stands++
+	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
+	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
+		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
+	m.ask(now)
+}
+
+func (m *Machine) ask(now time.Duration) {
+	o := m.owning
+	o.askedAt = now
+	if !o.asking && m.copy.Promised != o.term {
+		// This seat's own promise is on disk before any other is asked for, so
+		// that no later life of it can stand for the same term.
+		m.record(Record{Promised: o.term})
+	}
+	for _, seat := range o.group.All() {
+		if _, ok := o.promises[seat]; !ok {
+			m.send(seat, Stand{Ask: o.asking, Light: !o.full, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
+		}
+	}
+}
+
+func (m *Machine) stepDown(now time.Duration) {
+	if o := m.owning; o != nil {
+		if o.flight != nil {
+			o.returns = append(o.flight.returns, o.returns...)
+		}
+		for _, r := range o.returns {
+			m.out.Returns = append(m.out.Returns, Return{Ticket: r.Ticket, Unsure: true})
+		}
+	}
+	if m.change != nil {
+		m.out.Returns = append(m.out.Returns, Return{Ticket: m.change.ticket, Unsure: true})
+	}
+	if m.owning != nil && m.holder == m.owning.term {
+		// Nobody serves under this term any more.
+		m.until = now
+	}
+	m.owning, m.change = nil, nil
+	m.standAt = now + m.patience() + m.params.OwnerTerm/10
+}
+
+// Leave makes the owner hand its part to another seat of the group, the most
+// complete one.
+func (m *Machine) Leave(now time.Duration) Output {
+	m.out = &Output{}
+	o := m.owning
+	if _, ok := m.Owns(now); !ok || o.flight != nil {
+		return *m.out
+	}
+	if best := m.successor(); best != "" {
+		m.handOver(now, best)
+	}
+	return *m.out
+}
+
+func (m *Machine) onStand(now time.Duration, from string, b Stand) {
+	refuse := Refuse{Term: b.Term, Promised: m.copy.Promised, Group: m.copy.Group}
+	held := now < m.until && m.holder != b.Released && m.holder.Owner != b.Term.Owner
+	switch {
+	case !m.copy.Group.Has(m.seat):
+		return
+	case b.Group.Before(m.copy.Group):
+		m.send(from, refuse, false)
+	case held:
+		// One that stands itself may give up at any time.
+		if m.owning == nil || m.owning.serving {
+			refuse.Wait = m.until - now
+		}
+		m.send(from, refuse, false)
+	case b.Term.Less(m.copy.Promised):
+		m.send(from, refuse, false)
+	case b.Ask:
+		m.send(from, Promise{Ask: true, Term: b.Term, Group: m.copy.Group, Sent: b.Sent}, false)
+	default:
+		if m.owning != nil && m.owning.term.Less(b.Term) {
+			m.stepDown(now)
+		}
+		if m.copy.Promised != b.Term {
+			m.record(Record{Promised: b.Term})
+		}
+		m.holder, m.until = b.Term, now+m.hold()
+		m.standAt = m.until + m.patience()
+		promise := Promise{Term: b.Term, Base: m.copy.Base, Group: m.copy.Group, Clock: m.copy.Clock, Sent: b.Sent, Light: b.Light, Sum: m.sum}
+		if !b.Light {
+			promise.Entries = m.entries()
+		}
+		m.send(from, promise, true)
+	}
+}
+
+func (m *Machine) entries() []Entry {
+	list := make([]Entry, 0, len(m.copy.Entries))
+	for _, e := range m.copy.Entries {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
+
+func (m *Machine) onPromise(now time.Duration, from string, b Promise) {
+	o := m.owning
+	if o == nil || b.Term != o.term || b.Ask != o.asking {
+		return
+	}
+	if b.Light {
+		o.light[from] = b.Sum
+	}
+	if o.table != nil && !o.serving && o.flight != nil && !o.flight.taken[from] {
+		m.sendFirst(now, from)
+	}
+	if o.serving || o.table != nil || b.Light && o.full {
+		return
+	}
+	o.promises[from] = b
+	delete(o.refused, from)
+	if !b.Ask {
+		o.renewed[from] = b.Sent
+	}
+	if o.group.Before(b.Group) {
+		o.group = b.Group
+		m.ask(now)
+	}
+	promised := func(seat string) bool { _, ok := o.promises[seat]; return ok }
+	if !o.group.agreed(promised) {
+		return
+	}
+	if o.asking {
+		o.asking, o.promises, o.refused, o.sent = false, map[string]Promise{}, map[string]bool{}, now
+		m.ask(now)
+		return
+	}
+	if !promised(m.seat) {
+		return
+	}
+	alike, light := true, false
+	for _, p := range o.promises {
+		light = light || p.Light
+		alike = alike && p.Light && p.Sum == m.sum
+	}
+	if light && !alike {
+		o.full, o.promises, o.sent = true, map[string]Promise{}, now
+		m.ask(now)
+		return
+	}
+	o.table = map[string]Entry{}
+	var base Term
+	if alike {
+		// All that a majority has is what this seat has.
+		o.promises[m.seat] = Promise{Entries: m.entries(), Base: m.copy.Base, Clock: m.copy.Clock}
+	}
+	for _, p := range o.promises {
+		o.clockBase = max(o.clockBase, p.Clock)
+		if base.Less(p.Base) {
+			base = p.Base
+		}
+	}
+	for _, p := range o.promises {
+		for _, e := range p.Entries {
+			if e.Stamp.Term.Less(base) || alike && e.Gone {
+				continue
+			}
+			if old, ok := o.table[e.Key]; !ok || old.Stamp.Less(e.Stamp) {
+				o.table[e.Key] = e
+			}
+		}
+	}
+	o.clockAt = now
+	o.sum = 0
+	keys := make([]string, 0, len(o.table))
+	for k := range o.table {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		e := o.table[k]
+		e.Stamp = Stamp{Term: o.term, Seq: 1}
+		o.table[k] = e
+		o.sum += e.digest()
+		o.entries = append(o.entries, e)
+	}
+	if len(o.group.Former) > 0 {
+		o.regroup = &Group{Term: o.term, Epoch: o.group.Epoch + 1, Seats: o.group.Seats}
+	}
+	o.seq = 1
+	o.group.Term = o.term
+	first := Write{Term: o.term, Seq: 1, Group: o.group, Clock: o.clockBase, Entries: o.entries, Whole: true, Sent: now}
+	if alike {
+		first.Sum, first.Restamp = m.sum, true
+	}
+	o.flight = &flight{seq: 1, taken: map[string]bool{}, sentAt: now, write: first}
+	o.entries = nil
+	o.sent = now
+	for _, seat := range o.group.All() {
+		m.sendFirst(now, seat)
+	}
+}
+
+// sendFirst sends an owner's first write, which makes a copy whole: to a seat
+// that has all entries already no more than word of it, to one that may have them
+// nothing until it has promised.
+func (m *Machine) sendFirst(now time.Duration, seat string) {
+	o := m.owning
+	w := o.flight.write
+	w.Sent = now
+	if sum, ok := o.light[seat]; w.Restamp && !ok {
+		return
+	} else if w.Restamp = w.Restamp && sum == w.Sum; w.Restamp {
+		w.Entries, w.Whole = nil, false
+	}
+	m.send(seat, w, false)
+}
+
+func (m *Machine) onRefuse(now time.Duration, from string, b Refuse) {
+	o := m.owning
+	if m.copy.Group.Before(b.Group) {
+		m.record(Record{Group: &b.Group})
+	}
+	if o == nil || b.Term != o.term {
+		return
+	}
+	m.highest = max(m.highest, b.Promised.Round)
+	if o.serving {
+		// The seat has promised a later term to somebody who did not come to
+		// own the part. The owner takes a later one still, without waiting.
+		if o.term.Less(b.Promised) {
+			m.stepDown(now)
+			m.stand(now, b.Term)
+		}
+		return
+	}
+	o.refused[from] = true
+	if o.group.Before(b.Group) || !o.group.agreed(func(seat string) bool { return !o.refused[seat] }) {
+		m.stepDown(now)
+		m.standAt = max(m.standAt, now+b.Wait+m.patience())
+	}
+}
