--- a/peer/core/description.go
+++ b/peer/core/description.go
@@ -56,7 +56,14 @@
 				before, _ = configuration.Parse(old.Text)
 			}
 		}
-		if old.Version != h.BasedOn && !(old.Version == h.BasedOn+1 && old.Digest == h.Digest) && !h.PlanOnly {
+		switch {
+		case h.PlanOnly:
+		case old.Version > h.BasedOn:
+			// It lost a race, or it was accepted before and comes again. It can't be
+			// newly accepted any more, so there is nothing to rehearse.
+			m.agree(now, ticket, until, h, nil)
+			return
+		case old.Version < h.BasedOn:
 			m.answer(ticket, raceLost(old.Version))
 			return
 		}
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -246,7 +246,8 @@
 	Version uint64 `msgpack:"v"`
 	Text    []byte `msgpack:"t"`
 	Digest  string `msgpack:"d"`
-	// Past tells a repeated hand-over from one that lost a race.
+	// Past is what a former version kept of accepted orders. It is read and no
+	// longer written.
 	Past []Handed `msgpack:"p"`
 }
 
--- /dev/null
+++ b/peer/core/orders_test.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saffronfall/rule/message"
+	"saffronfall/rule/part"
+)
+
+// order is a routing table's number with a body of its own.
+func order(base, number uint64) AgreeTable {
+	return AgreeTable{Base: base, Number: number, Text: fmt.Appendf(nil, `{"number":%d}`, number), Digest: fmt.Sprint("digest of ", number)}
+}
+
+// TestAcceptedOrderIsKnownAfterHundredsOfOthers: an order whose answer was lost
+// is acknowledged when it comes again, however many came after it, until its
+// time is over; another one under its number is refused all the while.
+func TestAcceptedOrderIsKnownAfterHundredsOfOthers(t *testing.T) {
+	a := newAlone(t)
+	const orders = 400
+	for number := uint64(1); number <= orders; number++ {
+		if got := a.run(order(number-1, number)).(TableAgreed); !got.OK {
+			t.Fatalf("order %d: %+v", number, got)
+		}
+	}
+	for number := uint64(1); number <= orders; number += 7 {
+		if got := a.run(order(number-1, number)).(TableAgreed); !got.OK || got.Number != number {
+			t.Fatalf("order %d came again: %+v", number, got)
+		}
+		other := order(number-1, number)
+		other.Digest = "another"
+		if got := a.run(other).(TableAgreed); got.OK {
+			t.Fatalf("another order under number %d was acknowledged", number)
+		}
+		onAnother := order(number, number)
+		if got := a.run(onAnother).(TableAgreed); got.OK {
+			t.Fatalf("order %d on another base was acknowledged", number)
+		}
+	}
+	if got := a.run(ReadTable{}).(AgreedTable); got.Number != orders {
+		t.Fatalf("in force is %d", got.Number)
+	}
+}
+
+// TestAcceptedDescriptionIsKnownAfterHundredsOfOthers is the same for whole
+// descriptions.
+func TestAcceptedDescriptionIsKnownAfterHundredsOfOthers(t *testing.T) {
+	a := newAlone(t)
+	const orders = 200
+	for base := uint64(0); base < orders; base++ {
+		if got := a.run(AgreeConfiguration{BasedOn: base, Text: []byte("{}"), Digest: fmt.Sprint(base)}).(Agreed); !got.Agreed {
+			t.Fatalf("order on %d: %+v", base, got)
+		}
+	}
+	if got := a.run(AgreeConfiguration{BasedOn: 3, Text: []byte("{}"), Digest: "3"}).(Agreed); !got.Agreed || got.Version != 4 {
+		t.Fatalf("came again: %+v", got)
+	}
+	if got := a.run(AgreeConfiguration{BasedOn: 3, Text: []byte("{}"), Digest: "another"}).(Agreed); got.Agreed {
+		t.Fatal("another one on the same base was acknowledged")
+	}
+}
+
+// TestAcceptedOrdersAreForgottenInTime: the records go after their stated time,
+// and the value that every change rewrites does not grow with them.
+func TestAcceptedOrdersAreForgottenInTime(t *testing.T) {
+	const keep = 10 * time.Minute
+	a := newAlone(t, func(p *Params) { p.OrderKeep = keep })
+	size := func() int { return len(a.m.Part(ConfigurationPart).Copied().Entries[TableKey].Value) }
+	a.run(order(0, 1))
+	first := size()
+	for number := uint64(2); number <= 60; number++ {
+		a.run(order(number-1, number))
+	}
+	if size() > first+16 {
+		t.Fatalf("the table's entry grew from %d to %d bytes", first, size())
+	}
+	records := func() int {
+		n := 0
+		for key, e := range a.m.Part(ConfigurationPart).Copied().Entries {
+			if !e.Gone && len(key) > len(acceptedPrefix) && key[:len(acceptedPrefix)] == acceptedPrefix {
+				n++
+			}
+		}
+		return n
+	}
+	if records() != 60 {
+		t.Fatalf("%d records of 60 orders", records())
+	}
+	a.pass(keep - time.Minute)
+	if records() != 60 {
+		t.Fatalf("%d records are left before their time", records())
+	}
+	a.pass(2 * time.Minute)
+	if records() != 0 {
+		t.Fatalf("%d records are left after their time", records())
+	}
+}
+
+// TestOrdersOfAFormerVersionAreKnown: the list that a former version kept inside
+// the table's entry is read, and goes over into records with the next order.
+func TestOrdersOfAFormerVersionAreKnown(t *testing.T) {
+	founder := newAlone(t)
+	founding := founder.m.Founding()
+	stored := Stored{Incarnation: "1"}
+	stored.Apply(Change{Founding: &founding})
+	copied := stored.Copies[ConfigurationPart]
+	version := part.Stamp{Term: part.Term{Round: 1, Owner: "c.1"}, Seq: 1}
+	table := AgreedTable{Number: 7, Text: []byte(`{"number":7}`), Digest: "seven", Past: []HandedNumber{{Base: 0, Number: 4, Digest: "four"}, {Base: 4, Number: 7, Digest: "seven"}}}
+	copied.Entries = map[string]part.Entry{TableKey: {Key: TableKey, Value: message.Marshal(table), Stamp: version}}
+	copied.Promised, copied.Base = version.Term, version.Term
+	stored.Copies[ConfigurationPart] = copied
+	a := &alone{t: t, got: map[uint64]CommandReturn{}}
+	a.m = New(Options{Params: founder.m.params, ID: "c", Address: "c", Stored: stored, Random: func() float64 { return 0.5 }})
+	a.pass(3 * time.Second)
+	known := func() {
+		t.Helper()
+		for _, past := range table.Past {
+			if got := a.run(AgreeTable{Base: past.Base, Number: past.Number, Digest: past.Digest}).(TableAgreed); !got.OK || got.Number != past.Number {
+				t.Fatalf("order %d: %+v", past.Number, got)
+			}
+		}
+	}
+	known()
+	if got := a.run(order(7, 9)).(TableAgreed); !got.OK {
+		t.Fatalf("the next order: %+v", got)
+	}
+	known()
+}
--- a/peer/core/relay.go
+++ b/peer/core/relay.go
@@ -94,7 +94,8 @@
 	}
 	// ReadTable reads the routing table in force.
 	ReadTable struct{}
-	// AgreedTable answers it, and is the durable state.
+	// AgreedTable answers it, and is the durable state. Past is what a former
+	// version kept of accepted orders; it is read and no longer written.
 	AgreedTable struct {
 		Number uint64         `msgpack:"n"`
 		Text   []byte         `msgpack:"t"`
@@ -208,6 +209,11 @@
 			r.ends.add(key, b.Until)
 		}
 	}
+	for _, key := range tx.Keys(acceptedPrefix) {
+		if o, ok := read[acceptedOrder](tx, key); ok {
+			r.ends.add(key, o.Until)
+		}
+	}
 }
 
 func (r *rules) sweepRelay(tx *part.Tx) {
@@ -218,6 +224,8 @@
 			until = b.Until
 		} else if t, ok := readKind[keptTurn](tx, e.key, keptPrefix); ok {
 			until = t.Until
+		} else if o, ok := readKind[acceptedOrder](tx, e.key, acceptedPrefix); ok {
+			until = o.Until
 		} else {
 			continue
 		}
@@ -296,7 +304,7 @@
 		}
 		return answer
 	case AgreeTable:
-		return agreeTable(tx, c)
+		return r.agreeTable(tx, c)
 	case ReadTable:
 		t, _ := read[AgreedTable](tx, TableKey)
 		return t
@@ -319,21 +327,3 @@
 	write(tx, key, b)
 	return TurnReserved{OK: true, Charged: b.Book.Charged}
 }
-
-func agreeTable(tx *part.Tx, c AgreeTable) any {
-	old, _ := read[AgreedTable](tx, TableKey)
-	for _, past := range old.Past {
-		if past.Base == c.Base && past.Number == c.Number && past.Digest == c.Digest {
-			return TableAgreed{OK: true, Number: past.Number}
-		}
-	}
-	if old.Number != c.Base || c.Number <= old.Number {
-		return TableAgreed{Number: old.Number}
-	}
-	next := AgreedTable{Number: c.Number, Text: c.Text, Digest: c.Digest, Past: append(old.Past, HandedNumber{Base: c.Base, Number: c.Number, Digest: c.Digest})}
-	if n := len(next.Past); n > handedKept {
-		next.Past = next.Past[n-handedKept:]
-	}
-	write(tx, TableKey, next)
-	return TableAgreed{OK: true, Number: c.Number}
-}
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -37,6 +37,9 @@
 	Gone time.Duration
 	// ColdStart allows a core with an empty folder to found a fleet.
 	ColdStart bool
+	// OrderKeep is how long an accepted order of an operator is known again; zero:
+	// defaultOrderKeep.
+	OrderKeep time.Duration
 }
 
 type rules struct {
@@ -166,22 +169,7 @@
 	case ReadLocked:
 		return readLocked(tx)
 	case AgreeConfiguration:
-		old, _ := read[Configured](tx, configurationKey)
-		for _, past := range old.Past {
-			if past.Version == c.BasedOn+1 && past.Digest == c.Digest {
-				return Agreed{Agreed: true, Version: past.Version}
-			}
-		}
-		if old.Version != c.BasedOn {
-			return Agreed{Version: old.Version}
-		}
-		next := Configured{Version: old.Version + 1, Text: c.Text, Digest: c.Digest}
-		next.Past = append(old.Past, Handed{Version: next.Version, Digest: c.Digest})
-		if n := len(next.Past); n > handedKept {
-			next.Past = next.Past[n-handedKept:]
-		}
-		write(tx, configurationKey, next)
-		return Agreed{Agreed: true, Version: next.Version}
+		return r.agreeDescription(tx, c)
 	case SetFloor:
 		return r.setFloor(now, tx, c)
 	case PutCore:
@@ -524,7 +512,4 @@
 	return o
 }
 
-const (
-	handedKept = 16
-	livesKept  = 256
-)
+const livesKept = 256
--- a/peer/core/rules_test.go
+++ b/peer/core/rules_test.go
@@ -21,9 +21,12 @@
 	got map[uint64]CommandReturn
 }
 
-func newAlone(t *testing.T) *alone {
+func newAlone(t *testing.T, changes ...func(p *Params)) *alone {
 	p := Params{Part: part.Params{OwnerTerm: 600 * time.Millisecond, Drift: 0.1, Renewals: 5, Sweeps: 8}, MemberTerm: 2 * time.Second,
 		Retry: 150 * time.Millisecond, Pull: 150 * time.Millisecond}
+	for _, change := range changes {
+		change(&p)
+	}
 	a := &alone{t: t, got: map[uint64]CommandReturn{}}
 	a.m = New(Options{Params: p, ID: "c", Address: "c", Stored: Stored{Incarnation: "1"}, Random: func() float64 { return 0.5 }})
 	out, ok := a.m.Found(0, Plan("f", 4, 1, []Core{a.m.Self()}))
