Lease votes rest on disk, late writes bring nothing back, digests are keyed

Cause: a replica that had a leader's term in memory only prolonged that leader's lease. With a power loss it came back without the term and, as a former leader or as one that had promised nothing yet, voted for another at once: two leases at one time. Cause: a write that a cut held up, delivered after its entry was removed everywhere and the tombstone dropped, brought the entry back, and a successor took it over. Change: a replica acknowledges but does not apply again what its copy already covers in this term. Cause: copies were taken for equal by sums of unkeyed 64-bit hashes over contents that tenants choose: whoever makes two tables with one sum makes a takeover skip the transfer, and a leader serve without what a majority holds. Change: SipHash (github.com/dchest/siphash) under a key that the leader of each term draws and tells its replicas. Ruled out: a cryptographic digest of 256 bits (sums of it are longer in each message, and a sum without a key is open to generalized birthday attacks), a key for the fleet (stays the same for years).

--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -334,7 +334,7 @@
 		OpenProgram{}, ClaimProgram{}, SaveProgram{}, HandProgram{}, Programmed{}, ShareTenant{}, ShareRates{}, SharedRates{}, DrawBreaker{}, Shared{},
 		AdmitTest{}, ResultTest{}, Tested{}, ClaimOnce{}, EndOnce{}, Once{}, ReadEntries{}, Entries{}, ReadLocked{}, LockedUsers{},
 		AgreeConfiguration{}, Agreed{}, SetFloor{}, Floored{}, Done{}, PartMessage{}, Command{}, CommandReturn{}, Pull{}, News{}, Fresh{}, Topology{},
-		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{})
+		verdict.Verdict{}, part.Stand{}, part.Promise{}, part.Refuse{}, part.Write{}, part.Taken{}, part.Renew{}, part.Renewed{}, part.Handover{}, part.TermDurable{})
 }
 
 // Keys of entries.
--- a/rule/part/change_test.go
+++ b/rule/part/change_test.go
@@ -273,7 +273,7 @@
 	if got := b.seats[b.owner()].Counters.Mended; got != mended {
 		t.Errorf("%d copies mended at rest", got-mended)
 	}
-	if got := digest(b.seats[seat].copy.Entries); got != b.seats[seat].sum {
+	if got := b.seats[seat].digestKey.sum(b.seats[seat].copy.Entries); got != b.seats[seat].sum {
 		t.Error("the running digest is not that of the copy")
 	}
 }
--- a/rule/part/digest.go
+++ b/rule/part/digest.go
@@ -3,32 +3,53 @@
 import (
 	"encoding/binary"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/dchest/siphash"
 )
 
-func digest(table map[string]Entry) uint64 {
+// DigestKey is the secret of a term's digests. Its leader draws it by chance and
+// tells its replicas. Two copies with the same digest are taken for equal, and
+// tenants choose what entries hold, so nobody outside may be able to make two
+// different copies with one digest.
+type DigestKey [2]uint64
+
+// sum is the digest of a table: the sum of its entries' digests, so that one
+// changed entry costs no more than that entry.
+func (k DigestKey) sum(table map[string]Entry) uint64 {
 	var sum uint64
 	for _, e := range table {
-		sum += e.digest()
+		sum += k.entry(e)
 	}
 	return sum
 }
 
-// digest is an entry's share of the sum over a table. Marks of removal, and what
-// is not there, have none.
-func (e Entry) digest() uint64 {
+// entry is one entry's share of the sum. Tombstones, and entries that are not
+// there, have none.
+func (k DigestKey) entry(e Entry) uint64 {
 	if e.Gone || e.Stamp == (Stamp{}) {
 		return 0
 	}
-	var h xxhash.Digest
-	h.Reset()
-	h.WriteString(e.Key)
-	var tail [24]byte
-	binary.LittleEndian.PutUint64(tail[0:], e.Stamp.Seq)
-	binary.LittleEndian.PutUint64(tail[8:], e.Stamp.Term.Round)
-	binary.LittleEndian.PutUint64(tail[16:], uint64(len(e.Key)))
-	h.Write(tail[:])
-	h.WriteString(e.Stamp.Term.Owner)
-	h.Write(e.Value)
-	return h.Sum64()
+	text := make([]byte, 0, 32+len(e.Key)+len(e.Stamp.Term.Owner)+len(e.Value))
+	text = binary.LittleEndian.AppendUint64(text, e.Stamp.Seq)
+	text = binary.LittleEndian.AppendUint64(text, e.Stamp.Term.Round)
+	text = binary.LittleEndian.AppendUint64(text, uint64(len(e.Key)))
+	text = binary.LittleEndian.AppendUint64(text, uint64(len(e.Stamp.Term.Owner)))
+	text = append(text, e.Key...)
+	text = append(text, e.Stamp.Term.Owner...)
+	text = append(text, e.Value...)
+	return siphash.Hash(k[0], k[1], text)
+}
+
+// useKey makes the digest of this replica's copy one under a key.
+func (m *Machine) useKey(k DigestKey) {
+	if m.digestKey == k {
+		return
+	}
+	m.digestKey = k
+	m.sum = k.sum(m.copy.Entries)
+}
+
+// newKey draws a key.
+func (m *Machine) newKey() DigestKey {
+	half := func() uint64 { return uint64(m.random()*(1<<32))<<32 | uint64(m.random()*(1<<32)) }
+	return DigestKey{half(), half()}
 }
--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -26,7 +26,7 @@
 func (m *Machine) stand(now time.Duration, released Term) {
 	m.Counters.Stands++
 	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
-	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
+	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, key: m.newKey(), promises: map[string]Promise{}, sent: now,
 		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
 	m.ask(now)
 }
@@ -41,7 +41,7 @@
 	}
 	for _, seat := range o.group.All() {
 		if _, ok := o.promises[seat]; !ok {
-			m.send(seat, Stand{Ask: o.asking, Light: !o.full, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
+			m.send(seat, Stand{Ask: o.asking, Light: !o.full, Key: o.key, Term: o.term, Group: o.group, Released: o.released, Sent: now}, !o.asking)
 		}
 	}
 }
@@ -107,6 +107,7 @@
 		}
 		m.holder, m.until = b.Term, now+m.hold()
 		m.standAt = m.until + m.patience()
+		m.useKey(b.Key)
 		promise := Promise{Term: b.Term, Base: m.copy.Base, Group: m.copy.Group, Clock: m.copy.Clock, Sent: b.Sent, Light: b.Light, Sum: m.sum}
 		if !b.Light {
 			promise.Entries = m.entries()
@@ -202,7 +203,7 @@
 		e := o.table[k]
 		e.Stamp = Stamp{Term: o.term, Seq: 1}
 		o.table[k] = e
-		o.sum += e.digest()
+		o.sum += m.digestKey.entry(e)
 		o.entries = append(o.entries, e)
 	}
 	if len(o.group.Former) > 0 {
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -25,14 +25,19 @@
 	highest uint64
 	owning  *owning
 	change  *change
-	// sum is the digest of the copy's entries.
-	sum uint64
+	// sum is the digest of the copy's entries under digestKey.
+	sum       uint64
+	digestKey DigestKey
+	// durable is the newest term that this replica's disk is known to hold.
+	durable Term
 }
 
 type owning struct {
 	term     Term
 	released Term
 	asking   bool
+	// key is what digests are made with in this term.
+	key      DigestKey
 	refused  map[string]bool
 	promises map[string]Promise
 	sent     time.Duration
@@ -83,7 +88,8 @@
 		o.Copy.Entries = map[string]Entry{}
 	}
 	m := &Machine{params: o.Params, seat: o.Seat, number: o.Number, rules: o.Rules, copy: o.Copy, random: o.Random}
-	m.sum = digest(o.Copy.Entries)
+	m.sum = m.digestKey.sum(o.Copy.Entries)
+	m.durable = o.Copy.Promised
 	m.holder = o.Copy.Promised
 	m.until = o.Now + m.hold()
 	if o.Copy.Promised.Round == 0 {
@@ -144,9 +150,12 @@
 func (m *Machine) record(r Record) {
 	r.Part = m.number
 	m.out.Records = append(m.out.Records, r)
+	if m.copy.Promised.Less(r.Promised) {
+		m.send(m.seat, TermDurable{Term: r.Promised}, true)
+	}
 	if r.Whole || r.Restamp {
 		m.copy.Apply(r)
-		m.sum = digest(m.copy.Entries)
+		m.sum = m.digestKey.sum(m.copy.Entries)
 		return
 	}
 	touched := make(map[string]bool, len(r.Entries)+len(r.Drops))
@@ -156,11 +165,11 @@
 		}
 	}
 	for key := range touched {
-		m.sum -= m.copy.Entries[key].digest()
+		m.sum -= m.digestKey.entry(m.copy.Entries[key])
 	}
 	m.copy.Apply(r)
 	for key := range touched {
-		m.sum += m.copy.Entries[key].digest()
+		m.sum += m.digestKey.entry(m.copy.Entries[key])
 	}
 }
 
@@ -201,7 +210,7 @@
 		r := Renew{Term: o.term, Clock: m.clock(now), Sent: now}
 		if now >= o.sweepAt && o.flight == nil && len(o.entries) == 0 {
 			o.sweepAt = now + m.params.OwnerTerm*time.Duration(m.params.Sweeps)
-			r.Digest, r.Seq = o.sum|1, o.committed
+			r.Digest, r.Key, r.Seq = o.sum|1, m.digestKey, o.committed
 			m.Counters.Swept++
 			m.dropMarks()
 		}
@@ -264,6 +273,10 @@
 		m.onRenew(now, from, b)
 	case Renewed:
 		m.onRenewed(now, from, b)
+	case TermDurable:
+		if from == m.seat && m.durable.Less(b.Term) {
+			m.durable = b.Term
+		}
 	case Handover:
 		if m.copy.Group.Has(m.seat) && m.owning == nil && b.Term == m.holder {
 			m.until = now
--- a/rule/part/replication.go
+++ b/rule/part/replication.go
@@ -107,7 +107,9 @@
 	if m.wholeOf != b.Term {
 		m.wholeOf, m.whole = b.Term, 0
 	}
-	again := b.Restamp && m.whole >= b.Seq
+	// What this replica has taken already must not be applied again: entries that
+	// were removed since would come back.
+	again := m.whole >= b.Seq && (b.Restamp || !b.Whole) || m.whole > b.Seq
 	if b.Restamp && !again && m.sum != b.Sum {
 		m.send(from, Taken{Term: b.Term, Sent: b.Sent, Lacks: true}, false)
 		return
--- a/rule/part/types.go
+++ b/rule/part/types.go
@@ -189,7 +189,9 @@
 	Stand struct {
 		Ask bool `msgpack:"a"`
 		// Light asks for the copy's digest alone.
-		Light    bool          `msgpack:"l"`
+		Light bool `msgpack:"l"`
+		// Key is what digests are made with under this term.
+		Key      DigestKey     `msgpack:"k"`
 		Term     Term          `msgpack:"t"`
 		Group    Group         `msgpack:"g"`
 		Released Term          `msgpack:"r"`
@@ -247,8 +249,9 @@
 		Clock time.Duration `msgpack:"c"`
 		Sent  time.Duration `msgpack:"s"`
 		// Digest is set in a sweep, and is that of all entries up to Seq.
-		Digest uint64 `msgpack:"d"`
-		Seq    uint64 `msgpack:"q"`
+		Digest uint64    `msgpack:"d"`
+		Key    DigestKey `msgpack:"k"`
+		Seq    uint64    `msgpack:"q"`
 	}
 	// Renewed says so.
 	Renewed struct {
@@ -257,6 +260,11 @@
 		Sent  time.Duration `msgpack:"s"`
 		Stale bool          `msgpack:"x"`
 	}
+	// TermDurable is a replica's note to itself, sent when its disk holds what
+	// was recorded up to there: it may prolong the lease of this term's leader.
+	TermDurable struct {
+		Term Term `msgpack:"t"`
+	}
 	// Handover names the receiver as the successor of an owner that leaves.
 	Handover struct {
 		Term Term `msgpack:"t"`
