A cut-off desk answers each call within 250 ms and takes no heartbeat that it can't pass on

Cause: a desk kept an operator's call until its whole budget (3 s on the platform) had passed, also when it had heard from no core for long; a heartbeat was acknowledged by a desk that no node could hear. Ruled out: answering from what the desk has (it may be old), refusing (it may be accepted). Change: after three pulls without a confirmation a desk counts itself as cut off and answers waiting calls as unsure after one more; what it has sent on goes on for its time, as commands bear repeating.

--- /dev/null
+++ b/peer/desk/cutoff_test.go
@@ -0,0 +1,156 @@
+package desk
+
+import (
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/message"
+	"saffronfall/rule/part"
+)
+
+// inTouchDesk is a desk whose fleet has one core, with the configuration
+// confirmed at a time.
+func inTouchDesk(t *testing.T, now time.Duration) *Machine {
+	t.Helper()
+	m := newDesk(nil)
+	leader := part.Term{Round: 1, Owner: "c1.x"}
+	m.Receive(now, "c1:1", core.Topology{Fleet: "f", Size: 1, Cores: map[string]core.Core{"c1": {ID: "c1", Incarnation: "x", Peer: "c1:1", Version: 1}},
+		Owners: []part.Term{leader, leader}, Groups: []part.Group{{Epoch: 1, Seats: []string{"c1.x"}}, {Epoch: 1, Seats: []string{"c1.x"}}}})
+	confirm(m, now)
+	return m
+}
+
+func confirm(m *Machine, now time.Duration) {
+	m.Receive(now, "c1:1", core.News{Part: core.ConfigurationPart, Upto: part.Stamp{Term: part.Term{Round: 1, Owner: "c1.x"}, Seq: 1}})
+	m.Receive(now, "c1:1", core.Fresh{Sent: now, Upto: part.Stamp{Term: part.Term{Round: 1, Owner: "c1.x"}, Seq: 1}})
+}
+
+// answeredAfter lets a desk tick with nobody answering it, until it answers a
+// ticket or a second has passed.
+func answeredAfter(m *Machine, asked time.Duration, ticket uint64) (time.Duration, any) {
+	for now := asked; now < asked+2*time.Second; now += 5 * time.Millisecond {
+		for _, a := range m.Tick(now).Answers {
+			if a.Ticket == ticket {
+				return now - asked, a.Body
+			}
+		}
+	}
+	return 2 * time.Second, nil
+}
+
+// TestCutOffDeskAnswersSoon: a desk that hears from no core any more answers each
+// call within 250 ms, as unsure, and never confirms or refuses one.
+func TestCutOffDeskAnswersSoon(t *testing.T) {
+	const cut = 10 * time.Second
+	calls := map[string]func(m *Machine, now time.Duration) Output{
+		"order":         func(m *Machine, now time.Duration) Output { return m.Apply(now, 1, 0, table(3), "d") },
+		"read":          func(m *Machine, now time.Duration) Output { return m.Read(now, 1) },
+		"retire":        func(m *Machine, now time.Duration) Output { return m.Retire(now, 1, "c1") },
+		"retire status": func(m *Machine, now time.Duration) Output { return m.Retired(now, 1, "c1") },
+	}
+	for name, call := range calls {
+		for _, after := range []time.Duration{0, time.Second, 20 * time.Second} {
+			m := inTouchDesk(t, cut)
+			now := cut
+			for ; now < cut+after; now += 5 * time.Millisecond {
+				m.Tick(now)
+			}
+			o := call(m, now)
+			if len(o.Answers) != 0 {
+				t.Fatalf("%s is answered with no core asked: %+v", name, o.Answers)
+			}
+			took, body := answeredAfter(m, now, 1)
+			allowed := 250 * time.Millisecond
+			if after == 0 {
+				// It can't know yet that it is cut off.
+				allowed += touchPulls * m.params.Core.Pull
+			}
+			if took > allowed {
+				t.Errorf("%s, %v after the cut: answered after %v", name, after, took)
+			}
+			switch b := body.(type) {
+			case Handed:
+				if !b.Unsure || b.OK || b.Race || b.Faults != nil {
+					t.Errorf("%s: %+v", name, b)
+				}
+			case core.AgreedTable:
+				if b.Number != 0 {
+					t.Errorf("%s: an old table: %+v", name, b)
+				}
+			case Emptied:
+				if !b.Unsure {
+					t.Errorf("%s: %+v", name, b)
+				}
+			default:
+				t.Errorf("%s: %T", name, body)
+			}
+		}
+	}
+}
+
+// TestAnsweredOnce: the cores' answer that comes after a desk has given a call up
+// is not a second answer.
+func TestAnsweredOnce(t *testing.T) {
+	m := inTouchDesk(t, 0)
+	o := m.Apply(5*time.Second, 1, 0, table(3), "d")
+	asked := sentTo[core.Command](o, "c1:1")
+	if len(asked) != 1 {
+		t.Fatalf("%d commands", len(asked))
+	}
+	if took, _ := answeredAfter(m, 5*time.Second, 1); took > 250*time.Millisecond {
+		t.Fatalf("answered after %v", took)
+	}
+	late := m.Receive(5*time.Second+300*time.Millisecond, "c1:1", core.CommandReturn{ID: asked[0].ID, Part: asked[0].Part, Raw: message.Pack(core.TableAgreed{OK: true, Number: 3})})
+	if len(late.Answers) != 0 {
+		t.Errorf("answered twice: %+v", late.Answers)
+	}
+	if m.Number() != 3 {
+		t.Errorf("what the cores have agreed is not known: table %d", m.Number())
+	}
+}
+
+// TestInTouchDeskWaits: as long as the cores confirm, a call may take its time.
+func TestInTouchDeskWaits(t *testing.T) {
+	m := inTouchDesk(t, 0)
+	m.Apply(0, 1, 0, table(3), "d")
+	for now := time.Duration(0); now < 900*time.Millisecond; now += 5 * time.Millisecond {
+		confirm(m, now)
+		if o := m.Tick(now); len(o.Answers) != 0 {
+			t.Fatalf("given up after %v though the cores can be reached", now)
+		}
+	}
+}
+
+// TestIsolatedDeskAcknowledgesNoHeartbeat: a desk that hears neither cores nor most of
+// its nodes would keep what replicas say to itself; they are to tell another.
+func TestIsolatedDeskAcknowledgesNoHeartbeat(t *testing.T) {
+	m := inTouchDesk(t, 0)
+	nodes := []string{"n1:1", "n2:1", "n3:1"}
+	for _, n := range nodes {
+		m.Receive(0, n, Follow{Node: n})
+	}
+	if m.Isolated(0) {
+		t.Error("isolated at once")
+	}
+	if m.Isolated(20 * time.Second) {
+		t.Log("isolated after 20 s of silence")
+	} else {
+		t.Error("not isolated after 20 s of silence")
+	}
+	later := 20 * time.Second
+	for _, n := range nodes[:2] {
+		m.Receive(later, n, Follow{Node: n})
+	}
+	if m.Isolated(later) {
+		t.Error("isolated though most nodes hear it")
+	}
+	later += 10 * time.Second
+	confirm(m, later)
+	if m.Isolated(later) {
+		t.Error("isolated though the cores answer")
+	}
+	if newDesk(nil).Isolated(time.Hour) {
+		t.Error("a desk that never had a node is called isolated")
+	}
+}
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -56,12 +56,14 @@
 	sweepAt   time.Duration
 	foundAt   time.Duration
 	founding  *core.Founding
+	pending   map[uint64]pendingCall
+	tickedAt  time.Duration
 }
 
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, desks: map[string]time.Duration{o.Address: o.Now},
+		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
 		present: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
@@ -116,7 +118,9 @@
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Duration) Output {
 	m.out = &Output{}
+	m.tickedAt = now
 	m.caller.Tick(now)
+	m.giveUpCalls(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Core.Pull*2
 		targets := ordered.Keys(m.desks)
@@ -156,7 +160,7 @@
 		}
 	}
 	for address, f := range m.followers {
-		if now > f.heard+lost*m.params.Beat {
+		if now > f.heard+nodeMemory*m.params.Beat {
 			delete(m.followers, address)
 		}
 	}
--- /dev/null
+++ b/peer/desk/reach.go
@@ -0,0 +1,79 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/rule/ordered"
+)
+
+const (
+	// touchPulls is after how many pulls without a confirmation from the cores a
+	// desk counts itself as cut off from them.
+	touchPulls = 3
+	// cutOffPulls is how many pulls a call may wait while the desk is cut off.
+	cutOffPulls = 1
+	// nodeMemory is for how many heartbeats a node that fell silent still counts
+	// among those that a desk should reach.
+	nodeMemory = 40
+)
+
+// pendingCall is an operator's call that waits for the cores.
+type pendingCall struct {
+	began time.Duration
+	// unsure answers it when the cores can't be reached.
+	unsure any
+}
+
+// await notes a call that was passed on to the cores.
+func (m *Machine) await(now time.Duration, ticket uint64, unsure any) {
+	m.pending[ticket] = pendingCall{began: now, unsure: unsure}
+}
+
+// settle answers a call, unless it was answered before.
+func (m *Machine) settle(ticket uint64, body any) {
+	if _, waiting := m.pending[ticket]; !waiting {
+		return
+	}
+	delete(m.pending, ticket)
+	m.answer(ticket, body)
+}
+
+// inTouch reports whether the cores confirmed the table in force lately.
+func (m *Machine) inTouch(now time.Duration) bool {
+	return m.confirmed >= 0 && now-m.confirmed < touchPulls*m.params.Core.Pull
+}
+
+// giveUpCalls answers calls that a desk can't have decided because it is cut off.
+// The commands stay under way for their time: they bear being repeated, and the
+// operator, who is told that the outcome is unsure, sends them again elsewhere.
+func (m *Machine) giveUpCalls(now time.Duration) {
+	if m.inTouch(now) {
+		return
+	}
+	for _, ticket := range ordered.Keys(m.pending) {
+		call := m.pending[ticket]
+		if now >= call.began+cutOffPulls*m.params.Core.Pull {
+			m.settle(ticket, call.unsure)
+		}
+	}
+}
+
+// Isolated reports whether a desk reaches neither the cores nor most of its
+// nodes. What replicas say to it then stays with it, so they should say it
+// elsewhere.
+func (m *Machine) Isolated(now time.Duration) bool {
+	if m.inTouch(now) {
+		return false
+	}
+	known, reached := 0, 0
+	for _, subscriber := range m.followers {
+		if subscriber.desk {
+			continue
+		}
+		known++
+		if now < subscriber.heard+m.params.Beat {
+			reached++
+		}
+	}
+	return 2*reached < known
+}
--- a/peer/desk/retire.go
+++ b/peer/desk/retire.go
@@ -19,9 +19,10 @@
 // Retire asks for a core to be emptied; it gets no seats any more.
 func (m *Machine) Retire(now time.Duration, ticket uint64, id string) Output {
 	m.out = &Output{}
+	m.await(now, ticket, Emptied{Unsure: true})
 	m.caller.Call(now, core.RetireCore{ID: id}, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 		r, ok := o.Answer.(core.Retiring)
-		m.answer(ticket, Emptied{Unsure: !ok, Known: r.Known, Enough: r.Enough})
+		m.settle(ticket, Emptied{Unsure: !ok, Known: r.Known, Enough: r.Enough})
 	})
 	return *m.out
 }
@@ -34,6 +35,7 @@
 		m.answer(ticket, Emptied{Unsure: true})
 		return *m.out
 	}
+	m.await(now, ticket, Emptied{Unsure: true})
 	for n := range m.topology.Owners {
 		m.caller.Call(now, core.ReadSeats{Part: n}, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 			seats, ok := o.Answer.(core.Seats)
@@ -43,7 +45,7 @@
 			}
 			if waiting--; waiting == 0 {
 				known, ok := m.topology.Cores[id]
-				m.answer(ticket, Emptied{Unsure: unsure, Known: ok, Done: !unsure && !held && known.Retired})
+				m.settle(ticket, Emptied{Unsure: unsure, Known: ok, Done: !unsure && !held && known.Retired})
 			}
 		})
 	}
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -16,16 +16,23 @@
 	desk    bool
 }
 
+// listens reports whether a subscriber was heard of lately.
+func (m *Machine) listens(now time.Duration, f *follower) bool {
+	return now <= f.heard+lost*m.params.Beat
+}
+
 func (m *Machine) tellAll(now time.Duration) {
 	for _, address := range ordered.Keys(m.followers) {
-		m.tell(now, address, m.followers[address], false)
+		if f := m.followers[address]; m.listens(now, f) {
+			m.tell(now, address, f, false)
+		}
 	}
 }
 
 // tell sends a follower what it lacks. What was sent counts as had until the
 // follower says otherwise in its next word.
 func (m *Machine) tell(now time.Duration, to string, f *follower, always bool) {
-	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.Number, Confirmed: -1, Nodes: m.nodes()}
+	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.Number, Confirmed: -1, Nodes: m.nodes(now)}
 	if m.confirmed >= 0 {
 		b.Confirmed = now - m.confirmed
 	}
@@ -55,10 +62,11 @@
 	m.send(to, b)
 }
 
-func (m *Machine) nodes() int {
+// nodes counts the nodes that listen.
+func (m *Machine) nodes(now time.Duration) int {
 	n := 0
 	for _, f := range m.followers {
-		if !f.desk {
+		if !f.desk && m.listens(now, f) {
 			n++
 		}
 	}
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -96,19 +96,20 @@
 		return *m.out
 	}
 	c := core.AgreeTable{Base: base, Number: parsed.Number, Text: text, Digest: digest}
+	m.await(now, ticket, Handed{Unsure: true})
 	m.caller.Call(now, c, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 		agreed, ok := o.Answer.(core.TableAgreed)
 		switch {
 		case !ok:
-			m.answer(ticket, Handed{Unsure: true})
+			m.settle(ticket, Handed{Unsure: true})
 		case agreed.OK:
 			m.Counters.Applied++
 			m.install(now, core.AgreedTable{Number: parsed.Number, Text: text, Digest: digest})
-			m.answer(ticket, Handed{OK: true, Number: agreed.Number})
+			m.settle(ticket, Handed{OK: true, Number: agreed.Number})
 		case parsed.Number <= agreed.Number && base == agreed.Number:
-			m.answer(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
+			m.settle(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
 		default:
-			m.answer(ticket, Handed{Race: true, Number: agreed.Number})
+			m.settle(ticket, Handed{Race: true, Number: agreed.Number})
 		}
 	})
 	return *m.out
@@ -117,9 +118,10 @@
 // Read reads the table in force from the cores: what they answer is the newest.
 func (m *Machine) Read(now time.Duration, ticket uint64) Output {
 	m.out = &Output{}
+	m.await(now, ticket, core.AgreedTable{})
 	m.caller.Call(now, core.ReadTable{}, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 		t, _ := o.Answer.(core.AgreedTable)
-		m.answer(ticket, t)
+		m.settle(ticket, t)
 	})
 	return *m.out
 }
--- a/peer/desk/topology.go
+++ b/peer/desk/topology.go
@@ -28,7 +28,9 @@
 func (m *Machine) others() []string {
 	var list []string
 	for _, address := range ordered.Keys(m.followers) {
-		list = append(list, address)
+		if m.listens(m.tickedAt, m.followers[address]) {
+			list = append(list, address)
+		}
 	}
 	return list
 }
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -210,25 +210,35 @@
 	}
 }
 
-func done(o desk.Output, ticket uint64) desk.Output {
-	o.Answers = append(o.Answers, desk.Answer{Ticket: ticket, Body: true})
+// errIsolated says that what a replica told this desk may have reached no node.
+var errIsolated = errors.New("this desk is cut off; tell another")
+
+// told answers a replica: nil where the desk can pass on what it said.
+func told(m *desk.Machine, now time.Duration, o desk.Output, ticket uint64) desk.Output {
+	o.Answers = append(o.Answers, desk.Answer{Ticket: ticket, Body: !m.Isolated(now)})
 	return o
 }
 
+// heard turns the answer to a replica into an error where it should tell another.
+func heard(reached bool, err error) error {
+	if err == nil && !reached {
+		return errIsolated
+	}
+	return err
+}
+
 // Beat takes what a replica says of itself.
 func (s *process) Beat(ctx context.Context, r desk.Replica) error {
-	_, err := call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
-		return done(m.Beat(now, r), ticket)
-	})
-	return err
+	return heard(call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return told(m, now, m.Beat(now, r), ticket)
+	}))
 }
 
 // Leave takes a replica off the list.
 func (s *process) Leave(ctx context.Context, id string) error {
-	_, err := call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
-		return done(m.Leave(now, id), ticket)
-	})
-	return err
+	return heard(call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return told(m, now, m.Leave(now, id), ticket)
+	}))
 }
 
 // Apply hands a routing table over.
