Nodes get what changed in a table, by difference against a base known by digest

Ruled out: sending from one desk only (a cut would hold a change up to the next follow), coalescing changes (they are seconds apart and must be in force in 2 s). Change: desks keep the differences between the last 16 tables that they knew, and tell a subscriber those that lead from its table to the newest; whoever has none, is too far back, or whose table has another digest, gets the whole, without the operator's text. Former versions' nodes don't say that they do with differences and get the whole.

--- /dev/null
+++ b/peer/desk/current.go
@@ -0,0 +1,110 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/rule/route"
+)
+
+// differencesKept is how many tables back a subscriber may be to be brought up to
+// date by differences.
+const differencesKept = 16
+
+// currentTable is the newest agreed table that a desk knows. A nil one is none.
+type currentTable struct {
+	parsed *route.Table
+	digest string
+	// text is the table as subscribers get it: without the text that it was
+	// translated from, which only the operator reads back. It is made when it is
+	// first asked for.
+	text []byte
+	// differences lead from earlier tables to this one, each to the next.
+	differences []route.Difference
+}
+
+func (t *currentTable) number() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.parsed.Number
+}
+
+func (t *currentTable) digestOf() string {
+	if t == nil {
+		return ""
+	}
+	return t.digest
+}
+
+func (t *currentTable) parsedOf() *route.Table {
+	if t == nil {
+		return nil
+	}
+	return t.parsed
+}
+
+func (t *currentTable) whole() []byte {
+	if t.text == nil {
+		t.text = t.parsed.Plain()
+	}
+	return t.text
+}
+
+// from lists the differences that lead from a table to this one.
+func (t *currentTable) from(number uint64) []route.Difference {
+	for i, d := range t.differences {
+		if d.BaseNumber == number {
+			return t.differences[i:]
+		}
+	}
+	return nil
+}
+
+// smaller reports whether differences carry less than the whole table.
+func (t *currentTable) smaller(differences []route.Difference) bool {
+	items := 0
+	for _, d := range differences {
+		items += d.Size()
+	}
+	return 2*items < len(t.parsed.Routes)+len(t.parsed.Services)+len(t.parsed.Tenants)
+}
+
+// differencesFor lists what brings a subscriber up to date, or nothing where it is
+// better sent the whole table.
+func (m *Machine) differencesFor(f *follower) []route.Difference {
+	if !f.differs || f.table == 0 {
+		return nil
+	}
+	differences := m.table.from(f.table)
+	if len(differences) == 0 || !m.table.smaller(differences) {
+		return nil
+	}
+	return differences
+}
+
+// installText takes a table from its text, if it is newer.
+func (m *Machine) installText(now time.Duration, digest string, text []byte) {
+	table, faults := route.Parse(text)
+	if faults != nil {
+		m.Counters.BadMessages++
+		return
+	}
+	m.install(now, table, digest)
+}
+
+// install takes a newer agreed table and passes it on at once.
+func (m *Machine) install(now time.Duration, table *route.Table, digest string) {
+	if table.Number <= m.table.number() {
+		return
+	}
+	next := &currentTable{parsed: table, digest: digest}
+	if m.table != nil {
+		difference := route.Compare(m.table.parsed, m.table.digest, table, digest)
+		next.differences = append(append(next.differences, m.table.differences...), difference)
+		if extra := len(next.differences) - differencesKept; extra > 0 {
+			next.differences = next.differences[extra:]
+		}
+	}
+	m.table = next
+	m.tellAll(now)
+}
--- /dev/null
+++ b/peer/desk/current_test.go
@@ -0,0 +1,81 @@
+package desk
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/message"
+	"saffronfall/rule/part"
+	"saffronfall/rule/route"
+)
+
+// largeTable is a table with many routes, one of which changes with the number.
+func largeTable(number uint64) []byte {
+	routes := ""
+	for i := range 50 {
+		timeout := 1000
+		if uint64(i) == number%50 {
+			timeout = 2000
+		}
+		routes += fmt.Sprintf(`{"host":"h","prefix":"/p%d/","mode":"once","timeout_ms":%d,"targets":[{"service":"s"}]},`, i, timeout)
+	}
+	return fmt.Appendf(nil, `{"number":%d,"source":"what the operator sent","routes":[%s],"services":[{"name":"s"}]}`, number, routes[:len(routes)-1])
+}
+
+// agree brings a desk the news of an agreed table.
+func agree(m *Machine, now time.Duration, number uint64) Output {
+	value := message.Marshal(core.AgreedTable{Number: number, Text: largeTable(number), Digest: fmt.Sprint("digest ", number)})
+	at := part.Stamp{Term: part.Term{Round: 1, Owner: "c.1"}, Seq: number}
+	return m.Receive(now, "c:1", core.News{Part: core.ConfigurationPart, Upto: at, Entries: []part.Entry{{Key: core.TableKey, Value: value, Stamp: at}}})
+}
+
+// TestSubscribersGetDifferences: who has a table gets what changed since, who has
+// none, or one that is too old or not known here, the whole, and never the text
+// that only the operator reads.
+func TestSubscribersGetDifferences(t *testing.T) {
+	m := newDesk(nil)
+	founded(m)
+	agree(m, 0, 2)
+	told := func(o Output, to string) Bulletin {
+		t.Helper()
+		list := sentTo[Bulletin](o, to)
+		if len(list) != 1 {
+			t.Fatalf("%s was told %d times", to, len(list))
+		}
+		return list[0]
+	}
+	first := told(m.Receive(0, "n1:1", Follow{Node: "n1", Differs: true}), "n1:1")
+	plain, faults := route.Parse(first.Table)
+	if faults != nil || plain.Number != 2 || plain.Source != "" || len(first.Differences) != 0 || first.Digest != "digest 2" {
+		t.Fatalf("the first table: %v, %d bytes", faults, len(first.Table))
+	}
+	second := told(agree(m, 0, 4), "n1:1")
+	if second.Table != nil || len(second.Differences) != 1 || second.Differences[0].BaseNumber != 2 || second.Differences[0].Size() != 2 {
+		t.Fatalf("a change: %d bytes, %d differences", len(second.Table), len(second.Differences))
+	}
+	next, ok := second.Differences[0].Apply(plain, first.Digest)
+	if !ok || next.Number != 4 || second.Differences[0].Digest != "digest 4" {
+		t.Fatal("the difference does not fit the table before it")
+	}
+	// It missed one, and says so.
+	agree(m, 0, 5)
+	if b := told(m.Receive(0, "n1:1", Follow{Node: "n1", Differs: true, Table: 4}), "n1:1"); len(b.Differences) != 1 || b.Differences[0].Number != 5 {
+		t.Fatalf("told again: %+v", b)
+	}
+	for name, f := range map[string]Follow{"none": {Differs: true}, "unknown": {Differs: true, Table: 3}, "a former version's node": {Table: 4}} {
+		if b := told(m.Receive(0, "n2:1", f), "n2:1"); b.Table == nil || b.Differences != nil {
+			t.Errorf("%s: %d bytes, %d differences", name, len(b.Table), len(b.Differences))
+		}
+	}
+	for number := uint64(6); number < 6+2*differencesKept; number++ {
+		agree(m, 0, number)
+	}
+	if got := len(m.table.differences); got != differencesKept {
+		t.Errorf("%d differences are kept", got)
+	}
+	if b := told(m.Receive(0, "n3:1", Follow{Node: "n3", Differs: true, Table: 4}), "n3:1"); b.Table == nil {
+		t.Errorf("one that is far behind: %+v", b)
+	}
+}
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -47,7 +47,7 @@
 	present   map[string]core.Core
 	presentAt time.Duration
 	startedAt time.Duration
-	table     core.AgreedTable
+	table     *currentTable
 	stamp     part.Stamp
 	confirmed time.Duration
 	fresh     core.Fresh
@@ -130,7 +130,7 @@
 			}
 		}
 		for _, to := range targets {
-			m.send(to, Follow{Node: m.id, Table: m.table.Number, Desk: true, Life: m.lives[to]})
+			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: m.lives[to]})
 		}
 	}
 	if now >= m.pullAt {
@@ -173,7 +173,7 @@
 }
 
 // Number is the newest table that this desk knows to be agreed.
-func (m *Machine) Number() uint64 { return m.table.Number }
+func (m *Machine) Number() uint64 { return m.table.number() }
 
 // Ready reports whether this desk has a table and cores to ask.
 func (m *Machine) Ready() bool { return len(m.topology.Owners) > 0 }
@@ -182,5 +182,5 @@
 func (m *Machine) Status(now time.Duration) map[string]int64 {
 	return map[string]int64{"messages": m.Counters.Messages, "beats": m.Counters.Beats, "bulletins": m.Counters.Bulletins, "changes": m.Counters.Changes,
 		"tables_applied": m.Counters.Applied, "tables_refused": m.Counters.Refused, "bad_messages": m.Counters.BadMessages,
-		"replicas": int64(len(m.list)), "followers": int64(len(m.followers)), "desks": int64(len(m.desks)), "table": int64(m.table.Number), "cores": int64(len(m.topology.Cores))}
+		"replicas": int64(len(m.list)), "followers": int64(len(m.followers)), "desks": int64(len(m.desks)), "table": int64(m.table.number()), "cores": int64(len(m.topology.Cores))}
 }
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"saffronfall/peer/core"
 	"saffronfall/rule/ordered"
 )
 
@@ -11,6 +10,7 @@
 	life    string
 	version uint64
 	table   uint64
+	differs bool
 	mark    uint64
 	heard   time.Duration
 	desk    bool
@@ -32,7 +32,7 @@
 // tell sends a follower what it lacks. What was sent counts as had until the
 // follower says otherwise in its next word.
 func (m *Machine) tell(now time.Duration, to string, f *follower, always bool) {
-	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.Number, Confirmed: -1, Nodes: m.nodes(now)}
+	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.number(), Digest: m.table.digestOf(), Confirmed: -1, Nodes: m.nodes(now)}
 	if m.confirmed >= 0 {
 		b.Confirmed = now - m.confirmed
 	}
@@ -46,18 +46,21 @@
 			}
 		}
 	}
-	if f.table < m.table.Number {
-		b.Table = m.table.Text
+	if f.table < m.table.number() {
+		b.Differences = m.differencesFor(f)
+		if b.Differences == nil {
+			b.Table = m.table.whole()
+		}
 	}
 	if f.mark != m.mark {
 		t := m.topology
 		b.Topology = &t
 		b.Desks = ordered.Keys(m.desks)
 	}
-	if !always && len(b.List) == 0 && b.Table == nil && b.Topology == nil {
+	if !always && len(b.List) == 0 && b.Table == nil && b.Differences == nil && b.Topology == nil {
 		return
 	}
-	f.life, f.version, f.table, f.mark = m.life, m.version, max(f.table, m.table.Number), m.mark
+	f.life, f.version, f.table, f.mark = m.life, m.version, max(f.table, m.table.number()), m.mark
 	m.Counters.Bulletins++
 	m.send(to, b)
 }
@@ -80,14 +83,14 @@
 		m.followers[from] = f
 	}
 	f.heard, f.desk = now, b.Desk
-	f.life, f.version, f.table = b.Life, b.Version, b.Table
+	f.life, f.version, f.table, f.differs = b.Life, b.Version, b.Table, b.Differs
 	if b.Life != m.life {
 		f.mark = 0
 	}
 	if b.Desk {
 		m.learnDesk(now, from)
 	}
-	if b.Table > m.table.Number {
+	if b.Table > m.table.number() {
 		// The follower knows a newer one: the cores are asked at once.
 		m.pullAt = now
 	}
@@ -114,6 +117,11 @@
 		}
 	}
 	if b.Table != nil {
-		m.install(now, core.AgreedTable{Number: b.Number, Text: b.Table})
+		m.installText(now, b.Digest, b.Table)
+	}
+	for _, difference := range b.Differences {
+		if next, ok := difference.Apply(m.table.parsedOf(), m.table.digestOf()); ok {
+			m.install(now, next, difference.Digest)
+		}
 	}
 }
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -36,7 +36,7 @@
 		case e.Key == core.TableKey:
 			var agreed core.AgreedTable
 			if message.Unmarshal(e.Value, &agreed) == nil {
-				m.install(now, agreed)
+				m.installText(now, agreed.Digest, agreed.Text)
 			}
 		case core.IsCoreKey(e.Key) && !e.Gone:
 			var one core.Core
@@ -49,19 +49,6 @@
 	m.confirm(now)
 }
 
-// install takes a newer agreed table and passes it on at once.
-func (m *Machine) install(now time.Duration, agreed core.AgreedTable) {
-	if agreed.Number <= m.table.Number {
-		return
-	}
-	if _, faults := route.Parse(agreed.Text); faults != nil {
-		m.Counters.BadMessages++
-		return
-	}
-	m.table = agreed
-	m.tellAll(now)
-}
-
 func (m *Machine) pull(now time.Duration) {
 	ask := core.Pull{Versions: map[int]part.Stamp{core.ConfigurationPart: m.stamp}, Fresh: true, Sent: now, Want: len(m.topology.Owners) == 0 || m.random() < 0.2}
 	if to := m.caller.HintOf(core.ConfigurationPart); to != "" && m.confirmed >= 0 && now-m.confirmed < 3*m.params.Core.Pull {
@@ -104,7 +91,7 @@
 			m.settle(ticket, Handed{Unsure: true})
 		case agreed.OK:
 			m.Counters.Applied++
-			m.install(now, core.AgreedTable{Number: parsed.Number, Text: text, Digest: digest})
+			m.install(now, parsed, digest)
 			m.settle(ticket, Handed{OK: true, Number: agreed.Number})
 		case parsed.Number <= agreed.Number && base == agreed.Number:
 			m.settle(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
--- a/peer/desk/types.go
+++ b/peer/desk/types.go
@@ -8,6 +8,7 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/rule/message"
+	"saffronfall/rule/route"
 )
 
 // Replica is one replica as it announced itself.
@@ -43,8 +44,10 @@
 		// Life is the desk's life that Version is of.
 		Life    string `msgpack:"l"`
 		Version uint64 `msgpack:"v"`
-		// Table is the number of the newest table that the node has.
-		Table uint64 `msgpack:"t"`
+		// Table is the number of the newest table that the node has; zero: it wants
+		// it whole. Differs says that it can do with differences.
+		Table   uint64 `msgpack:"t"`
+		Differs bool   `msgpack:"p"`
 		// Desk is set when the follower is a desk itself.
 		Desk bool `msgpack:"d"`
 	}
@@ -54,10 +57,13 @@
 		Since   uint64   `msgpack:"s"`
 		Version uint64   `msgpack:"v"`
 		List    []Listed `msgpack:"r"`
-		// Table is the newest agreed table, where the follower lacks it; Number
-		// is always told.
-		Number uint64 `msgpack:"n"`
-		Table  []byte `msgpack:"t"`
+		// Number and Digest tell the newest agreed table. A subscriber that lacks it
+		// gets the differences from the one that it has, each building on the one
+		// before, or the Table whole.
+		Number      uint64             `msgpack:"n"`
+		Digest      string             `msgpack:"h"`
+		Differences []route.Difference `msgpack:"p"`
+		Table       []byte             `msgpack:"t"`
 		// Confirmed is how long ago the cores said that none is newer; negative:
 		// never.
 		Confirmed time.Duration `msgpack:"c"`
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -43,7 +43,11 @@
 
 	table   *route.Table
 	pending *route.Table
-	tenants map[string]*route.Tenant
+	// digest is what the pending table is known by. wantWhole is set when a
+	// difference did not fit it.
+	digest    string
+	wantWhole bool
+	tenants   map[string]*route.Tenant
 	// none is set once a desk has said that no table was agreed yet.
 	none bool
 
@@ -140,11 +144,7 @@
 			}
 		}
 	}
-	if b.Table != nil {
-		if t, faults := route.Parse(b.Table); faults == nil && (m.pending == nil || m.pending.Number < t.Number) {
-			m.pending = t
-		}
-	}
+	m.learnTable(now, b)
 	fresh := b.Confirmed >= 0 && b.Confirmed < m.params.Beat
 	if fresh && b.Number == 0 {
 		m.none = true
@@ -154,6 +154,31 @@
 	}
 }
 
+// learnTable takes a newer table, from its text or from what changed since the
+// one that this node has. It is in force once it is installed.
+func (m *Machine) learnTable(now time.Duration, b desk.Bulletin) {
+	if b.Table != nil {
+		m.wantWhole = false
+		if t, faults := route.Parse(b.Table); faults == nil && (m.pending == nil || m.pending.Number < t.Number) {
+			m.pending, m.digest = t, b.Digest
+		}
+	}
+	for _, difference := range b.Differences {
+		if m.pending == nil || difference.BaseNumber != m.pending.Number {
+			// Another desk told of other tables between. What this node says next of
+			// the table that it has sets this desk right.
+			continue
+		}
+		next, ok := difference.Apply(m.pending, m.digest)
+		if !ok {
+			m.Counters.BadDifferences++
+			m.wantWhole, m.followAt = true, now
+			return
+		}
+		m.pending, m.digest = next, difference.Digest
+	}
+}
+
 func (m *Machine) install(now time.Duration) {
 	m.table = m.pending
 	m.tenants = map[string]*route.Tenant{}
@@ -216,11 +241,11 @@
 			}
 		}
 		var number uint64
-		if m.pending != nil {
+		if m.pending != nil && !m.wantWhole {
 			number = m.pending.Number
 		}
 		for _, to := range targets {
-			f := desk.Follow{Node: m.id, Table: number}
+			f := desk.Follow{Node: m.id, Table: number, Differs: true}
 			if b := m.boards[to]; b != nil {
 				f.Life, f.Version = b.life, b.version
 			}
@@ -264,7 +289,7 @@
 		replicas += len(list)
 	}
 	return map[string]int64{"requests": c.Requests, "sent": c.Sent, "whole": c.Whole, "broken": c.Broken, "not_run": c.NotRun, "resent": c.Resent, "resumed": c.Resumed, "gone": c.Gone,
-		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages,
+		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages, "bad_differences": c.BadDifferences,
 		"new_connections": c.NewConnections, "refused_rate": c.RefusedRate, "refused_budget": c.RefusedBudget, "refused_full": c.RefusedFull, "refused_unsure": c.RefusedUnsure,
 		"unknown_key": c.UnknownKey, "unknown_route": c.UnknownRoute, "unknown_turn": c.UnknownTurn, "too_large": c.TooLarge, "deadline_passed": c.DeadlinePassed, "settles": c.Settles,
 		"live": int64(len(m.live)), "replicas": int64(replicas), "table": int64(m.Number()), "tenants_held": int64(len(m.paces)), "cache_bytes": m.cache.bytes, "commands_waiting": int64(m.caller.Waiting()), "command_tries": m.caller.Tries}
