A core with a full disk stays up, writes nothing, hands its leaderships on and resumes

While a disk hung, each resent write was queued before it again, without bound. Ruled out: staying up after a failed sync. What such a sync left on the disk is not known, so ending stays right there; the border is between a write, which can be taken back by cutting the log to its former length, and a sync. Change: peer/disk takes back what a write that found no room has left (ErrFull: nothing changed) and prepares a new log before a new slot, so that nothing wants room once the slot counts; the core tries the same batch again until there is room, which to its machine is a disk that hangs; a machine whose disk hangs takes no writes and makes no promises, but prolongs leases that it promised on disk.

--- a/peer/core/commands.go
+++ b/peer/core/commands.go
@@ -95,6 +95,12 @@
 		m.Counters.BadMessages++
 		return
 	}
+	if m.stalled && wantsDisk(body) {
+		// Nothing may pile up before a disk that takes nothing. Whoever sent it
+		// sends it again, or a whole copy once the disk is back.
+		m.Counters.Stalled++
+		return
+	}
 	p := m.parts[b.Part]
 	if p == nil {
 		if w, ok := body.(part.Write); !ok || !w.Whole {
@@ -105,6 +111,17 @@
 	m.take(now, b.Part, p.Receive(now, b.From, body))
 }
 
+// wantsDisk reports whether a message makes a replica write.
+func wantsDisk(body any) bool {
+	switch b := body.(type) {
+	case part.Write:
+		return true
+	case part.Stand:
+		return !b.Ask
+	}
+	return false
+}
+
 func (m *Machine) onPull(now time.Duration, from string, b Pull) {
 	if b.Want {
 		m.learn()
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -34,7 +34,7 @@
 
 // Counters are what a core counts.
 type Counters struct {
-	Messages, Commands, Moved, Unsure, Pulls, BadMessages, Returns int64
+	Messages, Commands, Moved, Unsure, Pulls, BadMessages, Returns, Stalled int64
 }
 
 // Options make a machine.
--- a/peer/disk/disk.go
+++ b/peer/disk/disk.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,6 +23,11 @@
 // write, or a newer version of it did. It is left as it is.
 var ErrForeign = errors.New("this folder is not this program's, or a newer version's")
 
+// ErrFull says that there was no room and that nothing has changed: the folder
+// holds what it held, and the same may be tried again. A sync that fails is never
+// ErrFull, as nobody knows what it left behind.
+var ErrFull = errors.New("no room on the disk; nothing was written")
+
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 const (
@@ -44,9 +50,10 @@
 
 // Folder is an open folder. It is used by one goroutine.
 type Folder struct {
+	files      FileSystem
 	path       string
 	generation uint64
-	log        *os.File
+	log        File
 	size       int64
 	// Syncs counts the syncs made.
 	Syncs int64
@@ -62,16 +69,19 @@
 }
 
 // Open reads a folder, which may be empty.
-func Open(path string) (*Folder, Held, error) {
+func Open(path string) (*Folder, Held, error) { return OpenIn(systemFiles{}, path) }
+
+// OpenIn reads a folder of a file system.
+func OpenIn(files FileSystem, path string) (*Folder, Held, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, Held{}, errors.Wrap(err, "folder")
 	}
-	f := &Folder{path: path}
+	f := &Folder{files: files, path: path}
 	var slots, raws [2][]byte
 	var generations [2]uint64
 	present := false
 	for i := range slots {
-		raw, err := os.ReadFile(f.name("slot", i))
+		raw, err := files.ReadFile(f.name("slot", i))
 		if os.IsNotExist(err) {
 			continue
 		}
@@ -106,7 +116,7 @@
 		return nil, Held{}, errors.Wrapf(ErrLost, "the slot of generation %d is gone or damaged", logged)
 	}
 	held := Held{Slot: slots[newest]}
-	raw, err := os.ReadFile(f.name("log", newest))
+	raw, err := files.ReadFile(f.name("log", newest))
 	if err != nil && !os.IsNotExist(err) {
 		return nil, Held{}, errors.Wrap(err, "log")
 	}
@@ -127,7 +137,7 @@
 		rest, end = rest[n:], end+int64(n)
 	}
 	held.Cut = int64(len(rest))
-	f.log, err = os.OpenFile(f.name("log", newest), os.O_RDWR, 0o600)
+	f.log, err = files.OpenFile(f.name("log", newest), os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, Held{}, errors.Wrap(err, "log")
 	}
@@ -147,7 +157,7 @@
 
 func (f *Folder) newestLog(ours bool) (generation uint64, any bool, err error) {
 	for i := 0; i < 2; i++ {
-		file, err := os.Open(f.name("log", i))
+		raw, err := f.files.ReadFile(f.name("log", i))
 		if os.IsNotExist(err) {
 			continue
 		}
@@ -155,15 +165,14 @@
 			return 0, false, errors.Wrap(err, "log")
 		}
 		any = true
-		head := make([]byte, len(logMagic)+8)
-		_, err = io.ReadFull(file, head)
-		file.Close()
-		if err == nil {
-			if err := known(f.name("log", i), head, logMagic, ours); err != nil {
-				return 0, any, err
-			}
+		if len(raw) < len(logMagic)+8 {
+			return 0, any, errors.Wrap(ErrLost, "a log's head is damaged")
 		}
-		if err != nil || string(head[:len(logMagic)]) != logMagic {
+		head := raw[:len(logMagic)+8]
+		if err := known(f.name("log", i), head, logMagic, ours); err != nil {
+			return 0, any, err
+		}
+		if string(head[:len(logMagic)]) != logMagic {
 			return 0, any, errors.Wrap(ErrLost, "a log's head is damaged")
 		}
 		generation = max(generation, binary.LittleEndian.Uint64(head[len(logMagic):]))
@@ -210,8 +219,8 @@
 	return false
 }
 
-// Append writes one frame to the log and syncs it. After an error the folder
-// must not be used again.
+// Append writes one frame to the log and syncs it. After an error other than
+// ErrFull the folder must not be used again.
 func (f *Folder) Append(body []byte) error {
 	frame := make([]byte, 12, 12+len(body))
 	binary.LittleEndian.PutUint32(frame, uint32(len(body)))
@@ -219,79 +228,124 @@
 	binary.LittleEndian.PutUint32(frame[8:], crc32.Checksum(body, table))
 	frame = append(frame, body...)
 	if _, err := f.log.Write(frame); err != nil {
-		return errors.Wrap(err, "log")
+		return f.takeBack(err)
 	}
 	f.size += int64(len(frame))
 	f.Syncs++
 	return errors.Wrap(f.log.Sync(), "log")
 }
 
+// takeBack removes what a write that failed has left at the end of the log.
+func (f *Folder) takeBack(cause error) error {
+	if !isFull(cause) {
+		return errors.Wrap(cause, "log")
+	}
+	if err := f.log.Truncate(f.size); err != nil {
+		return errors.Wrap(err, "taking back a write for which there was no room")
+	}
+	if _, err := f.log.Seek(f.size, io.SeekStart); err != nil {
+		return errors.Wrap(err, "taking back a write for which there was no room")
+	}
+	return errors.Mark(errors.Wrap(cause, "log"), ErrFull)
+}
+
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // Size is the length of the log.
 func (f *Folder) Size() int64 { return f.size }
 
 // Replace writes the whole state to the slot whose turn it is and begins a new
-// log.
+// log. After ErrFull the folder goes on with the log that it has.
 func (f *Folder) Replace(state []byte) error {
 	f.generation++
+	err := f.replace(state)
+	if errors.Is(err, ErrFull) {
+		f.generation--
+	}
+	return err
+}
+
+func (f *Folder) replace(state []byte) error {
 	i := int(f.generation % 2)
 	head := make([]byte, 0, len(slotMagic)+16+len(state))
 	head = append(head, slotMagic...)
 	head = binary.LittleEndian.AppendUint64(head, f.generation)
 	head = binary.LittleEndian.AppendUint32(head, uint32(len(state)))
 	head = binary.LittleEndian.AppendUint32(head, crc32.Update(crc32.Checksum(head, table), table, state))
+	if err := f.prepareLog(i); err != nil {
+		return err
+	}
+	// From here on the new slot counts, so nothing that comes after it may want room.
 	if err := f.writeSynced(f.name("slot", i), append(head, state...)); err != nil {
 		return err
 	}
-	return f.begin(i)
+	return f.beginLog(i)
 }
 
 func (f *Folder) writeSynced(name string, raw []byte) error {
-	file, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	file, err := f.files.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return errors.Wrap(err, "folder")
+		return f.noRoom(name, err)
 	}
 	defer file.Close()
 	if _, err := file.Write(raw); err != nil {
-		return errors.Wrap(err, "folder")
+		return f.noRoom(name, err)
 	}
 	f.Syncs++
 	if err := file.Sync(); err != nil {
 		return errors.Wrap(err, "folder")
 	}
-	return f.syncFolder()
+	return f.files.SyncFolder(f.path)
 }
 
-func (f *Folder) syncFolder() error {
-	folder, err := os.Open(f.path)
-	if err != nil {
-		return errors.Wrap(err, "folder")
+// noRoom gives back the room that a file took which could not be written whole.
+// Such a file is never read: a slot that is cut off does not match its checksum,
+// and a log comes into being by a rename.
+func (f *Folder) noRoom(name string, cause error) error {
+	if !isFull(cause) {
+		return errors.Wrap(cause, "folder")
+	}
+	if err := f.files.Remove(name); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(err, "removing a file for which there was no room")
 	}
-	defer folder.Close()
-	return errors.Wrap(folder.Sync(), "folder")
+	return errors.Mark(errors.Wrap(cause, "folder"), ErrFull)
 }
 
-// begin starts the log of the present generation. It comes into being whole,
-// by a rename, so a damaged head is never the trace of a cut-off write.
+// begin starts the log of the present generation.
 func (f *Folder) begin(i int) error {
-	head := append([]byte(logMagic), binary.LittleEndian.AppendUint64(nil, f.generation)...)
-	fresh := f.name("fresh", i)
-	if err := f.writeSynced(fresh, head); err != nil {
+	if err := f.prepareLog(i); err != nil {
 		return err
 	}
-	if err := os.Rename(fresh, f.name("log", i)); err != nil {
+	return f.beginLog(i)
+}
+
+// logHead is what the log of the present generation begins with.
+func (f *Folder) logHead() []byte {
+	return append([]byte(logMagic), binary.LittleEndian.AppendUint64(nil, f.generation)...)
+}
+
+// prepareLog writes an empty log of the present generation under another name.
+func (f *Folder) prepareLog(i int) error { return f.writeSynced(f.name("fresh", i), f.logHead()) }
+
+// beginLog puts a prepared log in its place. It comes into being whole, by a
+// rename, so a damaged head is never the trace of a cut-off write.
+func (f *Folder) beginLog(i int) error {
+	if err := f.files.Rename(f.name("fresh", i), f.name("log", i)); err != nil {
 		return errors.Wrap(err, "log")
 	}
-	if err := f.syncFolder(); err != nil {
+	if err := f.files.SyncFolder(f.path); err != nil {
 		return err
 	}
 	if f.log != nil {
 		f.log.Close()
 	}
-	log, err := os.OpenFile(f.name("log", i), os.O_RDWR|os.O_APPEND, 0o600)
+	log, err := f.files.OpenFile(f.name("log", i), os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
-	f.log, f.size = log, int64(len(head))
+	f.log, f.size = log, int64(len(f.logHead()))
 	return nil
 }
 
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -27,6 +27,8 @@
 	upto uint64
 	took time.Duration
 	err  error
+	// full says that there was no room and the batch is tried again.
+	full bool
 }
 
 type batch struct {
@@ -174,6 +176,10 @@
 		case call := <-s.calls:
 			s.take(call(s.now()))
 		case w := <-s.onDisk:
+			if w.full {
+				s.log.Info("disk full; this core takes nothing until there is room", "cause", w.err.Error())
+				continue
+			}
 			if w.err != nil {
 				return errors.Wrap(w.err, "the disk failed; nothing after this is certain")
 			}
@@ -286,14 +292,17 @@
 		select {
 		case b := <-s.toDisk:
 			began := clock.Now()
-			err := folder.Append(message.Marshal(b.changes))
+			err := s.appendWhenRoom(life, folder, message.Marshal(b.changes))
 			for _, c := range b.changes {
 				image.Apply(c)
 			}
 			if err == nil && folder.Size() > 4*slotSize {
 				state := message.Marshal(image)
 				slotSize = max(1<<20, int64(len(state)))
-				err = folder.Replace(state)
+				if err = folder.Replace(state); errors.Is(err, disk.ErrFull) {
+					// The log goes on as it is until there is room for a new slot.
+					err = nil
+				}
 			}
 			s.onDisk <- written{upto: b.upto, took: clock.Now() - began, err: err}
 		case <-life.Done():
@@ -302,6 +311,27 @@
 	}
 }
 
+// appendWhenRoom appends to the log, and while the disk is full tries again after
+// a pause. The machine sees a disk that hangs meanwhile: it hands its leaderships
+// on, stands for none, and nothing that rests on the batch is acknowledged.
+func (s *process) appendWhenRoom(life context.Context, folder *disk.Folder, frame []byte) error {
+	err := folder.Append(frame)
+	if errors.Is(err, disk.ErrFull) {
+		s.onDisk <- written{full: true, err: err}
+	}
+	pause := time.NewTicker(s.params.Core().Part.OwnerTerm)
+	defer pause.Stop()
+	for errors.Is(err, disk.ErrFull) {
+		select {
+		case <-pause.C:
+			err = folder.Append(frame)
+		case <-life.Done():
+			return err
+		}
+	}
+	return err
+}
+
 // Call runs a step on the owner's goroutine and waits for its answer.
 func (s *process) Call(ctx context.Context, step func(m *core.Machine, now time.Duration, ticket uint64) core.Output) (any, error) {
 	waiting := make(chan any, 1)
@@ -335,7 +365,7 @@
 	body, err := s.Look(ctx, func(m *core.Machine, now time.Duration) any {
 		p := m.PartCounters()
 		return map[string]int64{"messages": m.Counters.Messages, "commands": m.Counters.Commands, "commands_moved": m.Counters.Moved,
-			"commands_unsure": m.Counters.Unsure, "pulls": m.Counters.Pulls, "returns_with_empty_folder": m.Counters.Returns, "bad_messages": m.Counters.BadMessages,
+			"commands_unsure": m.Counters.Unsure, "pulls": m.Counters.Pulls, "refused_while_stalled": m.Counters.Stalled, "returns_with_empty_folder": m.Counters.Returns, "bad_messages": m.Counters.BadMessages,
 			"stands": p.Stands, "seated": p.Seated, "writes": p.Writes, "entries_written": p.Entries, "copies_mended": p.Mended,
 			"sweeps": p.Swept, "marks_dropped": p.Dropped, "parts_owned": int64(len(m.Owned(now))), "sent": s.sent, "dropped": s.dropped,
 			"received": s.received, "bad_streams": s.bad, "syncs": s.syncs, "sync_micros": s.syncTime.Microseconds(), "disk_stalled": flag(s.stalled)}
