A restarted desk finds its fleet by the addresses that it wrote down

Cause: a desk and a node that were started again while all seeds of their settings were cut off from them knew nobody until the cut was over; a cut-off desk that was itself restarted had no addresses to hand on. A list on a full disk is left out and goes on later, instead of being given up for good. Tests: TestRestartedDeskFindsItsFleetByWhatItWroteDown, TestAddressesAreKept.

--- a/peer/desk/cutoff_test.go
+++ b/peer/desk/cutoff_test.go
@@ -154,3 +154,35 @@
 		t.Error("a desk that never had a node is called isolated")
 	}
 }
+
+// TestRestartedDeskFindsItsFleetByWhatItWroteDown: with no seed to be reached it
+// asks the cores and desks that it knew, believes nothing of who leads or which
+// table is in force, and passes addresses on to who asks it.
+func TestRestartedDeskFindsItsFleetByWhatItWroteDown(t *testing.T) {
+	before := inTouchDesk(t, 0)
+	before.Receive(0, "d3:1", Follow{Node: "d3", Desk: true})
+	var written *Peers
+	for now := time.Duration(0); now < time.Second; now += 50 * time.Millisecond {
+		if o := before.Tick(now); o.Peers != nil {
+			written = o.Peers
+		}
+	}
+	if written == nil {
+		t.Fatal("no addresses were written down")
+	}
+	if o := before.Tick(2 * time.Second); o.Peers != nil {
+		t.Error("the same addresses are written again")
+	}
+	m := newDesk(func(o *Options) { o.Life, o.Seeds, o.Peers = "l2", []string{"unreachable:1"}, written })
+	o := m.Tick(0)
+	if len(sentTo[core.Pull](o, "c1:1")) != 1 || len(sentTo[Follow](o, "d3:1")) != 1 {
+		t.Errorf("neither cores nor desks are asked: %+v", o.Sends)
+	}
+	if m.Number() != 0 || m.Ready() || m.inTouch(0) {
+		t.Error("something is believed of who leads or what is in force")
+	}
+	b := sentTo[Bulletin](m.Receive(0, "n1:1", Follow{Node: "n1"}), "n1:1")
+	if len(b) != 1 || b[0].Topology == nil || len(b[0].Topology.Cores) != 1 || len(b[0].Desks) < 2 {
+		t.Errorf("a node is told %+v", b)
+	}
+}
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -19,7 +19,9 @@
 	Founds bool
 	// Known is the list that an earlier life of this desk kept. It saves nodes
 	// the wait for the next beats, and is believed only that long.
-	Known  []Listed
+	Known []Listed
+	// Peers are the addresses that it kept.
+	Peers  *Peers
 	Now    time.Duration
 	Random func() float64
 }
@@ -58,6 +60,9 @@
 	founding  *core.Founding
 	pending   map[uint64]pendingCall
 	tickedAt  time.Duration
+	// saved are the addresses that were written down last, as of savedMark.
+	saved     Peers
+	savedMark uint64
 }
 
 // New makes a desk.
@@ -71,6 +76,9 @@
 		l.Version = m.version
 		m.list[l.Replica.ID] = &listed{Listed: l, heard: o.Now - (lost-2)*o.Params.Beat}
 	}
+	if o.Peers != nil {
+		m.recall(*o.Peers)
+	}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
 		Parts:  func() int { return len(m.topology.Owners) },
@@ -142,6 +150,7 @@
 		m.sweep(now)
 	}
 	m.found(now)
+	m.savePeers()
 	return *m.out
 }
 
--- a/peer/desk/types.go
+++ b/peer/desk/types.go
@@ -102,10 +102,12 @@
 	Body   any
 }
 
-// Output is what a step wants done: changes of the list go to disk first, where
-// there is one, then sends, then answers.
+// Output is what a step wants done: changes of the list, and of the addresses
+// where they are set, go to disk first, where there is one, then sends, then
+// answers.
 type Output struct {
 	Changes []Listed
+	Peers   *Peers
 	Sends   []Send
 	Answers []Answer
 }
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -42,9 +42,35 @@
 	folder  *disk.Folder
 }
 
-// open reads the list that an earlier life kept. The list is a help and no more:
-// a desk whose folder is lost begins without.
-func open(path string, log logr.Logger) (*disk.Folder, []desk.Listed) {
+// kept is what a desk writes down: a state, or what changed of it. Frames of a
+// former version are a bare list.
+type kept struct {
+	List  []desk.Listed `msgpack:"l"`
+	Peers *desk.Peers   `msgpack:"p"`
+}
+
+// memory is what an earlier life of a desk has left.
+type memory struct {
+	list  map[string]desk.Listed
+	peers *desk.Peers
+}
+
+func (k *memory) read(raw []byte) {
+	var one kept
+	if message.Unmarshal(raw, &one.List) != nil && message.Unmarshal(raw, &one) != nil {
+		return
+	}
+	for _, l := range one.List {
+		k.list[l.Replica.ID] = l
+	}
+	if one.Peers != nil {
+		k.peers = one.Peers
+	}
+}
+
+// open reads the list and the addresses that an earlier life kept. They are a
+// help and no more: a desk whose folder is lost begins without.
+func open(path string, log logr.Logger) (*disk.Folder, []desk.Listed, *desk.Peers) {
 	folder, held, err := disk.Open(path)
 	if errors.Is(err, disk.ErrLost) {
 		if err = disk.SetAside(path); err == nil {
@@ -52,40 +78,41 @@
 		}
 	}
 	if err == nil && held.Empty {
-		err = folder.Replace(message.Marshal([]desk.Listed{}))
+		err = folder.Replace(message.Marshal(kept{}))
 	}
 	if err != nil {
 		log.Info("no list is kept", "reason", err.Error())
-		return nil, nil
+		return nil, nil, nil
 	}
-	list := map[string]desk.Listed{}
+	before := memory{list: map[string]desk.Listed{}}
 	for _, raw := range append([][]byte{held.Slot}, held.Frames...) {
-		var some []desk.Listed
-		if raw == nil || message.Unmarshal(raw, &some) != nil {
-			continue
-		}
-		for _, l := range some {
-			list[l.Replica.ID] = l
+		if raw != nil {
+			before.read(raw)
 		}
 	}
 	var known []desk.Listed
-	for _, id := range ordered.Keys(list) {
-		known = append(known, list[id])
+	for _, id := range ordered.Keys(before.list) {
+		known = append(known, before.list[id])
 	}
-	return folder, known
+	return folder, known, before.peers
 }
 
-// keep writes changes of the list down before anybody hears of them. A folder
-// that fails is not used any more.
-func (s *process) keep(changes []desk.Listed) {
-	if s.folder == nil || len(changes) == 0 {
+// logBound is how long the log may grow before the whole is written anew.
+const logBound = 256 << 10
+
+// keep writes changes down before anybody hears of them. While the disk is full
+// they are left out, as the list is a help and no more; a folder that fails is not
+// used any more.
+func (s *process) keep(changes []desk.Listed, peers *desk.Peers) {
+	if s.folder == nil || len(changes) == 0 && peers == nil {
 		return
 	}
-	err := s.folder.Append(message.Marshal(changes))
-	if err == nil && s.folder.Size() > 256<<10 {
-		err = s.folder.Replace(message.Marshal(s.machine.List()))
+	err := s.folder.Append(message.Marshal(kept{List: changes, Peers: peers}))
+	if err == nil && s.folder.Size() > logBound {
+		known := s.machine.Peers()
+		err = s.folder.Replace(message.Marshal(kept{List: s.machine.List(), Peers: &known}))
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, disk.ErrFull) {
 		s.log.Info("no list is kept any more", "reason", err.Error())
 		s.folder.Close()
 		s.folder = nil
@@ -107,10 +134,11 @@
 	life, cancel := context.WithCancel(context.Background())
 	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, calls: make(chan func(time.Duration) desk.Output, 64), answers: map[uint64]chan any{}}
 	var known []desk.Listed
+	var peers *desk.Peers
 	if p.Folder != "" {
-		s.folder, known = open(p.Folder, log)
+		s.folder, known, peers = open(p.Folder, log)
 	}
-	s.machine = desk.New(desk.Options{Params: p.Desk(), ID: p.ID, Life: hex.EncodeToString(raw), Address: p.PeerAdvertise, Seeds: p.Seeds, Founds: p.Founds, Known: known, Now: s.now(), Random: rand.Float64})
+	s.machine = desk.New(desk.Options{Params: p.Desk(), ID: p.ID, Life: hex.EncodeToString(raw), Address: p.PeerAdvertise, Seeds: p.Seeds, Founds: p.Founds, Known: known, Peers: peers, Now: s.now(), Random: rand.Float64})
 	log.Info("desk started", "id", p.ID, "founds", p.Founds)
 	var group run.Group
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
@@ -170,7 +198,7 @@
 }
 
 func (s *process) take(o desk.Output) {
-	s.keep(o.Changes)
+	s.keep(o.Changes, o.Peers)
 	for _, send := range o.Sends {
 		s.sent++
 		if !s.streams.Send(send.To, send.Body) {
--- a/saffronfall/deskprocess/process_test.go
+++ b/saffronfall/deskprocess/process_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
 	"saffronfall/rule/message"
 )
@@ -19,16 +20,16 @@
 // after the slot was written anew; a damaged folder is set aside and begun again.
 func TestListIsKept(t *testing.T) {
 	path := t.TempDir()
-	folder, known := open(path, logr.Discard())
+	folder, known, _ := open(path, logr.Discard())
 	if folder == nil || len(known) != 0 {
 		t.Fatalf("%v, %+v", folder, known)
 	}
 	s := &process{folder: folder, log: logr.Discard()}
-	s.keep([]desk.Listed{listed("a", false), listed("b", false)})
-	s.keep([]desk.Listed{listed("b", true)})
-	s.keep(nil)
+	s.keep([]desk.Listed{listed("a", false), listed("b", false)}, nil)
+	s.keep([]desk.Listed{listed("b", true)}, nil)
+	s.keep(nil, nil)
 	folder.Close()
-	folder, known = open(path, logr.Discard())
+	folder, known, _ = open(path, logr.Discard())
 	if len(known) != 2 || known[0].Replica.Leaving || !known[1].Replica.Leaving {
 		t.Fatalf("%+v", known)
 	}
@@ -36,9 +37,9 @@
 		t.Fatal(err)
 	}
 	s.folder = folder
-	s.keep([]desk.Listed{listed("c", false)})
+	s.keep([]desk.Listed{listed("c", false)}, nil)
 	folder.Close()
-	folder, known = open(path, logr.Discard())
+	folder, known, _ = open(path, logr.Discard())
 	if len(known) != 3 {
 		t.Fatalf("%+v", known)
 	}
@@ -54,7 +55,7 @@
 			t.Fatal(err)
 		}
 	}
-	folder, known = open(path, logr.Discard())
+	folder, known, _ = open(path, logr.Discard())
 	if folder == nil || len(known) != 0 {
 		t.Fatalf("after damage: %v, %+v", folder, known)
 	}
@@ -66,12 +67,34 @@
 
 // TestFailingFolderIsGivenUp: a desk goes on without a list on disk.
 func TestFailingFolderIsGivenUp(t *testing.T) {
-	folder, _ := open(t.TempDir(), logr.Discard())
+	folder, _, _ := open(t.TempDir(), logr.Discard())
 	s := &process{folder: folder, log: logr.Discard()}
 	folder.Close()
-	s.keep([]desk.Listed{listed("a", false)})
+	s.keep([]desk.Listed{listed("a", false)}, nil)
 	if s.folder != nil {
 		t.Fatal("a folder that failed is used on")
 	}
-	s.keep([]desk.Listed{listed("b", false)})
+	s.keep([]desk.Listed{listed("b", false)}, nil)
+}
+
+// TestAddressesAreKept: a desk that is started again knows where its fleet was,
+// also from a folder that a former version wrote, which has the list alone.
+func TestAddressesAreKept(t *testing.T) {
+	path := t.TempDir()
+	folder, _, peers := open(path, logr.Discard())
+	if peers != nil {
+		t.Fatalf("a new folder holds %+v", peers)
+	}
+	if err := folder.Append(message.Marshal([]desk.Listed{listed("a", false)})); err != nil {
+		t.Fatal(err)
+	}
+	s := &process{folder: folder, log: logr.Discard()}
+	s.keep(nil, &desk.Peers{Fleet: "f", Desks: []string{"d1:1"}})
+	s.keep([]desk.Listed{listed("b", false)}, &desk.Peers{Fleet: "f", Desks: []string{"d1:1", "d2:1"}, Cores: map[string]core.Core{"c": {ID: "c", Peer: "c:1"}}})
+	folder.Close()
+	folder, known, peers := open(path, logr.Discard())
+	if len(known) != 2 || peers == nil || len(peers.Desks) != 2 || peers.Cores["c"].Peer != "c:1" {
+		t.Fatalf("%+v %+v", known, peers)
+	}
+	folder.Close()
 }
