A node that reaches no core refuses turns soon and is not ready

Ruled out: refusing at the first silence. After a loss of all machines every node is silent for a second or two, and waiting is then better than another try (TestSilentCores holds a turn to half of its time).

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -31,6 +31,18 @@
 	salt    uint64
 	// Tries counts the attempts made.
 	Tries int64
+	// asked is when the first command went out since anybody was heard of;
+	// unanswered says that one did.
+	asked      time.Duration
+	unanswered bool
+}
+
+// Silent is for how long commands have gone out with no word from any core.
+func (c *Caller) Silent(now time.Duration) time.Duration {
+	if !c.unanswered {
+		return 0
+	}
+	return now - c.asked
 }
 
 type call struct {
@@ -75,6 +87,9 @@
 	}
 	k.tries++
 	c.Tries++
+	if !c.unanswered {
+		c.asked, c.unanswered = now, true
+	}
 	k.again = now + c.Retry
 	c.Send(to, Command{ID: c.Mark(k.ticket), Part: k.part, Raw: k.raw})
 }
@@ -130,6 +145,7 @@
 
 // Receive takes an answer.
 func (c *Caller) Receive(now time.Duration, from string, r CommandReturn) {
+	c.unanswered = false
 	k, ok := c.calls.Look(c.Unmark(r.ID))
 	switch {
 	case !ok:
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -63,8 +63,9 @@
 	leaving   bool
 	// early are requests that wait for a first table, parked those that wait for
 	// a first replica.
-	early  []*way
-	parked []*way
+	early   []*way
+	probeAt time.Duration
+	parked  []*way
 }
 
 // New makes a node.
@@ -232,6 +233,7 @@
 func (m *Machine) Tick(now time.Duration) Output {
 	m.out = &Output{}
 	m.caller.Tick(now)
+	m.tickTouch(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Follow
 		targets := append([]string(nil), m.desks...)
@@ -267,7 +269,7 @@
 
 // Ready reports whether requesters should be sent here.
 func (m *Machine) Ready(now time.Duration) bool {
-	return !m.leaving && (m.table != nil || m.none)
+	return !m.leaving && (m.table != nil || m.none) && m.reachesCores(now)
 }
 
 // Leave makes the node no longer ready; what runs goes on.
@@ -290,7 +292,7 @@
 	}
 	return map[string]int64{"requests": c.Requests, "sent": c.Sent, "whole": c.Whole, "broken": c.Broken, "not_run": c.NotRun, "resent": c.Resent, "resumed": c.Resumed, "gone": c.Gone,
 		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages, "bad_differences": c.BadDifferences,
-		"new_connections": c.NewConnections, "refused_rate": c.RefusedRate, "refused_budget": c.RefusedBudget, "refused_full": c.RefusedFull, "refused_unsure": c.RefusedUnsure,
+		"new_connections": c.NewConnections, "refused_rate": c.RefusedRate, "refused_budget": c.RefusedBudget, "refused_full": c.RefusedFull, "refused_unsure": c.RefusedUnsure, "refused_cut_off": c.RefusedCutOff,
 		"unknown_key": c.UnknownKey, "unknown_route": c.UnknownRoute, "unknown_turn": c.UnknownTurn, "too_large": c.TooLarge, "deadline_passed": c.DeadlinePassed, "settles": c.Settles,
 		"live": int64(len(m.live)), "replicas": int64(replicas), "table": int64(m.Number()), "tenants_held": int64(len(m.paces)), "cache_bytes": m.cache.bytes, "commands_waiting": int64(m.caller.Waiting()), "command_tries": m.caller.Tries}
 }
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -102,6 +102,8 @@
 		return core.Done{OK: true}
 	case core.ProlongTurn:
 		return core.Done{OK: true}
+	case core.ReadSeats:
+		return core.Seats{}
 	case core.ReadTurn:
 		k, ok := g.kept[c.Attempt]
 		return core.KeptTurn{Found: ok && k.Tenant == c.Tenant, Before: k.Before, Input: k.Input, Output: k.Output, Left: time.Minute}
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -147,8 +147,8 @@
 
 // Counters are what a node counts.
 type Counters struct {
-	Requests, Sent, Whole, Broken, NotRun, Resent, Resumed, Gone                             int64
-	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages                      int64
-	NewConnections, RefusedRate, RefusedBudget, RefusedFull, RefusedUnsure                   int64
-	BadDifferences, UnknownKey, UnknownRoute, UnknownTurn, TooLarge, DeadlinePassed, Settles int64
+	Requests, Sent, Whole, Broken, NotRun, Resent, Resumed, Gone                                            int64
+	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages                                     int64
+	NewConnections, RefusedRate, RefusedBudget, RefusedFull, RefusedUnsure                                  int64
+	BadDifferences, RefusedCutOff, UnknownKey, UnknownRoute, UnknownTurn, TooLarge, DeadlinePassed, Settles int64
 }
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -132,6 +132,10 @@
 			m.fetch(now, w)
 		}
 	}
+	if w.needsCores() && !w.ended && m.cutOff(now) {
+		m.refuseCutOff(now, w)
+		return
+	}
 	m.proceed(now, w)
 }
 
