Part: news keep the agreed value while a newer one is not agreed yet

Cause: an owner's table holds the newest value of an entry, agreed or not, and News left an entry out whose newest value was still under way. Whoever pulled then took the stamp that it was told up to for its own, without the table that had been acknowledged under it; the next word that nothing was newer made a desk say that an older table was the newest. It lasted until the write under way was agreed, and for as long as the owner could not get that.

Ruled out: a former owner that still answers (its hold had not changed hands), a confirmation of another life of the desk (it had none), messages out of order (the word with the stamp had come).

Change: the owner keeps the agreed value of an entry while a newer one is under way or waits. TestNewsWhileAWriteIsUnderWay and TestNewsBetweenTwoWrites were seen to fail before.

--- a/rule/part/command.go
+++ b/rule/part/command.go
@@ -58,6 +58,7 @@
 func (t *Tx) put(e Entry) {
 	o := t.m.owning
 	e.Stamp = Stamp{Term: o.term, Seq: o.seq + 1}
+	o.supersede(e.Key)
 	o.sum += e.digest() - o.table[e.Key].digest()
 	o.table[e.Key] = e
 	o.entries = append(o.entries, e)
--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -27,7 +27,7 @@
 	m.Counters.Stands++
 	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
 	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, promises: map[string]Promise{}, sent: now,
-		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
+		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, superseded: map[string]Entry{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
 	m.ask(now)
 }
 
--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -1,9 +1,6 @@
 package part
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Machine is one seat of one part: it keeps a copy, promises terms, and may own
 // the part.
@@ -39,30 +36,33 @@
 	askedAt  time.Duration
 	// full is set when the digests of a majority differ, so that entries are
 	// needed; light has the digests that seats promised with.
-	full      bool
-	light     map[string]uint64
-	serving   bool
-	group     Group
-	agreed    Group
-	table     map[string]Entry
-	sum       uint64
-	seq       uint64
-	committed uint64
-	dropped   uint64
-	flight    *flight
-	entries   []Entry
-	drops     []Entry
-	returns   []Return
-	renewed   map[string]time.Duration
-	whole     map[string]uint64
-	filled    map[string]time.Duration
-	wanting   map[string]bool
-	renewAt   time.Duration
-	sweepAt   time.Duration
-	servedAt  time.Duration
-	clockBase time.Duration
-	clockAt   time.Duration
-	regroup   *Group
+	full    bool
+	light   map[string]uint64
+	serving bool
+	group   Group
+	agreed  Group
+	table   map[string]Entry
+	// superseded has the agreed values of entries whose newest one, in the table,
+	// is not agreed yet.
+	superseded map[string]Entry
+	sum        uint64
+	seq        uint64
+	committed  uint64
+	dropped    uint64
+	flight     *flight
+	entries    []Entry
+	drops      []Entry
+	returns    []Return
+	renewed    map[string]time.Duration
+	whole      map[string]uint64
+	filled     map[string]time.Duration
+	wanting    map[string]bool
+	renewAt    time.Duration
+	sweepAt    time.Duration
+	servedAt   time.Duration
+	clockBase  time.Duration
+	clockAt    time.Duration
+	regroup    *Group
 }
 
 // Options make a machine.
@@ -118,25 +118,6 @@
 	return Stamp{Term: m.owning.term, Seq: m.owning.committed}, true
 }
 
-// News lists the agreed entries with one of the prefixes that came after a
-// stamp.
-func (m *Machine) News(after Stamp, prefixes []string) []Entry {
-	var news []Entry
-	o := m.owning
-	for _, e := range o.table {
-		if e.Stamp.Seq > o.committed || !after.Less(e.Stamp) {
-			continue
-		}
-		for _, p := range prefixes {
-			if len(e.Key) >= len(p) && e.Key[:len(p)] == p {
-				news = append(news, e)
-			}
-		}
-	}
-	sort.Slice(news, func(i, j int) bool { return news[i].Key < news[j].Key })
-	return news
-}
-
 func (m *Machine) send(to string, body any, synced bool) {
 	m.out.Sends = append(m.out.Sends, Send{To: to, Body: body, Synced: synced})
 }
--- a/rule/part/replication.go
+++ b/rule/part/replication.go
@@ -149,6 +149,7 @@
 		return
 	}
 	o.flight, o.committed, o.agreed = nil, f.seq, o.group
+	o.settle(f.write.Entries)
 	m.out.Returns = append(m.out.Returns, f.returns...)
 	if !o.serving {
 		o.serving, o.servedAt = true, now
