Relaysim: scenario longcut, cuts of 20 s of each control machine in turn

Judged: no order is refused that should be taken or was, what is acknowledged is in force at the end, no older table is told as the newest, calls at live desks end in time, the fleet is whole within catchUp.

--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -206,8 +206,43 @@
 	Seeds int    `help:"How many seeds." default:"100"`
 	First uint64 `help:"First seed; 0: a random one, which is printed." default:"0"`
 	Logs  bool   `help:"Print what happens in each run; for single seeds."`
+	// Scenario names a run with a workload and faults of its own.
+	Scenario string `help:"A named scenario (docs/worst-days.md) in place of the seeded day."`
+	Workers  int    `help:"How many seeds of a scenario run side by side." default:"4"`
 }
 
+// runScenario plays a named scenario over seeds.
+func (c *relaysimCommand) runScenario(first uint64, logf func(format string, args ...any)) error {
+	scenario, err := relaysim.ScenarioNamed(c.Scenario)
+	if err != nil {
+		return err
+	}
+	var merged relaysim.Merge
+	broken, bad := 0, 0
+	scenario.PlaySeeds(first, c.Seeds, c.Workers, func(p *relaysim.Params) { p.Logf = logf }, func(f *relaysim.Findings) {
+		merged.Add(f)
+		for i, b := range f.Breaches {
+			if i < breachesTold {
+				fmt.Printf("BROKEN seed %d: %s\n", f.Seed, b)
+			}
+		}
+		if broken += len(f.Breaches); len(f.Breaches) > 0 {
+			bad++
+		}
+	})
+	for _, line := range merged.Report() {
+		fmt.Println(line)
+	}
+	fmt.Printf("%s: %d seeds, %d breaches in %d seeds\n", c.Scenario, c.Seeds, broken, bad)
+	if broken > 0 {
+		return errors.Newf("%d breaches", broken)
+	}
+	return nil
+}
+
+// breachesTold is how many breaches of one seed of a scenario are printed.
+const breachesTold = 12
+
 func (c *relaysimCommand) Run() error {
 	first := c.First
 	if first == 0 {
@@ -218,6 +253,9 @@
 	if c.Logs {
 		logf = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 	}
+	if c.Scenario != "" {
+		return c.runScenario(first, logf)
+	}
 	broken, bad, whole := 0, 0, int64(0)
 	counts, rules := map[string]int64{}, map[string]int64{}
 	relaysim.RunSeeds(first, c.Seeds, logf, func(o relaysim.Outcome) {
--- a/rehearsalkit/relaysim/judge.go
+++ b/rehearsalkit/relaysim/judge.go
@@ -40,6 +40,24 @@
 
 // Judge looks for broken rules.
 func (r *Record) Judge() []Breach {
+	b := r.books()
+	return all(b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.handling, b.leaving, b.served, b.heldUp)
+}
+
+// JudgeTables looks for broken rules of routing tables only.
+func (r *Record) JudgeTables() []Breach {
+	b := r.books()
+	return all(b.ran, b.tables, b.handling, b.heldUp)
+}
+
+func all(rules ...func() []Breach) (list []Breach) {
+	for _, rule := range rules {
+		list = append(list, rule()...)
+	}
+	return list
+}
+
+func (r *Record) books() *books {
 	b := &books{Record: r, runs: map[string][]*Work{}, requests: map[string]*Request{}, arrivals: map[string][]*Arrival{}}
 	for i := range r.Runs {
 		b.runs[r.Runs[i].Attempt] = append(b.runs[r.Runs[i].Attempt], &r.Runs[i])
@@ -52,11 +70,7 @@
 	}
 	b.byNumber = append(b.byNumber, r.Tables...)
 	sort.SliceStable(b.byNumber, func(i, j int) bool { return b.byNumber[i].Number < b.byNumber[j].Number })
-	var list []Breach
-	for _, rule := range []func() []Breach{b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.handling, b.leaving, b.served, b.heldUp} {
-		list = append(list, rule()...)
-	}
-	return list
+	return b
 }
 
 // repeats tells whether a request of a path may run more than once. Tables never
--- a/rehearsalkit/relaysim/link.go
+++ b/rehearsalkit/relaysim/link.go
@@ -12,6 +12,8 @@
 	cut map[[2]string]int
 	// last is when the newest message of each stream arrives.
 	last map[[2]string]time.Duration
+	// barrier tells which links are cut besides; nil: none.
+	barrier func(from, to string) bool
 	// watch is told of each message that arrives, and of each that is sent.
 	watch watch
 }
@@ -23,7 +25,9 @@
 	synced    func(p *process)
 }
 
-func (w *World) isCut(from, to string) bool { return w.cut[[2]string{from, to}] > 0 }
+func (w *World) isCut(from, to string) bool {
+	return w.cut[[2]string{from, to}] > 0 || w.barrier != nil && w.barrier(from, to)
+}
 
 // send carries a message. Streams keep their order for each pair, unless the
 // connection is lost: then what follows may be faster.
--- a/rehearsalkit/relaysim/run.go
+++ b/rehearsalkit/relaysim/run.go
@@ -9,8 +9,8 @@
 // starting is how long a fleet has to be founded and to have a first table.
 const starting = 6 * time.Second
 
-// lay founds the fleet and its replicas, with no requesters.
-func (w *World) lay() {
+// lay founds the fleet, its replicas and its first table, with no requesters.
+func (w *World) lay(firstTable func()) {
 	end := w.trouble(Stores)
 	for _, s := range w.stores {
 		for _, p := range s.processes() {
@@ -27,7 +27,7 @@
 			w.startReplica(service, fmt.Sprintf("10.0.3.%d:8080", number), number)
 		}
 	})
-	w.after(time.Second, w.firstTable)
+	w.after(time.Second, firstTable)
 	w.after(starting-w.Record.Limits.Contact, end)
 }
 
@@ -56,7 +56,7 @@
 // Run runs a whole world and returns the breaches.
 func Run(p Params) (*World, []Breach) {
 	w := New(p)
-	w.lay()
+	w.lay(w.firstTable)
 	w.run(starting)
 	w.faultsUntil = starting + p.Length
 	closingAt := w.faultsUntil + 5*time.Second
