Relaysim: scenario orders, answers mostly lost, each order handed over again

Eight orders under way, half of the rivals with the same number, 70 to 90 in 100 answers lost, owners changing every 15 s, all disks without power twice; every acknowledged order is handed over again at once, minutes and hundreds of orders later.

--- a/rehearsalkit/relaysim/link.go
+++ b/rehearsalkit/relaysim/link.go
@@ -14,6 +14,8 @@
 	last map[[2]string]time.Duration
 	// barrier tells which links are cut besides; nil: none.
 	barrier func(from, to string) bool
+	// loses tells which messages get lost besides; nil: none.
+	loses func(body any) bool
 	// watch is told of each message that arrives, and of each that is sent.
 	watch watch
 }
@@ -47,7 +49,7 @@
 	if w.isCut(from.address, to) {
 		return
 	}
-	if w.chance(w.Params.Loss) {
+	if w.chance(w.Params.Loss) || w.loses != nil && w.loses(body) {
 		delete(w.last, pair)
 		return
 	}
--- a/rehearsalkit/relaysim/longcut.go
+++ b/rehearsalkit/relaysim/longcut.go
@@ -53,7 +53,7 @@
 
 func newLongcut(w *World) *longcut {
 	f := newFindings(w)
-	b := &orderBook{world: w, findings: f}
+	b := newOrderBook(w, f)
 	return &longcut{world: w, book: b, health: w.watchHealth(b), findings: f, way: cutWays[w.Params.Seed%uint64(len(cutWays))]}
 }
 
@@ -80,37 +80,6 @@
 	return l.findings
 }
 
-// start founds the fleet and its first table.
-func (w *World) start(b *orderBook) {
-	w.lay(func() { b.found() })
-	w.run(starting)
-}
-
-// finish reads the table in force back and judges the run.
-func (w *World) finish(b *orderBook) {
-	w.Record.End = w.now + patience
-	var last *tableRead
-	var again func()
-	again = func() {
-		b.read(w.anyDesk(), func(t core.AgreedTable, ok bool) {
-			if ok && last == nil {
-				last = &tableRead{began: w.now, ended: w.now, number: t.Number, text: t.Text}
-				w.Record.Reads = append(w.Record.Reads, ReadBack{At: w.now, Number: t.Number, Text: t.Text})
-			} else if last == nil {
-				again()
-			}
-		})
-	}
-	again()
-	w.run(w.Record.End)
-	if last == nil {
-		b.findings.breach(RuleLost, "no table could be read back at the end")
-		return
-	}
-	b.judge(*last)
-	b.findings.Breaches = append(b.findings.Breaches, w.Record.JudgeTables()...)
-}
-
 // load begins orders, races, read-backs and all other calls.
 func (l *longcut) load() {
 	w := l.world
--- a/rehearsalkit/relaysim/orders.go
+++ b/rehearsalkit/relaysim/orders.go
@@ -29,8 +29,13 @@
 type orderBook struct {
 	world    *World
 	findings *Findings
-	// lost is the part of answers that get lost between desk and operator.
-	lost   float64
+	// lost is the part of answers to orders that get lost between desk and operator.
+	lost float64
+	// patience is after how long an operator no longer waits for an answer.
+	patience time.Duration
+	// later counts the answers to orders handed over again, by how many orders
+	// were acknowledged in between.
+	later  laterTable
 	orders []*order
 	acked  []*order
 	reads  []tableRead
@@ -39,9 +44,14 @@
 	newest uint64
 }
 
-// patience is after how long an operator no longer waits for an answer.
+// patience is after how long an operator mostly no longer waits for an answer:
+// longer than a desk may take.
 const patience = 5 * time.Second
 
+func newOrderBook(w *World, f *Findings) *orderBook {
+	return &orderBook{world: w, findings: f, patience: patience, later: laterTable{}}
+}
+
 // begin notes a call that has just reached a desk.
 func (b *orderBook) begin(kind string, at *process) *deskCall {
 	c := &deskCall{kind: kind, desk: at, life: at.life, at: b.world.now, ended: -1}
@@ -72,14 +82,15 @@
 			at.next++
 			at.calls[at.next] = func(body any) {
 				b.end(c, clear(body))
-				if !w.chance(b.lost) {
+				lost := (kind == callOrder || kind == callOrderAgain) && w.chance(b.lost)
+				if !lost {
 					w.after(w.delay(), func() { finish(body) })
 				}
 			}
 			at.takeDesk(step(at.desk, at.now(), at.next))
 		})
 	})
-	w.after(patience, func() { finish(nil) })
+	w.after(b.patience, func() { finish(nil) })
 }
 
 // send hands an order over at a desk once, and notes what is answered.
@@ -107,6 +118,9 @@
 // note judges one answer by those before.
 func (b *orderBook) note(o *order, at *process, h desk.Handed) {
 	w := b.world
+	if o.IsAcked {
+		b.later.add(len(b.acked)-o.ackedAs, h)
+	}
 	switch {
 	case h.Unsure:
 		w.Counts["orders answered unclear"]++
--- a/rehearsalkit/relaysim/scenario.go
+++ b/rehearsalkit/relaysim/scenario.go
@@ -20,6 +20,7 @@
 func Scenarios() []Scenario {
 	return []Scenario{
 		{Name: "longcut", Params: longcutParams, Play: playLongcut},
+		{Name: "orders", Params: ordersParams, Play: playOrders},
 	}
 }
 
@@ -32,6 +33,8 @@
 	Answers answerTable
 	// Spans are measured times, by what they are of.
 	Spans map[string][]time.Duration
+	// Later counts answers to orders handed over again.
+	Later laterTable
 	// Lines are rows of the scenario's own table.
 	Lines []string
 }
@@ -91,13 +94,14 @@
 	Counts  map[string]int64
 	Answers answerTable
 	Spans   map[string][]time.Duration
+	Later   laterTable
 	Lines   []string
 }
 
 // Add adds one seed's findings.
 func (m *Merge) Add(f *Findings) {
 	if m.Counts == nil {
-		m.Counts, m.Answers, m.Spans = map[string]int64{}, answerTable{}, map[string][]time.Duration{}
+		m.Counts, m.Answers, m.Spans, m.Later = map[string]int64{}, answerTable{}, map[string][]time.Duration{}, laterTable{}
 	}
 	for name, n := range f.Counts {
 		m.Counts[name] += n
@@ -106,6 +110,7 @@
 	for what, list := range f.Spans {
 		m.Spans[what] = append(m.Spans[what], list...)
 	}
+	m.Later.merge(f.Later)
 	m.Lines = append(m.Lines, f.Lines...)
 }
 
@@ -118,5 +123,8 @@
 		lines = append(lines, "  "+spanLine(what, m.Spans[what]))
 	}
 	lines = append(lines, m.Answers.Lines()...)
+	if len(m.Later) > 0 {
+		lines = append(lines, m.Later.lines()...)
+	}
 	return append(lines, m.Lines...)
 }
