Relaysim: TestOrders, red until taken orders have entries of their own

TestOrders fails on this code: core.agreeTable forgets what was taken more than 16 orders ago (handedKept), and refuses it when it is handed over again.

--- /dev/null
+++ b/rehearsalkit/relaysim/orderstorm_test.go
@@ -0,0 +1,58 @@
+package relaysim
+
+import (
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/message"
+)
+
+// TestOrders hands orders over whose answers mostly get lost, and wants none
+// refused that was taken, however long ago.
+func TestOrders(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			f := newOrderStorm(New(ordersParams(seed))).play(60 * time.Second)
+			for i, b := range f.Breaches {
+				if i < 5 {
+					t.Errorf("seed %d, one of %d: %s", seed, len(f.Breaches), b)
+				}
+			}
+			if n := f.Counts["orders acknowledged"]; n < 25 {
+				t.Errorf("seed %d: only %d orders were acknowledged", seed, n)
+			}
+		})
+	}
+}
+
+// TestOrdersBreaks breaks the cores on purpose.
+func TestOrdersBreaks(t *testing.T) {
+	for _, c := range []struct {
+		name, rule string
+		harm       func(p *Params)
+	}{
+		{"orders are not known again", RuleTaken, func(p *Params) {
+			some := every(3)
+			altering(func(from, to string, c core.Command) (core.Command, bool) {
+				inner, _ := message.Open(c.Raw)
+				if a, ok := inner.(core.AgreeTable); ok && some() {
+					a.Digest += "x"
+					c.Raw = message.Pack(a)
+				}
+				return c, true
+			})(p)
+		}},
+		{"all orders on one base are acknowledged", RuleRace, answering(func(a core.TableAgreed) core.TableAgreed { a.OK = true; return a })},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			wantBreach(t, c.rule, func(seed uint64) *Findings {
+				p := ordersParams(seed)
+				c.harm(&p)
+				return newOrderStorm(New(p)).play(10 * time.Second)
+			})
+		})
+	}
+}
