--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -26,8 +26,11 @@
 func (m *Machine) stand(now time.Duration, released Term) {
 	m.Counters.Stands++
 	round := max(m.copy.Promised.Round, m.holder.Round, m.highest) + 1
-	m.owning = &owning{term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, key: m.newKey(), promises: map[string]Promise{}, sent: now,
-		group: m.copy.Group, light: map[string]uint64{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{}, refused: map[string]bool{}}
+	m.owning = &owning{
+		term: Term{Round: round, Owner: m.seat}, released: released, asking: released == Term{}, key: m.newKey(), sent: now, group: m.copy.Group,
+		promises: map[string]Promise{}, refused: map[string]bool{}, light: map[string]uint64{},
+		superseded: map[string]Entry{}, renewed: map[string]time.Duration{}, whole: map[string]uint64{}, filled: map[string]time.Duration{}, wanting: map[string]bool{},
+	}
 	m.ask(now)
 }
 
