--- /dev/null
+++ b/rehearsalkit/days/days_test.go
@@ -0,0 +1,219 @@
+package days
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+)
+
+func wishOf(theme string) Wish {
+	return Wish{Theme: theme, LengthS: 60, Floor: 0.3, Losses: 1, CatchUpS: 4.5, PauseS: 2, Closing: closingByLot}
+}
+
+func TestSameSeedSameBytes(t *testing.T) {
+	for _, theme := range Themes {
+		first, second := Make(wishOf(theme.Name), 7).Text(), Make(wishOf(theme.Name), 7).Text()
+		if first != second {
+			t.Fatalf("%s: two days of one seed differ", theme.Name)
+		}
+		if first == Make(wishOf(theme.Name), 8).Text() {
+			t.Fatalf("%s: two seeds made the same day", theme.Name)
+		}
+	}
+}
+
+func TestEveryKindAndVariantIsReached(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(400) {
+		for _, entry := range Make(wishOf(anyTheme), seed).Entries {
+			seen[entry.Kind.Name+"/"+entry.text("how")] = true
+			seen[entry.Kind.Name] = true
+		}
+	}
+	for _, kind := range Kinds {
+		if !seen[kind.Name] {
+			t.Errorf("%s is never drawn", kind.Name)
+		}
+		for _, variant := range kind.Variants {
+			if !seen[kind.Name+"/"+variant] {
+				t.Errorf("%s: variant %q is never drawn", kind.Name, variant)
+			}
+		}
+	}
+}
+
+func TestThemesNameKnownKindsAndVariants(t *testing.T) {
+	for _, theme := range Themes {
+		steps := append([]Step{}, theme.Orders...)
+		for _, sequence := range theme.Sequences {
+			steps = append(steps, sequence...)
+		}
+		for _, step := range steps {
+			kind, known := kindNamed(step.Kind)
+			if !known {
+				t.Errorf("%s: no kind %q", theme.Name, step.Kind)
+			}
+			for _, fixed := range step.Fixed {
+				if !hasField(kind, fixed.Name) {
+					t.Errorf("%s: %s has no field %s", theme.Name, kind.Name, fixed.Name)
+				}
+			}
+		}
+		for _, order := range theme.Orders {
+			if kind, _ := kindNamed(order.Kind); !kind.Planned {
+				t.Errorf("%s: order %s is no planned work", theme.Name, order.Kind)
+			}
+		}
+	}
+}
+
+func hasField(kind Kind, name string) bool {
+	for _, field := range kind.Fields {
+		if field.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestNeverMoreLossesThanAskedFor counts, at each loss's start, the machines of
+// its group that are away then.
+func TestNeverMoreLossesThanAskedFor(t *testing.T) {
+	for _, theme := range Themes {
+		for most := 1; most <= 2; most++ {
+			for seed := range uint64(200) {
+				wish := wishOf(theme.Name)
+				wish.Losses = most
+				checkLosses(t, Make(wish, seed), most, wish.CatchUpS)
+			}
+		}
+	}
+}
+
+func checkLosses(t *testing.T, day Day, most int, catchUpS float64) {
+	t.Helper()
+	for _, entry := range day.Entries {
+		away := 0
+		for _, other := range day.Entries {
+			if sameGroup(entry, other) && other.AtS <= entry.AtS && entry.AtS < other.AtS+other.lostS()+catchUpS {
+				away += other.machinesLost()
+			}
+		}
+		if entry.Kind.Lossy && away > most {
+			t.Fatalf("%s: %d machines lost at %v, asked for %d", day.Name, away, entry.AtS, most)
+		}
+	}
+}
+
+func sameGroup(a, b Entry) bool {
+	stores := func(e Entry) bool { return e.Group == Store || e.Kind.Name == "retire" }
+	return a.Kind.Lossy && b.Kind.Lossy && stores(a) == stores(b)
+}
+
+func TestDaysAreDense(t *testing.T) {
+	for _, theme := range Themes {
+		entries := 0
+		for seed := range uint64(20) {
+			entries += len(Make(wishOf(theme.Name), seed).Entries)
+		}
+		if entries < 20*10 {
+			t.Errorf("%s: %d entries in 20 days", theme.Name, entries)
+		}
+	}
+	if entries := len(Make(wishOf("changes"), 3).Entries); entries < 120 {
+		t.Errorf("a day of changes has %d entries, want hundreds", entries)
+	}
+}
+
+func TestSecondLossFollowsTheRepairAtOnce(t *testing.T) {
+	closest := 1000.0
+	for seed := range uint64(50) {
+		previous := map[bool]float64{}
+		for _, entry := range Make(wishOf("repair"), seed).Entries {
+			if !entry.Kind.Lossy {
+				continue
+			}
+			stores := entry.Group == Store || entry.Kind.Name == "retire"
+			if ended, ok := previous[stores]; ok {
+				closest = min(closest, entry.AtS-ended)
+			}
+			previous[stores] = entry.AtS + entry.lostS() + 4.5
+		}
+	}
+	if closest > 0.1 {
+		t.Errorf("the closest second loss comes %v s after the repair", closest)
+	}
+}
+
+func TestTextIsReadBack(t *testing.T) {
+	for _, theme := range Themes {
+		wish := wishOf(theme.Name)
+		wish.Closing = "wipe_after_ack"
+		var read struct {
+			Day []struct {
+				Seed    uint64
+				Plan    []map[string]any
+				Faults  []map[string]any
+				Closing map[string]any
+			}
+		}
+		day := Make(wish, 5)
+		if _, err := toml.Decode(day.Text(), &read); err != nil {
+			t.Fatalf("%s: %v\n%s", theme.Name, err, day.Text())
+		}
+		if got := len(read.Day[0].Plan) + len(read.Day[0].Faults); got != len(day.Entries) {
+			t.Errorf("%s: %d entries read back of %d", theme.Name, got, len(day.Entries))
+		}
+		if read.Day[0].Closing["kind"] != "wipe_after_ack" {
+			t.Errorf("%s: closing %v", theme.Name, read.Day[0].Closing)
+		}
+	}
+}
+
+func TestSiteFileGivesTrafficAndTolerance(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "site.toml")
+	text := `traffic = [{ zone = "north", per_s = 8.0, mix = { ask = 2.0 }, shape = { kind = "wave" } }]
+[timing]
+catch_up_s = 6.5
+[tolerate]
+machines = 2
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := Command{Theme: inTurn, Seed: 1, Count: 3, Length: 30, Pause: 2, Closing: closingNone, Site: path, Load: 0.5, Out: filepath.Join(folder, "out")}
+	wish, err := command.wish()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wish.Losses != 2 || wish.CatchUpS != 6.5 || len(wish.Traffic) != 1 || !strings.Contains(wish.Traffic[0], "per_s = 4") {
+		t.Fatalf("wish %+v", wish)
+	}
+	if err := command.Run(); err != nil {
+		t.Fatal(err)
+	}
+	written, err := os.ReadDir(command.Out)
+	if err != nil || len(written) != 3 {
+		t.Fatalf("%d days written: %v", len(written), err)
+	}
+}
+
+func TestFlagsThatMakeNoDayAreRefused(t *testing.T) {
+	usual := Command{Theme: "cut", Length: 30, Pause: 2, Closing: closingNone}
+	for name, spoil := range map[string]func(*Command){
+		"theme":   func(c *Command) { c.Theme = "unknown" },
+		"closing": func(c *Command) { c.Closing = "unknown" },
+		"pause":   func(c *Command) { c.Pause = 0 },
+		"length":  func(c *Command) { c.Length = 5 },
+	} {
+		command := usual
+		spoil(&command)
+		if _, err := command.wish(); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/rehearsalkit/days/theme.go
@@ -0,0 +1,129 @@
+package days
+
+// Step is one entry of a sequence: its kind, and what the sequence fixes of it.
+// What it leaves open is drawn from the kind's ranges.
+type Step struct {
+	Kind     string
+	Group    Group
+	Variants []string
+	Fixed    []Field
+	// AfterS is the pause since the step before, from its start.
+	AfterS Field
+	// AfterRepair also waits until what the step before lost has caught up.
+	AfterRepair bool
+}
+
+// field is a range that the step fixes.
+func (s Step) field(name string) (Field, bool) {
+	for _, field := range s.Fixed {
+		if field.Name == name {
+			return field, true
+		}
+	}
+	return Field{}, false
+}
+
+// Theme is the weak point that a day aims at.
+type Theme struct {
+	Name string
+	// Sequences of steps follow each other through the day, drawn by lot.
+	Sequences [][]Step
+	// Orders are planned work that goes on beside them all day.
+	Orders []Step
+	// ChangesS is the pause between single changes of the configuration; 0: none.
+	ChangesS Field
+}
+
+// exactly fixes a field to one value.
+func exactly(name string, value float64) Field {
+	return Field{Name: name, Min: value, Max: value}
+}
+
+func between(name string, low, high float64) Field {
+	return Field{Name: name, Min: low, Max: high}
+}
+
+// Themes are the weak points, in the order in which rounds go through them.
+var Themes = []Theme{
+	{
+		Name: "cut",
+		Sequences: [][]Step{
+			{{Kind: "core_cut", Group: Core, Fixed: []Field{exactly(lasting, 20)}}},
+			{
+				{Kind: "core_cut", Group: Core, Fixed: []Field{between(lasting, 4, 8)}},
+				{Kind: "core_cut", Group: Core, Variants: []string{"leader race hard", "leader one_way race", "both", "seeds"}, AfterRepair: true},
+			},
+			{{Kind: "core_cut", Group: Store, Fixed: []Field{between(lasting, 5, 20)}}},
+			{
+				{Kind: "node_cut", Group: Front, Fixed: []Field{between(lasting, 4, 20)}},
+				{Kind: "reset_conns", AfterS: between("", 0.2, 2)},
+			},
+			{{Kind: "core_cut", Group: Core, Variants: []string{"leader one_way race hard"}, Fixed: []Field{exactly(lasting, 20)}}, {Kind: "reset_conns", AfterS: between("", 19, 21)}},
+		},
+		Orders: []Step{{Kind: "config_race", Fixed: []Field{between(count, 4, 10)}}, {Kind: "config_change"}, {Kind: "bad_config"}},
+	},
+	{
+		Name: "orders",
+		Sequences: [][]Step{
+			{{Kind: "ack_lost"}, {Kind: "node_kill", Group: Core, Variants: []string{"leader race hard", "leader race drain", "power leader race hard"}, AfterS: between("", 1, 4)}},
+			{{Kind: "ack_lost"}, {Kind: "core_cut", Group: Core, Variants: []string{"leader race hard", "leader race", "leader one_way race hard"}, Fixed: []Field{between(lasting, 3, 9)}, AfterS: between("", 1, 4)}},
+			{{Kind: "ack_lost"}, {Kind: "after_ack_kill", AfterS: between("", 0, 3)}},
+			{{Kind: "node_freeze", Group: Core, Variants: []string{"leader race hard", "leader"}}, {Kind: "hup", AfterS: between("", 0.5, 2)}},
+			{{Kind: "node_kill", Group: Store}, {Kind: "ack_lost", AfterS: between("", 0, 1)}},
+		},
+		Orders:   []Step{{Kind: "config_race", Fixed: []Field{between(count, 6, 14)}}, {Kind: "bad_config"}, {Kind: "config_race"}, {Kind: "revoke"}, {Kind: "config_change"}},
+		ChangesS: between("", 0.8, 2),
+	},
+	{
+		Name: "repair",
+		Sequences: [][]Step{
+			{{Kind: "replace_core"}, {Kind: "after_ack_wipe", AfterRepair: true}},
+			{{Kind: "replace_core", Group: Store}, {Kind: "after_ack_wipe", Group: Store, AfterRepair: true}, {Kind: "after_ack_kill", Group: Store, AfterRepair: true}},
+			{{Kind: "retire", Variants: []string{"wipe"}}, {Kind: "after_ack_wipe", Group: Store, AfterRepair: true}},
+			{{Kind: "add_nodes", Group: Store}, {Kind: "after_ack_wipe", Group: Store, AfterS: between("", 1, 6)}},
+			{{Kind: "after_ack_wipe", Group: Store}, {Kind: "after_ack_wipe", Group: Store, AfterRepair: true}},
+			{{Kind: "after_ack_wipe", Group: Core}, {Kind: "replace_core", Group: Core, AfterRepair: true}, {Kind: "after_ack_wipe", Group: Core, AfterRepair: true}},
+			{{Kind: "node_kill", Group: Core, Variants: []string{"power"}}, {Kind: "after_ack_wipe", Variants: []string{"taken"}, AfterRepair: true}},
+			{{Kind: "herd_kill", Group: Front, Variants: []string{"power"}}, {Kind: "after_ack_wipe", Variants: []string{"taken", "timed"}, AfterRepair: true}},
+		},
+		Orders: []Step{{Kind: "config_race"}, {Kind: "config_change"}, {Kind: "roll_term"}},
+	},
+	{
+		Name: "changes",
+		Sequences: [][]Step{
+			{{Kind: "disk_slow"}, {Kind: "node_kill", Group: Core, AfterRepair: true}},
+			{{Kind: "disk_full"}, {Kind: "node_kill", Group: Store, Variants: []string{"", "power"}, AfterRepair: true}},
+			{{Kind: "disk_stall"}, {Kind: "after_ack_kill", AfterRepair: true}},
+			{{Kind: "node_kill", Group: Core, Fixed: []Field{between(lasting, 8, 15)}}, {Kind: "node_kill", Group: Core, Variants: []string{"power"}, AfterRepair: true}},
+			{{Kind: "node_kill", Group: Store, Fixed: []Field{between(lasting, 6, 12)}}, {Kind: "roll_term", AfterRepair: true}},
+		},
+		Orders:   []Step{{Kind: "config_race", Fixed: []Field{between(count, 10, 30), between(gap, 0.2, 0.5)}}, {Kind: "roll_term"}},
+		ChangesS: between("", 0.15, 0.5),
+	},
+	{
+		Name: "answers",
+		Sequences: [][]Step{
+			{{Kind: "answer_lost"}, {Kind: "garble", Variants: []string{"extra late"}, AfterS: between("", 0, 2)}, {Kind: "reset_conns", AfterS: between("", 1, 3)}},
+			{{Kind: "garble", Variants: []string{"extra", "extra late", "late"}}, {Kind: "srv_grey", Variants: []string{"hang", "reset", "mute"}, AfterS: between("", 0, 2)}},
+			{{Kind: "replace_with_reuse"}, {Kind: "answer_lost", Variants: []string{"reset"}, AfterS: between("", 0, 1)}, {Kind: "reset_conns", AfterS: between("", 0.5, 2)}},
+			{{Kind: "srv_grey", Variants: []string{"hang", "reset", "mute"}}, {Kind: "replace_with_reuse", AfterS: between("", 1, 3)}},
+			{{Kind: "srv_crash"}, {Kind: "replace_with_reuse", Variants: []string{"dark", "drain"}, AfterS: between("", 0, 2)}, {Kind: "garble", AfterS: between("", 0, 1)}},
+			{{Kind: "burst"}, {Kind: "answer_lost", AfterS: between("", 0, 1)}, {Kind: "srv_slow", AfterS: between("", 0, 1)}},
+		},
+		Orders: []Step{{Kind: "release"}, {Kind: "roll_term", Variants: []string{"busy"}}, {Kind: "config_change", Variants: []string{"timeout", "weights"}}},
+	},
+	{Name: anyTheme},
+}
+
+// anyTheme draws single entries of all kinds.
+const anyTheme = "any"
+
+// themeNamed finds a theme.
+func themeNamed(name string) (Theme, bool) {
+	for _, theme := range Themes {
+		if theme.Name == name {
+			return theme, true
+		}
+	}
+	return Theme{}, false
+}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -18,6 +18,7 @@
 
 	"saffronfall/rehearsalkit/breaks"
 	"saffronfall/rehearsalkit/capacity"
+	"saffronfall/rehearsalkit/days"
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rehearsalkit/relaysim"
@@ -363,6 +364,7 @@
 	Backend  backendCommand   `cmd:"" help:"Run one stand-in back end."`
 	Fleet    fleetCommand     `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
 	Capacity capacity.Command `cmd:"" help:"Measure what nodes, desks and cores cost at a size, with hollow processes in simulated time."`
+	Days     days.Command     `cmd:"" help:"Write days for the users' bench from a seed, aimed at chosen weak points."`
 	Breaks   breaksCommand    `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
 	Loads    loadsCommand     `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
 	Terms    termsCommand     `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
