--- /dev/null
+++ b/rule/message/message_test.go
@@ -0,0 +1,94 @@
+package message
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+)
+
+// sample is a message with the shapes that messages between processes have.
+type sample struct {
+	Name    string
+	Count   uint64
+	Signed  int64
+	Share   float64
+	Flag    bool
+	Raw     []byte
+	Wait    time.Duration
+	Inner   *inner
+	Listed  []inner
+	ByName  map[string]inner
+	ByIndex map[int]uint64
+}
+
+type inner struct {
+	ID    string
+	Parts []string
+}
+
+func init() { Register(sample{}, inner{}) }
+
+func full() sample {
+	one := inner{ID: "one", Parts: []string{"a", ""}}
+	return sample{Name: "n", Count: 1 << 63, Signed: -5, Share: 0.25, Flag: true, Raw: []byte{0, 255}, Wait: time.Second, Inner: &one,
+		Listed: []inner{one, {}}, ByName: map[string]inner{"k": one}, ByIndex: map[int]uint64{3: 4}}
+}
+
+func TestOpenGivesWhatWasPacked(t *testing.T) {
+	for _, value := range []any{sample{}, full(), inner{ID: "x"}} {
+		raw := Pack(value)
+		opened, err := Open(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again := Pack(opened); !bytes.Equal(Marshal(value), Marshal(opened)) || len(again) != len(raw) {
+			t.Errorf("%+v came back as %+v", value, opened)
+		}
+	}
+}
+
+// TestCutMessages: a message that lacks its end is refused at every byte.
+func TestCutMessages(t *testing.T) {
+	raw := Pack(full())
+	for cut := range len(raw) {
+		if body, err := Open(raw[:cut]); err == nil {
+			t.Errorf("%d bytes of %d opened as %+v", cut, len(raw), body)
+		}
+	}
+}
+
+func TestUnknownTypesAreToldApart(t *testing.T) {
+	name := Marshal("message.newer")
+	if _, err := Open(append(name, Marshal(inner{})...)); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a type of a newer version: %v", err)
+	}
+	if _, err := Open(Marshal(7)); err == nil || errors.Is(err, ErrUnknown) {
+		t.Errorf("no type name: %v", err)
+	}
+}
+
+// FuzzOpen: nonsense is refused, and what opens can be packed and opened again
+// with nothing lost.
+func FuzzOpen(f *testing.F) {
+	f.Add(Pack(full()))
+	f.Add(Pack(sample{}))
+	f.Add(Pack(inner{ID: "x", Parts: []string{"y"}}))
+	f.Add(append(Marshal("message.sample"), 0xdf, 0xff, 0xff, 0xff, 0xff))
+	f.Add(append(Marshal("message.inner"), 0xdd, 0x7f, 0xff, 0xff, 0xff))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		body, err := Open(raw)
+		if err != nil {
+			return
+		}
+		again, err := Open(Pack(body))
+		if err != nil {
+			t.Fatalf("%+v is packed into what does not open: %v", body, err)
+		}
+		first, second := len(Marshal(body)), len(Marshal(again))
+		if first != second {
+			t.Fatalf("%+v became %+v", body, again)
+		}
+	})
+}
