A request that tells its length in two ways ends its connection

The library goes by the chunks, forgets the length and keeps the connection, so that what the length covered ran as a request of its own (RFC 9112, 6.1 wants the connection ended). Ruled out: closing after every request in chunks, which proper requesters send over kept connections. Requesters' connections now watch their lines for both headers in one head; the answer then says Connection: close. TestLengthAndChunks failed before in all 15 cases.

--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -68,6 +68,9 @@
 	case <-h.Closing:
 		w.Header().Set("Connection", "close")
 	default:
+		if ambiguous(r) {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	x := &exchange{handler: h, w: w, r: r}
 	var err error
--- /dev/null
+++ b/peer/front/listener_test.go
@@ -0,0 +1,111 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"saffronfall/peer/replica"
+)
+
+// watchedNode is a node that serves its requesters as the program does.
+func watchedNode(t *testing.T, address string) *node {
+	t.Helper()
+	n, owner := decidingNode(t, send, address)
+	n.server.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: Handler(Options{Owner: owner, Names: replica.OwnNames, Most: 1 << 20, Closing: make(chan struct{})}), ReadHeaderTimeout: time.Second}
+	go ServeOn(server, listener)
+	t.Cleanup(func() { server.Close() })
+	n.server.Listener = listener
+	return n
+}
+
+// TestLengthAndChunks: a request that tells its length in two ways is answered
+// by its chunks, and what comes after it on its connection does not run, however
+// its bytes are cut into segments.
+func TestLengthAndChunks(t *testing.T) {
+	hidden := numbered("hidden")
+	length := fmt.Sprintf("Content-Length: %d\r\n", len("0\r\n\r\n"+hidden))
+	for name, headers := range map[string]string{
+		"length first":     length + "Transfer-Encoding: chunked\r\n",
+		"chunks first":     "Transfer-Encoding: chunked\r\n" + length,
+		"in other cases":   "tRANSFER-eNCODING: chunked\r\n" + strings.ToUpper(length),
+		"others between":   length + "X-Other: " + strings.Repeat("x", 5000) + "\r\nTransfer-Encoding: chunked\r\n",
+		"a line feed only": strings.ReplaceAll(length+"Transfer-Encoding: chunked\r\n", "\r\n", "\n"),
+	} {
+		for _, segment := range []int{1 << 20, 7, 1} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, segment), func(t *testing.T) {
+				heard := make(chan string, 16)
+				q := watchedNode(t, echoing(t, heard)).dial(t)
+				raw := "POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: open\r\n" + headers + "\r\n0\r\n\r\n" + hidden
+				for len(raw) > 0 {
+					size := min(segment, len(raw))
+					if _, err := io.WriteString(q, raw[:size]); err != nil {
+						break
+					}
+					raw = raw[size:]
+				}
+				io.Copy(io.Discard, q)
+				for len(heard) > 0 {
+					if id := <-heard; id == "hidden" {
+						t.Error("the hidden request ran")
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestProperRequestsKeepTheirConnection: requests with a length and requests in
+// chunks share a connection.
+func TestProperRequestsKeepTheirConnection(t *testing.T) {
+	heard := make(chan string, 64)
+	q := watchedNode(t, echoing(t, heard)).dial(t)
+	for i := range 6 {
+		id := fmt.Sprint("request ", i)
+		raw := numbered(id)
+		if i%2 == 1 {
+			raw = fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", id, chunk(id))
+		}
+		q.say(raw)
+		got := q.read("POST")
+		if body, err := io.ReadAll(got.Body); err != nil || string(body) != id || got.Close {
+			t.Errorf("%s: %q, %v, close %v", id, body, err, got.Close)
+		}
+		if ran := <-heard; ran != id {
+			t.Errorf("%s ran, want %s", ran, id)
+		}
+	}
+}
+
+func TestHeadWatch(t *testing.T) {
+	for raw, want := range map[string]bool{
+		"A: b\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":                         true,
+		"A: b\r\nContent-Length: 1\r\n\r\nTransfer-Encoding: chunked\r\n\r\n":                     false,
+		"X-Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":                               false,
+		"Content-Length: 1\r\nTransfer-Encoding: chunked":                                         false,
+		"Content-Length: 1\nTransfer-Encoding: x\n":                                               true,
+		"\r\n\r\ncontent-length:1\r\n" + strings.Repeat("y", 100) + "\r\ntransfer-encoding:x\r\n": true,
+	} {
+		for _, segment := range []int{1, 3, len(raw)} {
+			var watch headWatch
+			both := false
+			for rest := raw; len(rest) > 0; {
+				size := min(segment, len(rest))
+				both = watch.see([]byte(rest[:size])) || both
+				rest = rest[size:]
+			}
+			if both != want {
+				t.Errorf("%q by %d: %v", raw, segment, both)
+			}
+		}
+	}
+}
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -87,12 +87,12 @@
 	group.Add(streams.Run, func(error) { streams.Close() })
 	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
-	serve(&group, server, "requester address")
+	serve(&group, server, front.Serve, "requester address")
 	if p.ReadyListen != "" {
-		serve(&group, &http.Server{Addr: p.ReadyListen, Handler: http.HandlerFunc(s.tellReady), ReadHeaderTimeout: 5 * time.Second}, "readiness address")
+		serve(&group, &http.Server{Addr: p.ReadyListen, Handler: http.HandlerFunc(s.tellReady), ReadHeaderTimeout: 5 * time.Second}, (*http.Server).ListenAndServe, "readiness address")
 	}
 	if p.OperatorListen != "" && p.Operators != "" {
-		serve(&group, &http.Server{Addr: p.OperatorListen, Handler: operator.Guard(p.Operators, s.operators()), ReadHeaderTimeout: 5 * time.Second}, "operator address")
+		serve(&group, &http.Server{Addr: p.OperatorListen, Handler: operator.Guard(p.Operators, s.operators()), ReadHeaderTimeout: 5 * time.Second}, (*http.Server).ListenAndServe, "operator address")
 	}
 	group.Add(func() error {
 		select {
@@ -106,10 +106,10 @@
 	return group.Run()
 }
 
-func serve(group *run.Group, server *http.Server, what string) {
+func serve(group *run.Group, server *http.Server, listen func(*http.Server) error, what string) {
 	ended := make(chan struct{})
 	group.Add(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		if err := listen(server); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, what)
 		}
 		<-ended
