--- a/peer/replica/cut_test.go
+++ b/peer/replica/cut_test.go
@@ -117,6 +117,7 @@
 func (u *unrulyReplica) serve(c net.Conn) {
 	defer u.open.Done()
 	defer c.Close()
+	line := &unrulyLine{Conn: c}
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -127,14 +128,40 @@
 			return
 		}
 		id := request.Header.Get(OwnNames.Attempt)
-		if !u.answer(c, id, u.draw(id, 10)) {
+		if !u.answer(line, id, u.draw(id, 10)) {
 			return
 		}
 	}
 }
 
+// unrulyLine is a connection on which a late answer may come. One that came after
+// the first part of a cut-off answer would make up the bytes that this one lacks,
+// which no reader can tell from a whole answer; so none comes after a cut.
+type unrulyLine struct {
+	net.Conn
+	lock sync.Mutex
+	over bool
+}
+
+// late writes an answer that comes late, unless the connection was cut.
+func (l *unrulyLine) late(answer string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if !l.over {
+		io.WriteString(l.Conn, answer)
+	}
+}
+
+// cut writes the first part of an answer, after which nothing comes.
+func (l *unrulyLine) cut(part string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.over = true
+	io.WriteString(l.Conn, part)
+}
+
 // answer misbehaves in one of ten ways, and tells whether the connection stays.
-func (u *unrulyReplica) answer(c net.Conn, id string, way int) bool {
+func (u *unrulyReplica) answer(c *unrulyLine, id string, way int) bool {
 	own := fmt.Sprintf("HTTP/1.1 200 OK\r\nSaffronfall-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
 	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nSaffronfall-Attempt: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, len(id), id)
 	other := "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: other\r\nContent-Length: 5\r\n\r\nother"
@@ -143,21 +170,21 @@
 		io.WriteString(c, own+own)
 	case 1:
 		io.WriteString(c, own)
-		time.AfterFunc(time.Duration(len(id))*time.Millisecond/4, func() { io.WriteString(c, own) })
+		time.AfterFunc(time.Duration(len(id))*time.Millisecond/4, func() { c.late(own) })
 	case 2:
 		io.WriteString(c, other+own)
 	case 3:
 		io.WriteString(c, own+"surplus")
 	case 4:
-		io.WriteString(c, own[:len(own)-1])
+		c.cut(own[:len(own)-1])
 		return false
 	case 5:
-		c.(*net.TCPConn).SetLinger(0)
+		c.Conn.(*net.TCPConn).SetLinger(0)
 		return false
 	case 6:
 		io.WriteString(c, chunked)
 	case 7:
-		io.WriteString(c, chunked[:len(chunked)-3])
+		c.cut(chunked[:len(chunked)-3])
 		return false
 	default:
 		io.WriteString(c, own)
