A retired core takes no new replica

Cause: a leader that has not heard of a retirement could hand the retired core a partition after its status was asked and before it is taken away with its disk. Change: a core that knows it is retired ignores writes for a partition whose group it does not belong to; what it still has it keeps up. TestRetiredCoreTakesNoReplica, seen to fail first.

--- a/peer/core/commands.go
+++ b/peer/core/commands.go
@@ -102,6 +102,11 @@
 		return
 	}
 	p := m.parts[b.Part]
+	if _, write := body.(part.Write); write && m.self.Retired && (p == nil || !p.Group().Has(m.self.Seat())) {
+		// A leader that has not heard of the retirement wants to hand a replica to
+		// this core, which may be taken away at any moment.
+		return
+	}
 	if p == nil {
 		if w, ok := body.(part.Write); !ok || !w.Whole {
 			return
