--- /dev/null
+++ b/peer/core/rules_cores.go
@@ -0,0 +1,51 @@
+package core
+
+import (
+	"saffronfall/rule/part"
+)
+
+func putCore(tx *part.Tx, c PutCore) any {
+	old, ok := read[Core](tx, corePrefix+c.Core.ID)
+	_, outlived := tx.Get(outlivedPrefix + c.Core.Seat())
+	switch {
+	case outlived, ok && old.Retired && !c.Core.Retired:
+		return CoreEnded{Core: old}
+	case ok && old == c.Core:
+		return Done{OK: true}
+	case ok && old.Version >= c.Core.Version:
+		return Done{}
+	}
+	if ok && old.Incarnation != c.Core.Incarnation {
+		write(tx, outlivedPrefix+old.Seat(), true)
+	}
+	write(tx, corePrefix+c.Core.ID, c.Core)
+	return Done{OK: true}
+}
+
+func (r *rules) retireCore(tx *part.Tx, c RetireCore) any {
+	cores, enough := r.fleet()
+	for _, key := range tx.Keys(corePrefix) {
+		if one, _ := read[Core](tx, key); cores[one.ID].Version <= one.Version {
+			cores[one.ID] = one
+		}
+	}
+	one, ok := cores[c.ID]
+	staying := 0
+	for _, other := range cores {
+		if !other.Retired && other.ID != c.ID {
+			staying++
+		}
+	}
+	switch {
+	case !ok:
+		return Retiring{}
+	case one.Retired:
+	case staying < enough:
+		return Retiring{Known: true}
+	default:
+		one.Retired = true
+		one.Version++
+		write(tx, corePrefix+c.ID, one)
+	}
+	return Retiring{Known: true, Enough: true, Done: true}
+}
--- /dev/null
+++ b/peer/core/rules_once.go
@@ -0,0 +1,30 @@
+package core
+
+import (
+	"saffronfall/rule/part"
+)
+
+func (r *rules) claimOnce(tx *part.Tx, c ClaimOnce) any {
+	key := oncePrefix + c.Tenant + "/" + c.Service + "/" + c.Key
+	o, ok := read[Once](tx, key)
+	if !ok {
+		o = Once{Claim: c.Claim, Digest: c.Digest, State: OnceIntent, Until: tx.Clock() + c.Keep}
+		write(tx, key, o)
+	}
+	return o
+}
+
+func (r *rules) endOnce(tx *part.Tx, c EndOnce) any {
+	key := oncePrefix + c.Tenant + "/" + c.Service + "/" + c.Key
+	o, ok := read[Once](tx, key)
+	if !ok || o.Claim != c.Claim || o.State != OnceIntent {
+		return o
+	}
+	if c.State == OnceFree {
+		tx.Remove(key)
+		return Once{State: OnceFree}
+	}
+	o.State, o.Status, o.Body = c.State, c.Status, c.Body
+	write(tx, key, o)
+	return o
+}
--- /dev/null
+++ b/peer/core/rules_programs.go
@@ -0,0 +1,122 @@
+package core
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"saffronfall/rule/allowance"
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/part"
+	"saffronfall/rule/program"
+)
+
+// lockedTold is how many locked users are told of a part.
+const lockedTold = 100
+
+func readLocked(tx *part.Tx) LockedUsers {
+	var list LockedUsers
+	for _, key := range tx.Keys("user/") {
+		if u, _ := read[program.User](tx, key); u.Locked > tx.Clock() {
+			list.Users = append(list.Users, LockedUser{Name: strings.TrimPrefix(key, "user/"), Left: u.Locked - tx.Clock()})
+		}
+	}
+	slices.SortFunc(list.Users, func(a, b LockedUser) int { return int(a.Left - b.Left) })
+	list.Users = list.Users[:min(len(list.Users), lockedTold)]
+	return list
+}
+
+func countSlashes(s string) int {
+	n := 0
+	for i := range s {
+		if s[i] == '/' {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rules) openProgram(tx *part.Tx, c OpenProgram) any {
+	key := programPrefix + c.Record.Tenant + "/" + c.Record.ID
+	if p, ok := read[program.Record](tx, key); ok {
+		return Programmed{Found: true, Owned: p.Node == c.Record.Node && p.Incarnation == c.Record.Incarnation, Record: p, Clock: tx.Clock()}
+	}
+	p := c.Record
+	p.Fence, p.Opened, p.Touched = 1, tx.Clock(), tx.Clock()
+	write(tx, key, p)
+	return Programmed{Found: true, Owned: true, Record: p, Clock: tx.Clock()}
+}
+
+func (r *rules) claimProgram(tx *part.Tx, c ClaimProgram) any {
+	key := programPrefix + c.Tenant + "/" + c.ID
+	p, ok := read[program.Record](tx, key)
+	if !ok {
+		_, past := tx.Get("past/" + key)
+		return Programmed{Gone: past}
+	}
+	answer := Programmed{Found: true, Clock: tx.Clock()}
+	switch {
+	case p.Node == c.Node && p.Incarnation == c.Incarnation:
+		answer.Owned = true
+	case p.Node == c.EndedNode && p.Incarnation == c.EndedFormer:
+		p.Fence++
+		p.Node, p.Incarnation, p.Address = c.Node, c.Incarnation, c.Address
+		p.Settle()
+		write(tx, key, p)
+		answer.Owned = true
+	}
+	answer.Record = p
+	if answer.Owned {
+		for _, turn := range tx.Keys(key + "/") {
+			t, _ := read[program.Turn](tx, turn)
+			answer.Turns = append(answer.Turns, t)
+		}
+	}
+	return answer
+}
+
+func (r *rules) saveProgram(tx *part.Tx, c SaveProgram) any {
+	key := programPrefix + c.Record.Tenant + "/" + c.Record.ID
+	p, ok := read[program.Record](tx, key)
+	if !ok || p.Fence != c.Record.Fence || p.Incarnation != c.Record.Incarnation {
+		return Programmed{Found: ok, Fenced: true}
+	}
+	if c.Record.Version <= p.Version {
+		return Programmed{Found: true, Version: c.Record.Version}
+	}
+	p = c.Record
+	p.Touched = tx.Clock()
+	write(tx, key, p)
+	for _, t := range c.Turns {
+		write(tx, fmt.Sprintf("%s/turn/%s/%06d", key, t.Line, t.Number), t)
+	}
+	return Programmed{Found: true, Version: p.Version}
+}
+
+func (r *rules) shareTenant(tx *part.Tx, c ShareTenant) any {
+	key := "tenant/" + c.Tenant + "/" + c.Kind
+	l, ok := read[allowance.Ledger](tx, key)
+	if !ok && c.Kind == "day" {
+		l = allowance.Ledger{Windows: []allowance.Window{{Width: 24 * time.Hour}}}
+	}
+	before, _ := read[allowance.Ledger](tx, key)
+	clock := tx.Clock()
+	for _, holder := range c.Ended {
+		l.End(clock, holder)
+	}
+	if !l.Report(clock, c.Holder, c.Spent, c.Returned) {
+		return Shared{}
+	}
+	target := c.Target
+	if c.Kind != "day" {
+		d := allowance.Division{Whole: c.Whole / c.Chunk, Holders: c.Members, Idle: IdleWeight}
+		target = l.Want(c.Holder, c.Target, d) * c.Chunk
+	}
+	granted := l.Draw(clock, c.Holder, target, []int64{c.Whole})
+	if !reflect.DeepEqual(l, before) {
+		write(tx, key, l)
+	}
+	return Shared{Granted: granted, Target: target, Others: ordered.Keys(l.Holders)}
+}
--- /dev/null
+++ b/peer/node/passing.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+)
+
+// passOn carries a command to a core for a node whose own way there is cut.
+func (m *Machine) passOn(now time.Duration, from string, b core.Command) {
+	to := m.caller.HintOf(b.Part)
+	if all := m.coreAddresses(); to == "" && len(all) > 0 {
+		to = all[int(m.random()*float64(len(all)))%len(all)]
+	}
+	if to == "" || m.passed.Used() >= m.params.Buffer || !m.termed(now) {
+		m.send(from, core.CommandReturn{ID: b.ID, Part: b.Part, Moved: true})
+		return
+	}
+	m.Counters.PassedOn++
+	p := &passed{from: from, command: b, until: now + m.params.Core.MemberTerm}
+	t := m.passed.Keep(p)
+	m.passing = append(m.passing, t)
+	b.ID = m.caller.Mark(t) | passedOn
+	m.send(to, b)
+}
+
+func (m *Machine) passBack(now time.Duration, b core.CommandReturn) {
+	t := m.caller.Unmark(b.ID &^ passedOn)
+	p, ok := m.passed.Look(t)
+	if !ok {
+		return
+	}
+	if b.Moved && b.Hint != "" && p.moved < 3 {
+		p.moved++
+		m.caller.Hint(b.Part, b.Hint)
+		m.send(b.Hint, core.Command{ID: b.ID, Part: b.Part, Raw: p.command.Raw})
+		return
+	}
+	m.passed.Take(t)
+	b.ID, b.Hint = p.command.ID, ""
+	m.send(p.from, b)
+}
+
+// passedOn marks the ids of commands that are carried for others.
+const passedOn = 1 << 63
+
+type passed struct {
+	from    string
+	command core.Command
+	moved   int
+	until   time.Duration
+}
+
+func (m *Machine) tickPassed(now time.Duration) {
+	for len(m.passing) > 0 {
+		p, ok := m.passed.Look(m.passing[0])
+		if ok && now < p.until {
+			return
+		}
+		m.passed.Take(m.passing[0])
+		m.passing = m.passing[1:]
+	}
+}
--- a/peer/node/turn.go
+++ b/peer/node/turn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -301,11 +299,6 @@
 	}
 }
 
-func onceKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:16])
-}
-
 // Shot takes an event of a shot.
 func (m *Machine) Shot(now time.Duration, e Event) Output {
 	m.step(now)
@@ -434,135 +427,3 @@
 		m.refuse(w, verdict.Refused(verdict.Refusal{Check: "replica", Code: "answer_lost", Reason: "the replica's answer was lost; the turn may have run and is charged", Status: 502, Ran: verdict.Maybe}))
 	}
 }
-
-func (m *Machine) tool(now time.Duration, w *way, h *held) {
-	name := w.inquiry.Service
-	service, known := m.description.Services[name]
-	role := m.description.Roles[h.record.Role]
-	if !known || service.Kind != "tool" {
-		m.refuse(w, denied("unknown_service", "no such tool", 400))
-		return
-	}
-	arguments, err := program.Arguments(w.inquiry.Arguments)
-	if err != nil {
-		m.refuse(w, denied("bad_arguments", "arguments are not JSON: "+err.Error(), 400))
-		return
-	}
-	if m.breakerState == breaker.HalfOpen && h.record.Test == 0 {
-		m.refuse(w, onlyTests())
-		return
-	}
-	v := h.record.Tool(h.offset+now, name, arguments, role, service, m.description.WarnRatio)
-	if v.Refused() {
-		m.refuse(w, v)
-		return
-	}
-	m.nextID++
-	s := &shot{way: w, held: h, fenced: true, tried: map[string]bool{}, arguments: arguments, warnings: v.Warnings}
-	s.payload = Payload{Shot: fmt.Sprintf("%s-%s-%d", m.params.ID, m.incarnation, m.nextID), Tenant: w.tenant, Program: h.record.ID, Line: w.inquiry.Line, Body: w.inquiry.Arguments}
-	h.record.CallTool(h.offset+now, name, arguments)
-	m.save(now, h, m.patient(now, w), func(now time.Duration, ok bool) {
-		if !ok || w.over {
-			m.undo(now, s, unsure("the call could not be made durable in time"))
-			return
-		}
-		m.launch(now, s)
-	})
-}
-
-func (m *Machine) endTool(now time.Duration, s *shot, e Event) {
-	w, h := s.way, s.held
-	good := e.Kind == EventDone && e.Status < 500
-	if !h.lost {
-		longest := time.Duration(m.description.CooldownMaximum) * time.Second
-		h.record.ToolDone(h.offset+now, w.inquiry.Service, good, m.description.Services[w.inquiry.Service], longest)
-	}
-	if e.Kind != EventDone {
-		if !h.lost {
-			m.resave(now, h)
-		}
-		m.breakOff(now, w)
-		return
-	}
-	m.save(now, h, w.until, func(now time.Duration, ok bool) {
-		if !ok {
-			m.breakOff(now, w)
-			return
-		}
-		m.count(s.warnings)
-		m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, User: h.record.User, Role: h.record.Role, Kind: Tool, Service: w.inquiry.Service})
-		m.end(w, Piece{Kind: PieceBody, Status: e.Status, Body: e.Body, Verdict: verdict.Gated(verdict.Yes, s.warnings)})
-	})
-}
-
-// action does what may happen only once: its intent is durable before its only
-// shot, and whoever asks again gets the outcome, or that it may have run.
-func (m *Machine) action(now time.Duration, w *way) {
-	q := w.inquiry
-	service, known := m.description.Services[q.Service]
-	if !known || service.Kind != "once" {
-		m.refuse(w, denied("unknown_service", "no such once-only service", 400))
-		return
-	}
-	if !service.PastBreaker {
-		if v := m.breakerVerdict(now); v.Refused() {
-			m.refuse(w, v)
-			return
-		}
-	}
-	digest, err := program.Arguments(q.Arguments)
-	if err != nil {
-		m.refuse(w, denied("bad_body", "the body is not JSON: "+err.Error(), 400))
-		return
-	}
-	m.nextID++
-	s := &shot{way: w, tried: map[string]bool{}, claim: fmt.Sprintf("%s-%s-%d", m.params.ID, m.incarnation, m.nextID)}
-	s.payload = Payload{Shot: s.claim, Tenant: w.tenant, OnceKey: q.OnceKey, Body: q.Arguments}
-	keep := time.Duration(m.description.OnceKeep) * time.Second
-	claim := core.ClaimOnce{Tenant: w.tenant, Service: q.Service, Key: onceKey(q.OnceKey), Claim: s.claim, Digest: digest, Keep: keep}
-	m.caller.Call(now, claim, m.patient(now, w), func(now time.Duration, o core.Outcome) {
-		c, ok := o.Answer.(core.Once)
-		switch {
-		case !ok:
-			m.undo(now, s, unsure("the intent could not be made durable in time"))
-		case c.Digest != digest:
-			m.refuse(w, verdict.Refused(verdict.Refusal{Check: "once", Code: "once_key_reused", Reason: "the once-key was used with another body", Status: 409}))
-		case c.Claim == s.claim && c.State == core.OnceIntent:
-			if w.over {
-				m.undo(now, s, verdict.Verdict{})
-				return
-			}
-			m.launch(now, s)
-		case c.State == core.OnceDone:
-			m.end(w, Piece{Kind: PieceBody, Status: c.Status, Body: c.Body, Verdict: verdict.Gated(verdict.Yes, nil), End: "repeated"})
-		default:
-			m.refuse(w, verdict.Refused(verdict.Refusal{Check: "once", Code: "may_have_run", Reason: "it was begun before and may have run; it is not sent again", Status: 409, Ran: verdict.Maybe, RetryAfter: time.Second}))
-		}
-	})
-}
-
-func (m *Machine) endOnce(now time.Duration, s *shot, state string, status int, body []byte, next func(now time.Duration, ok bool)) {
-	end := core.EndOnce{Tenant: s.way.tenant, Service: s.way.inquiry.Service, Key: onceKey(s.way.inquiry.OnceKey), Claim: s.claim, State: state, Status: status, Body: body}
-	m.caller.Call(now, end, now+20*m.params.Core.MemberTerm, func(now time.Duration, o core.Outcome) {
-		_, ok := o.Answer.(core.Once)
-		next(now, ok)
-	})
-}
-
-func (m *Machine) endAction(now time.Duration, s *shot, e Event) {
-	w := s.way
-	if e.Kind != EventDone {
-		m.endOnce(now, s, core.OnceMaybe, 0, nil, func(time.Duration, bool) {})
-		m.breakOff(now, w)
-		return
-	}
-	m.endOnce(now, s, core.OnceDone, e.Status, e.Body, func(now time.Duration, ok bool) {
-		if !ok {
-			m.breakOff(now, w)
-			return
-		}
-		m.count(nil)
-		m.sample(rehearsal.Sample{KeySum: w.keySum, Tenant: w.tenant, User: w.inquiry.User, Role: w.role, Kind: Action, Service: w.inquiry.Service})
-		m.end(w, Piece{Kind: PieceBody, Status: e.Status, Body: e.Body, Verdict: verdict.Gated(verdict.Yes, nil)})
-	})
-}
