A candidate that renewed another's lease meanwhile gives up; onPromise in steps

A promise of its own is taken for a lease of its own by its next life, which stands at once, while the leader's lease rests on the vote of the former one. Ruled out: a wait in every new life (a former leader serves at once after all were killed). Change: before it binds itself, a candidate looks whether it has renewed another's lease since it asked.

--- a/rule/part/durable_test.go
+++ b/rule/part/durable_test.go
@@ -14,11 +14,12 @@
 	return m, Term{Round: 1, Owner: "a"}, group
 }
 
-// leaseVoteUntil is up to when an output's vote lets the leader hold its lease,
-// by the leader's own clock at the sending of its renewal.
+// leaseVote is the vote that an output sends without waiting for the disk: up to
+// when it lets the leader hold its lease, by the leader's own clock at the sending
+// of its renewal.
 func leaseVote(o Output) (sent time.Duration, voted bool) {
 	for _, s := range o.Sends {
-		if r, ok := s.Body.(Renewed); ok && s.To == "a" {
+		if r, ok := s.Body.(Renewed); ok && s.To == "a" && !s.Synced {
 			return r.Sent, true
 		}
 	}
--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -128,6 +128,8 @@
 	return list
 }
 
+// onPromise takes a promise. With those of a majority the candidate asks for
+// binding ones, after binding ones it becomes the leader.
 func (m *Machine) onPromise(now time.Duration, from string, b Promise) {
 	o := m.owning
 	if o == nil || b.Term != o.term || b.Ask != o.asking {
@@ -142,6 +144,27 @@
 	if o.serving || o.table != nil || b.Light && o.full {
 		return
 	}
+	m.notePromise(now, from, b)
+	switch {
+	case !o.group.agreed(o.promised):
+	case o.asking && now < m.until && m.holder.Owner != m.seat:
+		// It has renewed another's lease since it asked, and must not promise itself
+		// anything while that lasts: its next life would not know of it.
+		m.stepDown(now)
+	case o.asking:
+		m.askAgain(now, false)
+	case !o.promised(m.seat):
+	case o.digestsAlone() && !m.copiesAlike():
+		m.askAgain(now, true)
+	default:
+		m.takeOver(now)
+	}
+}
+
+// notePromise adds a promise to the candidate's, and goes on with the later group
+// that its sender knows.
+func (m *Machine) notePromise(now time.Duration, from string, b Promise) {
+	o := m.owning
 	o.promises[from] = b
 	delete(o.refused, from)
 	if !b.Ask {
@@ -151,51 +174,103 @@
 		o.group = b.Group
 		m.ask(now)
 	}
-	promised := func(seat string) bool { _, ok := o.promises[seat]; return ok }
-	if !o.group.agreed(promised) {
-		return
-	}
-	if o.asking {
-		o.asking, o.promises, o.refused, o.sent = false, map[string]Promise{}, map[string]bool{}, now
-		m.ask(now)
-		return
-	}
-	if !promised(m.seat) {
-		return
+}
+
+// askAgain begins another round of questions: binding ones after those that only
+// asked, and for entries where digests did not do.
+func (m *Machine) askAgain(now time.Duration, full bool) {
+	o := m.owning
+	if !full {
+		o.asking, o.refused = false, map[string]bool{}
 	}
-	alike, light := true, false
+	o.full = o.full || full
+	o.promises, o.sent = map[string]Promise{}, now
+	m.ask(now)
+}
+
+func (o *owning) promised(seat string) bool {
+	_, ok := o.promises[seat]
+	return ok
+}
+
+// digestsAlone reports whether some promise came with a digest and no entries.
+func (o *owning) digestsAlone() bool {
 	for _, p := range o.promises {
-		light = light || p.Light
-		alike = alike && p.Light && p.Sum == m.sum
+		if p.Light {
+			return true
+		}
 	}
-	if light && !alike {
-		o.full, o.promises, o.sent = true, map[string]Promise{}, now
-		m.ask(now)
-		return
+	return false
+}
+
+// copiesAlike reports whether all that promised have what this replica has.
+func (m *Machine) copiesAlike() bool {
+	for _, p := range m.owning.promises {
+		if !p.Light || p.Sum != m.sum {
+			return false
+		}
 	}
-	o.table = map[string]Entry{}
-	var base Term
+	return true
+}
+
+// takeOver makes the table of a new term from what a majority has, and sends it as
+// the leader's first write.
+func (m *Machine) takeOver(now time.Duration) {
+	o := m.owning
+	alike := m.copiesAlike()
 	if alike {
-		// All that a majority has is what this seat has.
 		o.promises[m.seat] = Promise{Entries: m.entries(), Base: m.copy.Base, Clock: m.copy.Clock}
 	}
+	o.table = o.newestEntries(alike)
 	for _, p := range o.promises {
 		o.clockBase = max(o.clockBase, p.Clock)
+	}
+	o.clockAt = now
+	m.restampTable()
+	if len(o.group.Former) > 0 {
+		o.regroup = &Group{Term: o.term, Epoch: o.group.Epoch + 1, Seats: o.group.Seats}
+	}
+	o.seq = 1
+	o.group.Term = o.term
+	first := Write{Term: o.term, Seq: 1, Group: o.group, Clock: o.clockBase, Entries: o.entries, Whole: true, Sent: now}
+	if alike {
+		first.Sum, first.Restamp = m.sum, true
+	}
+	o.flight = &flight{seq: 1, taken: map[string]bool{}, sentAt: now, write: first}
+	o.entries = nil
+	o.sent = now
+	for _, seat := range o.group.All() {
+		m.sendFirst(now, seat)
+	}
+}
+
+// newestEntries merges the promised copies: of each entry the newest, but for what
+// is older than the newest whole write of any copy, which was never agreed or is
+// in that write. Equal copies need no tombstones.
+func (o *owning) newestEntries(alike bool) map[string]Entry {
+	var base Term
+	for _, p := range o.promises {
 		if base.Less(p.Base) {
 			base = p.Base
 		}
 	}
+	newest := map[string]Entry{}
 	for _, p := range o.promises {
 		for _, e := range p.Entries {
 			if e.Stamp.Term.Less(base) || alike && e.Gone {
 				continue
 			}
-			if old, ok := o.table[e.Key]; !ok || old.Stamp.Less(e.Stamp) {
-				o.table[e.Key] = e
+			if old, ok := newest[e.Key]; !ok || old.Stamp.Less(e.Stamp) {
+				newest[e.Key] = e
 			}
 		}
 	}
-	o.clockAt = now
+	return newest
+}
+
+// restampTable brings a new leader's table under its term, as entries to write.
+func (m *Machine) restampTable() {
+	o := m.owning
 	o.sum = 0
 	keys := make([]string, 0, len(o.table))
 	for k := range o.table {
@@ -209,21 +284,6 @@
 		o.sum += m.digestKey.entry(e)
 		o.entries = append(o.entries, e)
 	}
-	if len(o.group.Former) > 0 {
-		o.regroup = &Group{Term: o.term, Epoch: o.group.Epoch + 1, Seats: o.group.Seats}
-	}
-	o.seq = 1
-	o.group.Term = o.term
-	first := Write{Term: o.term, Seq: 1, Group: o.group, Clock: o.clockBase, Entries: o.entries, Whole: true, Sent: now}
-	if alike {
-		first.Sum, first.Restamp = m.sum, true
-	}
-	o.flight = &flight{seq: 1, taken: map[string]bool{}, sentAt: now, write: first}
-	o.entries = nil
-	o.sent = now
-	for _, seat := range o.group.All() {
-		m.sendFirst(now, seat)
-	}
 }
 
 // sendFirst sends an owner's first write, which makes a copy whole: to a seat
--- a/rule/part/lease.go
+++ b/rule/part/lease.go
@@ -53,11 +53,6 @@
 	m.keepHold(now, b.Term)
 	m.copy.Clock = max(m.copy.Clock, b.Clock)
 	r := Renewed{Term: b.Term, Sent: b.Sent}
-	if m.durable != b.Term {
-		// A power loss could make this replica forget the term, and it would vote
-		// for another leader while this one's lease rests on its word.
-		r.Sent -= m.params.OwnerTerm
-	}
 	if m.wholeOf == b.Term {
 		r.Whole = m.whole
 	}
@@ -65,7 +60,10 @@
 		m.useKey(b.Key)
 		r.Stale = m.sum|1 != b.Digest
 	}
-	m.send(from, r, false)
+	// While the term is not known to be on disk, the answer waits for it: a power
+	// loss could make this replica forget the term, and vote for another leader
+	// while this one's lease rests on its word.
+	m.send(from, r, m.durable != b.Term)
 }
 
 func (m *Machine) onRenewed(now time.Duration, from string, b Renewed) {
