Relaysim: scenario secondloss, a loss at each point of a change of the fleet

Replacement, addition, planned replacement and retirement, with machines killed, without power or wiped at the n-th delivery or sync at a core, as many as groups of three and of five bear; or the retiring machine gone for good. Judged: what was acknowledged outlives it, a retirement is done only when a majority of the other disks have what was acknowledged, groups are what they should be within catchUp.

--- a/rehearsalkit/relaysim/judge_orders.go
+++ b/rehearsalkit/relaysim/judge_orders.go
@@ -11,6 +11,8 @@
 	RuleRefused    = "only what lost its race is refused"
 	RuleNewest     = "no older table is told as the newest"
 	RuleAnswered   = "calls at a live desk end in time"
+	RuleRetired    = "no retirement is done before copies stand elsewhere"
+	RuleRestored   = "groups get their size again in time"
 	RuleWholeAgain = "the fleet is whole again in time"
 )
 
--- a/rehearsalkit/relaysim/run.go
+++ b/rehearsalkit/relaysim/run.go
@@ -12,14 +12,7 @@
 // lay founds the fleet, its replicas and its first table, with no requesters.
 func (w *World) lay(firstTable func()) {
 	end := w.trouble(Stores)
-	for _, s := range w.stores {
-		for _, p := range s.processes() {
-			w.after(w.between(0, 200*time.Millisecond), p.boot)
-		}
-	}
-	for _, n := range w.nodes {
-		w.after(w.between(0, 200*time.Millisecond), n.boot)
-	}
+	w.boot()
 	w.after(time.Second, func() {
 		number := 0
 		for _, service := range []string{modelA, modelA, modelA, modelB, modelB, plainA, plainA, plainA, plainB, plainB} {
@@ -31,6 +24,18 @@
 	w.after(starting-w.Record.Limits.Contact, end)
 }
 
+// boot starts all machines.
+func (w *World) boot() {
+	for _, s := range w.stores {
+		for _, p := range s.processes() {
+			w.after(w.between(0, 200*time.Millisecond), p.boot)
+		}
+	}
+	for _, n := range w.nodes {
+		w.after(w.between(0, 200*time.Millisecond), n.boot)
+	}
+}
+
 // populate starts requesters and operators.
 func (w *World) populate() {
 	p := w.Params
--- a/rehearsalkit/relaysim/scenario.go
+++ b/rehearsalkit/relaysim/scenario.go
@@ -21,6 +21,8 @@
 	return []Scenario{
 		{Name: "longcut", Params: longcutParams, Play: playLongcut},
 		{Name: "orders", Params: ordersParams, Play: playOrders},
+		{Name: "secondloss", Params: secondLossParams, Play: playSecondLoss(3)},
+		{Name: "secondloss5", Params: secondLossParams, Play: playSecondLoss(5)},
 	}
 }
 
--- a/rehearsalkit/relaysim/whole.go
+++ b/rehearsalkit/relaysim/whole.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
+	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
 )
 
@@ -143,6 +145,41 @@
 	return ""
 }
 
+// placementLacks tells which part's group is not the one that the cores that
+// there are should have.
+func (w *World) placementLacks() string {
+	owner := w.coreOf(core.ConfigurationPart)
+	if owner == nil {
+		return "the configuration's part has no owner"
+	}
+	known := owner.core.core.Topology().Cores
+	var cores []core.Core
+	silent := map[string]bool{}
+	for _, id := range ordered.Keys(known) {
+		cores = append(cores, known[id])
+		silent[id] = true
+	}
+	for _, s := range w.present() {
+		if silent[s.core.id] = !s.core.alive; known[s.core.id].ID == "" {
+			return "the fleet does not know " + s.core.id
+		}
+	}
+	for n, wanted := range core.Place(w.parts(), w.deskParams().Seats, cores, silent) {
+		s := w.coreOf(n)
+		if s == nil {
+			return fmt.Sprintf("part %d has no owner", n)
+		}
+		group, _ := s.core.core.Part(n).Agreed()
+		seats := slices.Clone(group.Seats)
+		slices.Sort(seats)
+		slices.Sort(wanted)
+		if !slices.Equal(seats, wanted) {
+			return fmt.Sprintf("part %d has the group %v and should have %v", n, seats, wanted)
+		}
+	}
+	return ""
+}
+
 // parts is how many parts the fleet has; zero: it is not founded.
 func (w *World) parts() int {
 	for _, s := range w.present() {
