Part: a seat that is to join promises before it has heard that it joins

Cause: a seat answered no candidate while the group on its own disk did not have it. Where the group that changes was on the disks of the other seats and the owner's word of it did not reach the one that comes, and the owner began a new life, the new seats' majority could lack just that one: it stayed silent to every candidate, and the part had no owner for good.

Ruled out: a lost disk (all copies were whole), a hold that lasts (nobody stood besides core1 and core2).

Change: a seat answers a candidate whose group came after its own and has it, as it would once it knew. That decides nothing: the former seats' majority is needed as before, and a later group is refused to an older candidate as before. TestJoiningSeatThatMissedItsGroup was seen to fail before (nobody owned the part after 2 s); TestRemovedSeatPromisesNothing holds before and after.

--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -80,11 +80,16 @@
 	return *m.out
 }
 
+// joins reports whether a group that came after the one that this seat knows has
+// it. The owner that made it so may be gone before its word arrived here, and the
+// group's other seats may be no majority without this one.
+func (m *Machine) joins(group Group) bool { return m.copy.Group.Before(group) && group.Has(m.seat) }
+
 func (m *Machine) onStand(now time.Duration, from string, b Stand) {
 	refuse := Refuse{Term: b.Term, Promised: m.copy.Promised, Group: m.copy.Group}
 	held := now < m.until && m.holder != b.Released && m.holder.Owner != b.Term.Owner
 	switch {
-	case !m.copy.Group.Has(m.seat):
+	case !m.copy.Group.Has(m.seat) && !m.joins(b.Group):
 		return
 	case b.Group.Before(m.copy.Group):
 		m.send(from, refuse, false)
