--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -19,7 +19,9 @@
 	Founds bool
 	// Known is the list that an earlier life of this desk kept. It saves nodes
 	// the wait for the next beats, and is believed only that long.
-	Known  []Listed
+	Known []Listed
+	// Peers are the addresses that it kept.
+	Peers  *Peers
 	Now    time.Duration
 	Random func() float64
 }
@@ -47,7 +49,7 @@
 	present   map[string]core.Core
 	presentAt time.Duration
 	startedAt time.Duration
-	table     core.AgreedTable
+	table     *currentTable
 	stamp     part.Stamp
 	confirmed time.Duration
 	fresh     core.Fresh
@@ -56,12 +58,17 @@
 	sweepAt   time.Duration
 	foundAt   time.Duration
 	founding  *core.Founding
+	pending   map[uint64]pendingCall
+	tickedAt  time.Duration
+	// saved are the addresses that were written down last, as of savedMark.
+	saved     Peers
+	savedMark uint64
 }
 
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, desks: map[string]time.Duration{o.Address: o.Now},
+		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
 		present: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
@@ -69,6 +76,9 @@
 		l.Version = m.version
 		m.list[l.Replica.ID] = &listed{Listed: l, heard: o.Now - (lost-2)*o.Params.Beat}
 	}
+	if o.Peers != nil {
+		m.recall(*o.Peers)
+	}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
 		Parts:  func() int { return len(m.topology.Owners) },
@@ -116,7 +126,9 @@
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Duration) Output {
 	m.out = &Output{}
+	m.tickedAt = now
 	m.caller.Tick(now)
+	m.giveUpCalls(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Core.Pull*2
 		targets := ordered.Keys(m.desks)
@@ -126,7 +138,7 @@
 			}
 		}
 		for _, to := range targets {
-			m.send(to, Follow{Node: m.id, Table: m.table.Number, Desk: true, Life: m.lives[to]})
+			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: m.lives[to]})
 		}
 	}
 	if now >= m.pullAt {
@@ -138,6 +150,7 @@
 		m.sweep(now)
 	}
 	m.found(now)
+	m.savePeers()
 	return *m.out
 }
 
@@ -156,7 +169,7 @@
 		}
 	}
 	for address, f := range m.followers {
-		if now > f.heard+lost*m.params.Beat {
+		if now > f.heard+nodeMemory*m.params.Beat {
 			delete(m.followers, address)
 		}
 	}
@@ -169,7 +182,7 @@
 }
 
 // Number is the newest table that this desk knows to be agreed.
-func (m *Machine) Number() uint64 { return m.table.Number }
+func (m *Machine) Number() uint64 { return m.table.number() }
 
 // Ready reports whether this desk has a table and cores to ask.
 func (m *Machine) Ready() bool { return len(m.topology.Owners) > 0 }
@@ -178,5 +191,5 @@
 func (m *Machine) Status(now time.Duration) map[string]int64 {
 	return map[string]int64{"messages": m.Counters.Messages, "beats": m.Counters.Beats, "bulletins": m.Counters.Bulletins, "changes": m.Counters.Changes,
 		"tables_applied": m.Counters.Applied, "tables_refused": m.Counters.Refused, "bad_messages": m.Counters.BadMessages,
-		"replicas": int64(len(m.list)), "followers": int64(len(m.followers)), "desks": int64(len(m.desks)), "table": int64(m.table.Number), "cores": int64(len(m.topology.Cores))}
+		"replicas": int64(len(m.list)), "followers": int64(len(m.followers)), "desks": int64(len(m.desks)), "table": int64(m.table.number()), "cores": int64(len(m.topology.Cores))}
 }
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -36,7 +36,7 @@
 		case e.Key == core.TableKey:
 			var agreed core.AgreedTable
 			if message.Unmarshal(e.Value, &agreed) == nil {
-				m.install(now, agreed)
+				m.installText(now, agreed.Digest, agreed.Text)
 			}
 		case core.IsCoreKey(e.Key) && !e.Gone:
 			var one core.Core
@@ -49,19 +49,6 @@
 	m.confirm(now)
 }
 
-// install takes a newer agreed table and passes it on at once.
-func (m *Machine) install(now time.Duration, agreed core.AgreedTable) {
-	if agreed.Number <= m.table.Number {
-		return
-	}
-	if _, faults := route.Parse(agreed.Text); faults != nil {
-		m.Counters.BadMessages++
-		return
-	}
-	m.table = agreed
-	m.tellAll(now)
-}
-
 func (m *Machine) pull(now time.Duration) {
 	ask := core.Pull{Versions: map[int]part.Stamp{core.ConfigurationPart: m.stamp}, Fresh: true, Sent: now, Want: len(m.topology.Owners) == 0 || m.random() < 0.2}
 	if to := m.caller.HintOf(core.ConfigurationPart); to != "" && m.confirmed >= 0 && now-m.confirmed < 3*m.params.Core.Pull {
@@ -96,19 +83,20 @@
 		return *m.out
 	}
 	c := core.AgreeTable{Base: base, Number: parsed.Number, Text: text, Digest: digest}
+	m.await(now, ticket, Handed{Unsure: true})
 	m.caller.Call(now, c, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 		agreed, ok := o.Answer.(core.TableAgreed)
 		switch {
 		case !ok:
-			m.answer(ticket, Handed{Unsure: true})
+			m.settle(ticket, Handed{Unsure: true})
 		case agreed.OK:
 			m.Counters.Applied++
-			m.install(now, core.AgreedTable{Number: parsed.Number, Text: text, Digest: digest})
-			m.answer(ticket, Handed{OK: true, Number: agreed.Number})
+			m.install(now, parsed, digest)
+			m.settle(ticket, Handed{OK: true, Number: agreed.Number})
 		case parsed.Number <= agreed.Number && base == agreed.Number:
-			m.answer(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
+			m.settle(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
 		default:
-			m.answer(ticket, Handed{Race: true, Number: agreed.Number})
+			m.settle(ticket, Handed{Race: true, Number: agreed.Number})
 		}
 	})
 	return *m.out
@@ -117,9 +105,10 @@
 // Read reads the table in force from the cores: what they answer is the newest.
 func (m *Machine) Read(now time.Duration, ticket uint64) Output {
 	m.out = &Output{}
+	m.await(now, ticket, core.AgreedTable{})
 	m.caller.Call(now, core.ReadTable{}, now+m.params.Within, func(now time.Duration, o core.Outcome) {
 		t, _ := o.Answer.(core.AgreedTable)
-		m.answer(ticket, t)
+		m.settle(ticket, t)
 	})
 	return *m.out
 }
