Relaysim: longcut holds a desk that knows it is cut off to 250 ms; retirements leave no seat

A desk that had reached no core for a second must answer each call within 250 ms, and takes heartbeats only where it can pass them on. A retirement that is done leaves no seat of the machine in any group: that a broken desk says so at once was not seen by copies alone once fewer points were run in the test.

--- a/rehearsalkit/relaysim/longcut.go
+++ b/rehearsalkit/relaysim/longcut.go
@@ -124,13 +124,18 @@
 	}
 }
 
-// announce is a heartbeat of a replica, or its leave; a desk answers at once.
+// announce is a heartbeat of a replica, or its leave. A desk answers at once, and
+// takes neither where it could pass nothing on.
 func (l *longcut) announce(kind string, at *process) {
 	w := l.world
 	id := "idle-" + at.id
 	w.after(w.delay(), func() {
 		at.do(func() {
 			c := l.book.begin(kind, at)
+			if isolated(at) {
+				l.book.end(c, false)
+				return
+			}
 			if kind == callHeartbeat {
 				w.marks++
 				at.takeDesk(at.desk.Beat(at.now(), desk.Replica{ID: id, Service: "idle", Address: "10.0.4.1:1", Call: int64(w.marks)}))
@@ -142,6 +147,14 @@
 	})
 }
 
+// isolated reports whether a desk says that replicas should go to another.
+func isolated(at *process) bool {
+	one, ok := at.desk.(interface {
+		Isolated(now time.Duration) bool
+	})
+	return ok && one.Isolated(at.now())
+}
+
 // cut cuts a machine off, heals it, and lets a little time pass.
 func (l *longcut) cut(target *process) {
 	w, f := l.world, l.findings
@@ -177,6 +190,7 @@
 // was cut off, or at all desks where a core was.
 func (l *longcut) tabulate(group string, target *process, began time.Duration, first int) {
 	for _, c := range l.book.calls[first:] {
+		l.judgeKnowing(target, began, c)
 		if c.ended < 0 || target.isDesk && c.desk != target {
 			continue
 		}
@@ -187,6 +201,21 @@
 	}
 }
 
+// knowsAfter is after what time a desk that reaches no core must know it.
+const knowsAfter = time.Second
+
+// judgeKnowing wants a desk that must know that it reaches no core to keep no call
+// waiting.
+func (l *longcut) judgeKnowing(target *process, began time.Duration, c *deskCall) {
+	since := c.at - began
+	if c.desk != target || l.way == cutPeers || since < knowsAfter || since > cutLength-answerBound || c.lost() {
+		return
+	}
+	if took := c.ended - c.at; c.ended < 0 || took > answerBound {
+		l.findings.breach(RuleAnswered, "%s at %s, which had been cut off (%s) for %v, took %v", c.kind, c.desk.id, l.way, since, took)
+	}
+}
+
 // barrier tells which links a cut of a machine takes.
 func (l *longcut) barrier(target *process) func(from, to string) bool {
 	w := l.world
--- a/rehearsalkit/relaysim/secondloss.go
+++ b/rehearsalkit/relaysim/secondloss.go
@@ -246,6 +246,7 @@
 func (r *lossRun) retired() {
 	w := r.world
 	r.doneAt = w.now
+	r.judgeSeats()
 	r.judgeCopies()
 	r.endGoes()
 }
@@ -259,6 +260,24 @@
 	r.goes.gone = true
 }
 
+// judgeSeats wants no group to have the machine that goes.
+func (r *lossRun) judgeSeats() {
+	w := r.world
+	for n := 0; n < w.parts(); n++ {
+		owner := w.coreOf(n)
+		if owner == nil {
+			continue
+		}
+		group, _ := owner.core.core.Part(n).Agreed()
+		for _, seat := range group.All() {
+			if core.SeatID(seat) == r.goes.core.id {
+				r.findings.breach(RuleRetired, "the retirement was said to be done at %v, and part %d has the group %v", w.now, n, group)
+				return
+			}
+		}
+	}
+}
+
 // judgeCopies wants what was acknowledged some time ago on the disks of a
 // majority besides the machine that goes, but for those that are lost.
 func (r *lossRun) judgeCopies() {
