--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -111,6 +111,7 @@
 	{Path: "urgent_ratio", Type: "number", Default: 0.25, Min: 0, Max: 0.9, About: "part of the buffers kept for urgent services"},
 	{Path: "cold_start", Type: "bool", Default: false, About: "this core may found a fleet, or be founded, when its folder is empty and no fleet is found"},
 	{Path: "core_gone_ms", Type: "int", Default: 0, Min: 0, Max: 3600000, About: "after how long a silent core's seats go to others; 0: three terms of a node"},
+	{Path: "order_keep_hours", Type: "int", Default: 24, Min: 1, Max: 8760, About: "for how long an accepted order of an operator is acknowledged when it comes again"},
 	{Path: "group_seats", Type: "int", Default: 3, Min: 1, Max: 9, About: "cores that keep each part of a fleet that is founded anew; 3 bear the loss of one, 5 of two"},
 	{Path: "log_verbosity", Type: "int", Default: 0, Min: 0, Max: 4, About: "how much is logged beyond changes of state"},
 }
@@ -184,7 +185,7 @@
 func (p Params) Core() core.Params {
 	return core.Params{Part: part.Params{OwnerTerm: ms(p.OwnerTermMS), Drift: p.Drift, Renewals: 5, Sweeps: 40, Home: 20},
 		MemberTerm: ms(p.MemberTermMS),
-		Retry:      ms(p.RetryMS), Pull: ms(p.PullMS), Gone: ms(p.CoreGoneMS), ColdStart: p.ColdStart}
+		Retry:      ms(p.RetryMS), Pull: ms(p.PullMS), Gone: ms(p.CoreGoneMS), OrderKeep: time.Duration(p.OrderKeepH) * time.Hour, ColdStart: p.ColdStart}
 }
 
 // Node are the data plane's bounds.
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -8,6 +8,7 @@
 
 // Relay are the settings of desks and relaying nodes.
 type Relay struct {
+	Orders
 	BeatMS        int64   `json:"beat_ms"`
 	FollowMS      int64   `json:"follow_ms"`
 	RateWindowMS  int64   `json:"rate_window_ms"`
@@ -18,13 +19,19 @@
 	CacheBytes    int64   `json:"cache_bytes"`
 	BookKeepMS    int64   `json:"book_keep_ms"`
 	DialMS        int64   `json:"dial_ms"`
-	OrderMS       int64   `json:"order_ms"`
 	Founds        bool    `json:"founds"`
 	PartsPerCore  int64   `json:"parts_per_core"`
 	ReadyListen   string  `json:"ready_listen"`
 	NotReadyMS    int64   `json:"not_ready_ms"`
 }
 
+// Orders are the settings of what operators order.
+type Orders struct {
+	OrderMS int64 `json:"order_ms"`
+	// OrderKeepH is for how many hours an accepted order is known again.
+	OrderKeepH int64 `json:"order_keep_hours"`
+}
+
 func init() {
 	Rows = append(Rows,
 		configuration.Row{Path: "beat_ms", Type: "int", Default: 1000, Min: 50, Max: 60000, About: "how often replicas announce themselves at desks"},
