--- a/peer/desk/current.go
+++ b/peer/desk/current.go
@@ -71,7 +71,7 @@
 
 // differencesFor lists what brings a subscriber up to date, or nothing where it is
 // better sent the whole table.
-func (m *Machine) differencesFor(f *follower) []route.Difference {
+func (m *Machine) differencesFor(f *subscriber) []route.Difference {
 	if !f.differs || f.table == 0 {
 		return nil
 	}
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -30,36 +30,36 @@
 type Machine struct {
 	Counters Counters
 
-	params    Params
-	id, life  string
-	address   string
-	seeds     []string
-	founds    bool
-	random    func() float64
-	out       *Output
-	caller    *core.Caller
-	version   uint64
-	list      map[string]*listed
-	followers map[string]*follower
-	desks     map[string]time.Duration
-	// lives are the desks' lives that this one has heard of.
-	lives     map[string]string
-	topology  core.Topology
-	mark      uint64
-	present   map[string]core.Core
-	presentAt time.Duration
-	startedAt time.Duration
-	table     *currentTable
-	stamp     part.Stamp
-	confirmed time.Duration
-	fresh     core.Fresh
-	pullAt    time.Duration
-	followAt  time.Duration
-	sweepAt   time.Duration
-	foundAt   time.Duration
-	founding  *core.Founding
-	pending   map[uint64]pendingCall
-	tickedAt  time.Duration
+	params      Params
+	id, life    string
+	address     string
+	seeds       []string
+	founds      bool
+	random      func() float64
+	out         *Output
+	caller      *core.Caller
+	version     uint64
+	list        map[string]*listed
+	subscribers map[string]*subscriber
+	desks       map[string]time.Duration
+	// deskLives are the desks' deskLives that this one has heard of.
+	deskLives       map[string]string
+	topology        core.Topology
+	topologyVersion uint64
+	foundingCores   map[string]core.Core
+	foundingCoresAt time.Duration
+	startedAt       time.Duration
+	table           *currentTable
+	pulledUpTo      part.Stamp
+	confirmed       time.Duration
+	fresh           core.Fresh
+	pullAt          time.Duration
+	followAt        time.Duration
+	sweepAt         time.Duration
+	foundAt         time.Duration
+	founding        *core.Founding
+	pending         map[uint64]pendingCall
+	tickedAt        time.Duration
 	// saved are the addresses that were written down last, as of savedMark.
 	saved     Peers
 	savedMark uint64
@@ -68,8 +68,8 @@
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
-		present: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
+		deskLives: map[string]string{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
+		foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
 		m.version++
@@ -138,7 +138,7 @@
 			}
 		}
 		for _, to := range targets {
-			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: m.lives[to]})
+			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: m.deskLives[to]})
 		}
 	}
 	if now >= m.pullAt {
@@ -168,15 +168,15 @@
 			delete(m.list, id)
 		}
 	}
-	for address, f := range m.followers {
+	for address, f := range m.subscribers {
 		if now > f.heard+nodeMemory*m.params.Beat {
-			delete(m.followers, address)
+			delete(m.subscribers, address)
 		}
 	}
 	for address, heard := range m.desks {
 		if address != m.address && now > heard+10*lost*m.params.Beat {
 			delete(m.desks, address)
-			delete(m.lives, address)
+			delete(m.deskLives, address)
 		}
 	}
 }
@@ -191,5 +191,5 @@
 func (m *Machine) Status(now time.Duration) map[string]int64 {
 	return map[string]int64{"messages": m.Counters.Messages, "beats": m.Counters.Beats, "bulletins": m.Counters.Bulletins, "changes": m.Counters.Changes,
 		"tables_applied": m.Counters.Applied, "tables_refused": m.Counters.Refused, "bad_messages": m.Counters.BadMessages,
-		"replicas": int64(len(m.list)), "followers": int64(len(m.followers)), "desks": int64(len(m.desks)), "table": int64(m.table.number()), "cores": int64(len(m.topology.Cores))}
+		"replicas": int64(len(m.list)), "followers": int64(len(m.subscribers)), "desks": int64(len(m.desks)), "table": int64(m.table.number()), "cores": int64(len(m.topology.Cores))}
 }
--- a/peer/desk/peers.go
+++ b/peer/desk/peers.go
@@ -38,15 +38,15 @@
 		}
 	}
 	m.saved = known
-	m.mark++
+	m.topologyVersion++
 }
 
 // savePeers writes the addresses down when they have changed.
 func (m *Machine) savePeers() {
-	if m.savedMark == m.mark || len(m.topology.Owners) == 0 {
+	if m.savedMark == m.topologyVersion || len(m.topology.Owners) == 0 {
 		return
 	}
-	m.savedMark = m.mark
+	m.savedMark = m.topologyVersion
 	known := m.Peers()
 	if reflect.DeepEqual(known, m.saved) {
 		return
--- a/peer/desk/reach.go
+++ b/peer/desk/reach.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	known, reached := 0, 0
-	for _, subscriber := range m.followers {
+	for _, subscriber := range m.subscribers {
 		if subscriber.desk {
 			continue
 		}
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -6,24 +6,24 @@
 	"saffronfall/rule/ordered"
 )
 
-type follower struct {
-	life    string
-	version uint64
-	table   uint64
-	differs bool
-	mark    uint64
-	heard   time.Duration
-	desk    bool
+type subscriber struct {
+	life            string
+	version         uint64
+	table           uint64
+	differs         bool
+	topologyVersion uint64
+	heard           time.Duration
+	desk            bool
 }
 
 // listens reports whether a subscriber was heard of lately.
-func (m *Machine) listens(now time.Duration, f *follower) bool {
+func (m *Machine) listens(now time.Duration, f *subscriber) bool {
 	return now <= f.heard+lost*m.params.Beat
 }
 
 func (m *Machine) tellAll(now time.Duration) {
-	for _, address := range ordered.Keys(m.followers) {
-		if f := m.followers[address]; m.listens(now, f) {
+	for _, address := range ordered.Keys(m.subscribers) {
+		if f := m.subscribers[address]; m.listens(now, f) {
 			m.tell(now, address, f, false)
 		}
 	}
@@ -31,7 +31,7 @@
 
 // tell sends a follower what it lacks. What was sent counts as had until the
 // follower says otherwise in its next word.
-func (m *Machine) tell(now time.Duration, to string, f *follower, always bool) {
+func (m *Machine) tell(now time.Duration, to string, f *subscriber, always bool) {
 	b := Bulletin{Life: m.life, Since: f.version, Version: m.version, Number: m.table.number(), Digest: m.table.digestOf(), Confirmed: -1, Nodes: m.nodes(now)}
 	if m.confirmed >= 0 {
 		b.Confirmed = now - m.confirmed
@@ -52,7 +52,7 @@
 			b.Table = m.table.whole()
 		}
 	}
-	if f.mark != m.mark {
+	if f.topologyVersion != m.topologyVersion {
 		t := m.topology
 		b.Topology = &t
 		b.Desks = ordered.Keys(m.desks)
@@ -60,7 +60,7 @@
 	if !always && len(b.List) == 0 && b.Table == nil && b.Differences == nil && b.Topology == nil {
 		return
 	}
-	f.life, f.version, f.table, f.mark = m.life, m.version, max(f.table, m.table.number()), m.mark
+	f.life, f.version, f.table, f.topologyVersion = m.life, m.version, max(f.table, m.table.number()), m.topologyVersion
 	m.Counters.Bulletins++
 	m.send(to, b)
 }
@@ -68,7 +68,7 @@
 // nodes counts the nodes that listen.
 func (m *Machine) nodes(now time.Duration) int {
 	n := 0
-	for _, f := range m.followers {
+	for _, f := range m.subscribers {
 		if !f.desk && m.listens(now, f) {
 			n++
 		}
@@ -77,15 +77,15 @@
 }
 
 func (m *Machine) onFollow(now time.Duration, from string, b Follow) {
-	f := m.followers[from]
+	f := m.subscribers[from]
 	if f == nil {
-		f = &follower{}
-		m.followers[from] = f
+		f = &subscriber{}
+		m.subscribers[from] = f
 	}
 	f.heard, f.desk = now, b.Desk
 	f.life, f.version, f.table, f.differs = b.Life, b.Version, b.Table, b.Differs
 	if b.Life != m.life {
-		f.mark = 0
+		f.topologyVersion = 0
 	}
 	if b.Desk {
 		m.learnDesk(now, from)
@@ -99,14 +99,14 @@
 
 func (m *Machine) learnDesk(now time.Duration, address string) {
 	if _, ok := m.desks[address]; !ok {
-		m.mark++
+		m.topologyVersion++
 	}
 	m.desks[address] = now
 }
 
 func (m *Machine) onBulletin(now time.Duration, from string, b Bulletin) {
 	m.learnDesk(now, from)
-	m.lives[from] = b.Life
+	m.deskLives[from] = b.Life
 	if b.Topology != nil {
 		m.adopt(now, *b.Topology)
 	}
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -13,23 +13,23 @@
 
 // confirm notes as of when this desk has missed no table.
 func (m *Machine) confirm(now time.Duration) {
-	if m.fresh.Upto == (part.Stamp{}) || m.stamp.Less(m.fresh.Upto) {
+	if m.fresh.Upto == (part.Stamp{}) || m.pulledUpTo.Less(m.fresh.Upto) {
 		return
 	}
 	first := m.confirmed < 0
 	m.confirmed = max(m.confirmed, m.fresh.Sent-m.fresh.Age)
 	if first {
-		for _, address := range ordered.Keys(m.followers) {
-			m.tell(now, address, m.followers[address], true)
+		for _, address := range ordered.Keys(m.subscribers) {
+			m.tell(now, address, m.subscribers[address], true)
 		}
 	}
 }
 
 func (m *Machine) onNews(now time.Duration, b core.News) {
-	if b.Part != core.ConfigurationPart || !m.stamp.Less(b.Upto) || (!b.Whole && m.stamp.Less(b.After)) {
+	if b.Part != core.ConfigurationPart || !m.pulledUpTo.Less(b.Upto) || (!b.Whole && m.pulledUpTo.Less(b.After)) {
 		return
 	}
-	m.stamp = b.Upto
+	m.pulledUpTo = b.Upto
 	t := core.Topology{Fleet: m.topology.Fleet, Cores: map[string]core.Core{}}
 	for _, e := range b.Entries {
 		switch {
@@ -50,7 +50,7 @@
 }
 
 func (m *Machine) pull(now time.Duration) {
-	ask := core.Pull{Versions: map[int]part.Stamp{core.ConfigurationPart: m.stamp}, Fresh: true, Sent: now, Want: len(m.topology.Owners) == 0 || m.random() < 0.2}
+	ask := core.Pull{Versions: map[int]part.Stamp{core.ConfigurationPart: m.pulledUpTo}, Fresh: true, Sent: now, Want: len(m.topology.Owners) == 0 || m.random() < 0.2}
 	if to := m.caller.HintOf(core.ConfigurationPart); to != "" && m.confirmed >= 0 && now-m.confirmed < 3*m.params.Core.Pull {
 		m.send(to, ask)
 		return
--- a/peer/desk/topology.go
+++ b/peer/desk/topology.go
@@ -27,8 +27,8 @@
 // others are nodes and desks that may pass a command on when cores stay silent.
 func (m *Machine) others() []string {
 	var list []string
-	for _, address := range ordered.Keys(m.followers) {
-		if m.listens(m.tickedAt, m.followers[address]) {
+	for _, address := range ordered.Keys(m.subscribers) {
+		if m.listens(m.tickedAt, m.subscribers[address]) {
 			list = append(list, address)
 		}
 	}
@@ -38,16 +38,16 @@
 // onPresent notes a core that says it is there.
 func (m *Machine) onPresent(now time.Duration, from string, b core.Present) {
 	if len(m.topology.Owners) == 0 {
-		if _, ok := m.present[b.Core.ID]; !ok || m.present[b.Core.ID].Incarnation != b.Core.Incarnation {
-			m.presentAt = now
+		if _, ok := m.foundingCores[b.Core.ID]; !ok || m.foundingCores[b.Core.ID].Incarnation != b.Core.Incarnation {
+			m.foundingCoresAt = now
 		}
 		if b.Cold {
-			m.present[b.Core.ID] = b.Core
+			m.foundingCores[b.Core.ID] = b.Core
 		}
 	}
 	if known, ok := m.topology.Cores[b.Core.ID]; !ok || known.Version < b.Core.Version || (known.Version == b.Core.Version && known.Incarnation != b.Core.Incarnation && len(m.topology.Owners) == 0) {
 		m.topology.Cores[b.Core.ID] = b.Core
-		m.mark++
+		m.topologyVersion++
 	}
 	m.send(from, m.topology)
 	if len(m.topology.Owners) == 0 {
@@ -85,7 +85,7 @@
 		}
 	}
 	if changed {
-		m.mark++
+		m.topologyVersion++
 		HintOwners(m.caller, m.topology)
 		m.tellAll(now)
 	}
@@ -105,15 +105,15 @@
 // found founds the fleet, once all cores that came have been there for a while.
 func (m *Machine) found(now time.Duration) {
 	settle := m.params.Beat
-	if !m.founds || len(m.topology.Owners) > 0 || len(m.present) < m.params.Seats || now < m.foundAt || now < m.presentAt+settle {
+	if !m.founds || len(m.topology.Owners) > 0 || len(m.foundingCores) < m.params.Seats || now < m.foundAt || now < m.foundingCoresAt+settle {
 		return
 	}
 	m.foundAt = now + settle/4
 	if m.founding == nil {
 		// It is planned once, so that it is the same whenever it is sent again.
 		var cores []core.Core
-		for _, id := range ordered.Keys(m.present) {
-			cores = append(cores, m.present[id])
+		for _, id := range ordered.Keys(m.foundingCores) {
+			cores = append(cores, m.foundingCores[id])
 		}
 		founding := core.Plan(fmt.Sprintf("%s-%s", m.id, m.life), 1+m.params.PartsPerCore*len(cores), m.params.Seats, cores)
 		m.founding = &founding
