--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -42,7 +42,7 @@
 	list        map[string]*listed
 	subscribers map[string]*subscriber
 	desks       map[string]time.Duration
-	// deskLives are the desks' deskLives that this one has heard of.
+	// deskLives are the lives of desks that this one has heard of.
 	deskLives       map[string]string
 	topology        core.Topology
 	topologyVersion uint64
