--- a/peer/core/founding.go
+++ b/peer/core/founding.go
@@ -54,7 +54,7 @@
 }
 
 func (m *Machine) present() Present {
-	return Present{Core: m.self, Cold: m.params.ColdStart, Fleet: m.founding.Fleet}
+	return Present{Core: m.self, Cold: m.params.ColdStart, Fleet: m.founding.Fleet, Known: m.known}
 }
 
 func (m *Machine) greet() {
@@ -73,6 +73,7 @@
 	case m.founding.Fleet:
 		m.learnCore(b.Core)
 		m.hear(now, b.Core.Seat())
+		m.tellDiffering(now, from, b.Known)
 	case "":
 		m.learn()
 		m.send(from, m.Topology(), false)
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -83,6 +83,10 @@
 	placedSilent map[string]bool
 	heard        map[string]heard
 	changed      bool
+	// known is the digest of the topology as of the last gossip; toldAt is when a
+	// core that differed was last told it.
+	known  uint64
+	toldAt map[string]time.Duration
 	// outlived says that the fleet knows a later incarnation of this core; refused
 	// is how many claims to its entry lost a race.
 	outlived bool
@@ -125,6 +129,7 @@
 	m.learnCoresOf(s.Copies[ConfigurationPart])
 	m.assert()
 	m.unknown = true
+	m.toldAt = map[string]time.Duration{}
 	m.heard, m.movedAt, m.bornAt, m.tickedAt = map[string]heard{}, map[int]time.Duration{}, now, now
 	for _, n := range ordered.Keys(s.Copies) {
 		m.seat(now, n, s.Copies[n])
--- a/peer/core/ops.go
+++ b/peer/core/ops.go
@@ -438,6 +438,9 @@
 		Cold bool
 		// Fleet is empty as long as the core belongs to none.
 		Fleet string
+		// Known is the digest of the topology that the core knows, so that it need
+		// not be told what it has; zero: it does not say.
+		Known uint64
 	}
 	// FoundFleet makes cores that belong to no fleet, and are allowed to, a new
 	// one. Those that are founded pass it on.
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"hash/fnv"
 	"maps"
+	"strconv"
 	"time"
 
 	"saffronfall/rule/message"
@@ -113,6 +115,61 @@
 	}
 }
 
+// wholeGossipTerms is after how many terms of a member the topology is told though
+// nothing has changed. Cores that know another one are told at their next word.
+const wholeGossipTerms = 8
+
+// Digest tells a topology from others.
+func (t Topology) Digest() uint64 {
+	var text digestText
+	text.words(t.Fleet)
+	text.numbers(uint64(len(t.Cores)), uint64(len(t.Owners)), uint64(len(t.Groups)))
+	for _, id := range ordered.Keys(t.Cores) {
+		c := t.Cores[id]
+		text.words(c.ID, c.Incarnation, c.Zone, c.Peer, c.Operator, strconv.FormatBool(c.Retired))
+		text.numbers(c.Version)
+	}
+	for _, owner := range t.Owners {
+		text.words(owner.Owner)
+		text.numbers(owner.Round)
+	}
+	for _, g := range t.Groups {
+		text.words(g.Term.Owner)
+		text.numbers(g.Term.Round, g.Epoch, uint64(len(g.Seats)), uint64(len(g.Former)))
+		text.words(g.Seats...)
+		text.words(g.Former...)
+	}
+	h := fnv.New64a()
+	h.Write(text)
+	return h.Sum64()
+}
+
+// digestText is what a digest is made of, so that no two lists read alike.
+type digestText []byte
+
+func (d *digestText) words(words ...string) {
+	for _, word := range words {
+		*d = strconv.AppendQuote(*d, word)
+	}
+}
+
+func (d *digestText) numbers(numbers ...uint64) {
+	for _, number := range numbers {
+		*d = strconv.AppendUint(append(*d, ' '), number, 10)
+	}
+}
+
+// tellDiffering tells a core what this one knows, if that core knows something
+// else. It does the same, so that both end with what either knew.
+func (m *Machine) tellDiffering(now time.Duration, to string, theirs uint64) {
+	if theirs == 0 || m.known == 0 || theirs == m.known || now < m.toldAt[to]+m.params.MemberTerm/4 {
+		return
+	}
+	m.toldAt[to] = now
+	m.learn()
+	m.send(to, m.Topology(), false)
+}
+
 // gossip tells the other cores that this one lives, and what it knows of the
 // fleet when that has changed, or was not told for long.
 func (m *Machine) gossip(now time.Duration) {
@@ -122,6 +179,7 @@
 	}
 	m.beatAt = now + m.beat()
 	topology := m.Topology()
+	m.known = topology.Digest()
 	for _, id := range ordered.Keys(m.cores) {
 		c := m.cores[id]
 		if id == m.self.ID {
@@ -133,7 +191,7 @@
 		}
 	}
 	if whole {
-		m.changed, m.tellAt = false, now+m.params.MemberTerm/4
+		m.changed, m.tellAt = false, now+wholeGossipTerms*m.params.MemberTerm
 	}
 }
 
--- a/peer/desk/topology.go
+++ b/peer/desk/topology.go
@@ -49,10 +49,12 @@
 		m.topology.Cores[b.Core.ID] = b.Core
 		m.topologyVersion++
 	}
-	m.send(from, m.topology)
-	if len(m.topology.Owners) == 0 {
-		m.send(from, core.Pull{Want: true})
+	if b.Known != 0 && b.Known == m.topology.Digest() {
+		return
 	}
+	// They know different things: each tells the other.
+	m.send(from, m.topology)
+	m.send(from, core.Pull{Want: true})
 }
 
 // adopt takes over what is newer in another's topology.
--- a/peer/relay/touch.go
+++ b/peer/relay/touch.go
@@ -60,9 +60,11 @@
 	m.caller.Call(now, core.ReadSeats{Part: core.ConfigurationPart}, now+wait, func(time.Duration, core.Outcome) {})
 }
 
-// refuseCutOff ends a request that has not run, before it is sent anywhere. A
-// reservation that the cores may have taken is settled when they answer.
+// refuseCutOff ends a request that has not run, before it is sent anywhere. The
+// reservation under way may still be booked; it is settled from now on, and not
+// only when its answer comes.
 func (m *Machine) refuseCutOff(now time.Duration, w *way) {
 	m.Counters.RefusedCutOff++
+	w.reserved = w.reserved || w.reserving
 	m.refuse(now, w, Step{Status: 503, Check: "cores", Reason: "this node reaches no core; try another", RetryAfter: m.params.Core.Retry / 2})
 }
