--- a/rehearsalkit/relaysim/judge_orders.go
+++ b/rehearsalkit/relaysim/judge_orders.go
@@ -11,6 +11,7 @@
 	RuleRefused    = "only what lost its race is refused"
 	RuleNewest     = "no older table is told as the newest"
 	RuleAnswered   = "calls at a live desk end in time"
+	RuleUnheard    = "a desk that nobody hears takes no heartbeat"
 	RuleRetired    = "no retirement is done before copies stand elsewhere"
 	RuleRestored   = "groups get their size again in time"
 	RuleBehind     = "who was away leads only once it has what is agreed"
--- a/rehearsalkit/relaysim/longcut.go
+++ b/rehearsalkit/relaysim/longcut.go
@@ -201,11 +201,15 @@
 	}
 }
 
-// knowsAfter is after what time a desk that reaches no core must know it.
-const knowsAfter = time.Second
+const (
+	// knowsAfter is after what time a desk that reaches no core must know it.
+	knowsAfter = time.Second
+	// unheardAfter is after what time a desk that no node hears must know it.
+	unheardAfter = 5 * time.Second
+)
 
 // judgeKnowing wants a desk that must know that it reaches no core to keep no call
-// waiting.
+// waiting, and one that no node hears to take nothing from replicas.
 func (l *longcut) judgeKnowing(target *process, began time.Duration, c *deskCall) {
 	since := c.at - began
 	if c.desk != target || l.way == cutPeers || since < knowsAfter || since > cutLength-answerBound || c.lost() {
@@ -214,6 +218,9 @@
 	if took := c.ended - c.at; c.ended < 0 || took > answerBound {
 		l.findings.breach(RuleAnswered, "%s at %s, which had been cut off (%s) for %v, took %v", c.kind, c.desk.id, l.way, since, took)
 	}
+	if c.clear && since > unheardAfter && (c.kind == callHeartbeat || c.kind == callLeave) {
+		l.findings.breach(RuleUnheard, "%s was acknowledged by %s, which had been cut off (%s) for %v", c.kind, c.desk.id, l.way, since)
+	}
 }
 
 // barrier tells which links a cut of a machine takes.
--- a/rehearsalkit/relaysim/longcut_test.go
+++ b/rehearsalkit/relaysim/longcut_test.go
@@ -94,6 +94,9 @@
 		{"desks say nothing when nobody answers them", RuleAnswered, func(p *Params) {
 			p.WrapDesk = func(d Desk) Desk { return &mute{d} }
 		}},
+		{"desks take heartbeats that they can pass on to nobody", RuleUnheard, func(p *Params) {
+			p.WrapDesk = func(d Desk) Desk { return &forger{Desk: d, forge: func(h desk.Handed) desk.Handed { return h }} }
+		}},
 		{"a desk hears of nothing fresh any more", RuleWholeAgain, func(p *Params) {
 			heard := 0
 			altering(func(from, to string, b core.Fresh) (core.Fresh, bool) {
--- a/rehearsalkit/relaysim/replica.go
+++ b/rehearsalkit/relaysim/replica.go
@@ -72,7 +72,7 @@
 }
 
 // beat announces the replica at a desk, and at the next where it is not heard
-// within a second.
+// within a second, as where the desk says that it can pass nothing on.
 func (r *replica) beat(heard func()) {
 	w := r.world
 	if r.target == nil {
@@ -87,6 +87,9 @@
 		}
 		to.do(func() {
 			to.takeDesk(to.desk.Beat(to.now(), word))
+			if isolated(to) {
+				return
+			}
 			life := to.life
 			w.after(w.delay(), func() {
 				if to.life == life && !done && r.alive {
