Desk: nodes must show that they hear a desk before it takes heartbeats

Cause: a desk that reaches no core counted each node that it heard of lately as reached. Where only what it says is lost, it heard all of them and acknowledged heartbeats and leaves for as long as the cut lasted, and no node learned of them.

Ruled out: nodes that had the news from another desk (replicas were told that they were heard, and told no other).

Change: while out of touch with the cores the desk counts the version of its list on every two beats; a node counts as reached only if the version that it says it has is the one before at least. Messages are as they were. TestUnheardDeskIsIsolated was seen to fail before.

--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -56,6 +56,7 @@
 	pullAt    time.Duration
 	followAt  time.Duration
 	sweepAt   time.Duration
+	echo      echo
 	foundAt   time.Duration
 	founding  *core.Founding
 	pending   map[uint64]pendingCall
@@ -129,6 +130,7 @@
 	m.tickedAt = now
 	m.caller.Tick(now)
 	m.giveUpCalls(now)
+	m.listenForEcho(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Core.Pull*2
 		targets := ordered.Keys(m.desks)
--- a/peer/desk/reach.go
+++ b/peer/desk/reach.go
@@ -15,8 +15,31 @@
 	// nodeMemory is for how many heartbeats a node that fell silent still counts
 	// among those that a desk should reach.
 	nodeMemory = 40
+	// echoBeats is how many beats nodes have to tell what they heard: a word of
+	// theirs comes every half a beat, and some get lost.
+	echoBeats = 2
 )
 
+// echo is how a desk that is out of touch finds out whether nodes hear it: it
+// counts its version on, and they say in their next words which one they have.
+type echo struct {
+	at time.Duration
+	// told is the version that was counted on last, due the one before, which
+	// whoever hears this desk must have by now.
+	told, due uint64
+}
+
+// listenForEcho counts the version on every echoBeats, while out of touch.
+func (m *Machine) listenForEcho(now time.Duration) {
+	switch {
+	case m.inTouch(now):
+		m.echo = echo{}
+	case now >= m.echo.at:
+		m.version++
+		m.echo = echo{at: now + echoBeats*m.params.Beat, told: m.version, due: m.echo.told}
+	}
+}
+
 // pendingCall is an operator's call that waits for the cores.
 type pendingCall struct {
 	began time.Duration
@@ -71,7 +94,7 @@
 			continue
 		}
 		known++
-		if now < subscriber.heard+m.params.Beat {
+		if now < subscriber.heard+m.params.Beat && subscriber.has >= m.echo.due {
 			reached++
 		}
 	}
--- /dev/null
+++ b/peer/desk/reach_test.go
@@ -0,0 +1,39 @@
+package desk
+
+import (
+	"testing"
+	"time"
+)
+
+// TestUnheardDeskIsIsolated: a desk hears its nodes and not the cores. Where
+// nothing that it says arrives, nodes go on telling what they had, and it counts
+// as isolated; where nodes hear it, it does not.
+func TestUnheardDeskIsIsolated(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		m := inTouchDesk(t, 0)
+		nodes := map[string]uint64{"n1:1": 0, "n2:1": 0, "n3:1": 0}
+		isolated := time.Duration(0)
+		for now := time.Duration(0); now < 20*time.Second; now += 50 * time.Millisecond {
+			m.Tick(now)
+			if now%(m.params.Beat/2) == 0 {
+				for address, version := range nodes {
+					o := m.Receive(now, address, Follow{Node: address, Life: m.life, Version: version})
+					for _, b := range sentTo[Bulletin](o, address) {
+						if heard {
+							nodes[address] = b.Version
+						}
+					}
+				}
+			}
+			if isolated == 0 && m.Isolated(now) {
+				isolated = now
+			}
+		}
+		switch {
+		case heard && isolated > 0:
+			t.Errorf("isolated at %v though all nodes hear it", isolated)
+		case !heard && (isolated == 0 || isolated > 4*m.params.Beat):
+			t.Errorf("nobody hears it, and it is isolated at %v", isolated)
+		}
+	}
+}
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -14,6 +14,8 @@
 	mark    uint64
 	heard   time.Duration
 	desk    bool
+	// has is the version that it said it has of this life of the desk.
+	has uint64
 }
 
 // listens reports whether a subscriber was heard of lately.
@@ -84,8 +86,9 @@
 	}
 	f.heard, f.desk = now, b.Desk
 	f.life, f.version, f.table, f.differs = b.Life, b.Version, b.Table, b.Differs
+	f.has = b.Version
 	if b.Life != m.life {
-		f.mark = 0
+		f.mark, f.has = 0, 0
 	}
 	if b.Desk {
 		m.learnDesk(now, from)
