--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -56,11 +56,10 @@
 	pullAt    time.Duration
 	followAt  time.Duration
 	sweepAt   time.Duration
-	echo      echo
 	foundAt   time.Duration
 	founding  *core.Founding
-	pending   map[uint64]pendingCall
-	tickedAt  time.Duration
+	reach
+	tickedAt time.Duration
 	// saved are the addresses that were written down last, as of savedMark.
 	saved     Peers
 	savedMark uint64
@@ -69,7 +68,7 @@
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
+		lives: map[string]string{}, list: map[string]*listed{}, followers: map[string]*follower{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
 		present: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
--- a/peer/desk/reach.go
+++ b/peer/desk/reach.go
@@ -20,6 +20,13 @@
 	echoBeats = 2
 )
 
+// reach is what a desk needs to know whom it reaches.
+type reach struct {
+	// pending has the calls that wait for the cores, by their tickets.
+	pending map[uint64]pendingCall
+	echo    echo
+}
+
 // echo is how a desk that is out of touch finds out whether nodes hear it: it
 // counts its version on, and they say in their next words which one they have.
 type echo struct {
