--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -64,7 +64,6 @@
 	tickets  slab.Slab[origin]
 	out      *Output
 	random   func() float64
-	gossipAt time.Duration
 	sweepAt  time.Duration
 	leaving  bool
 	stalled  bool
@@ -83,16 +82,11 @@
 	placedSilent map[string]bool
 	heard        map[string]heard
 	changed      bool
-	// known is the digest of the topology as of the last gossip; toldAt is when a
-	// core that differed was last told it.
-	known  uint64
-	toldAt map[string]time.Duration
+	gossiping
 	// outlived says that the fleet knows a later incarnation of this core; refused
 	// is how many claims to its entry lost a race.
 	outlived bool
 	refused  uint64
-	tellAt   time.Duration
-	beatAt   time.Duration
 	movedAt  map[int]time.Duration
 	moveAt   time.Duration
 }
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// gossiping is when and what a core last told the others of the fleet.
+type gossiping struct {
+	gossipAt, beatAt, tellAt time.Duration
+	// known is the digest of the topology as of the last gossip; toldAt is when a
+	// core that differed was last told it.
+	known  uint64
+	toldAt map[string]time.Duration
+}
+
 // wholeGossipTerms is after how many terms of a member the topology is told though
 // nothing has changed. Cores that know another one are told at their next word.
 const wholeGossipTerms = 8
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -58,8 +58,8 @@
 	sweepAt         time.Duration
 	foundAt         time.Duration
 	founding        *core.Founding
-	pending         map[uint64]pendingCall
-	tickedAt        time.Duration
+	reach
+	tickedAt time.Duration
 	// saved are the addresses that were written down last, as of savedMark.
 	saved     Peers
 	savedMark uint64
@@ -68,7 +68,7 @@
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		deskLives: map[string]string{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, pending: map[uint64]pendingCall{}, desks: map[string]time.Duration{o.Address: o.Now},
+		deskLives: map[string]string{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
 		foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
@@ -129,6 +129,7 @@
 	m.tickedAt = now
 	m.caller.Tick(now)
 	m.giveUpCalls(now)
+	m.listenForEcho(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Core.Pull*2
 		targets := ordered.Keys(m.desks)
