Model checker for a part's state machine: it runs the shipped code

Change: rehearsalkit/modelcheck explores part.Machine breadth-first within bounds: messages delivered in any order, late, twice or never, time, drift, restarts, power lost before a sync, losses, changes of members. Fourteen scenarios, seven properties, traces that are saved and replayed. States are cloned and hashed by reflection, so rule/part is not touched; ruled out: a model beside the code, and replay of every path, which is slower. breaks.Checker lists changes for the worse that it must find.

--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -20,6 +20,7 @@
 	"saffronfall/rehearsalkit/capacity"
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rehearsalkit/modelcheck"
 	"saffronfall/rehearsalkit/relaysim"
 	"saffronfall/rehearsalkit/simulator"
 	"saffronfall/rule/ordered"
@@ -322,9 +323,35 @@
 	Seeds int    `help:"How many seeds may be needed to find a break." default:"80"`
 	Root  string `help:"The workspace." default:"." type:"path"`
 	Rule  int    `help:"Only the breaks of this rule; 0: all." default:"0"`
+	// Checker and Only choose the breaks that the model checker must find.
+	Checker bool   `help:"The breaks that the model checker must find, and not those of rules."`
+	Only    string `help:"With --checker: only the breaks that have this in their description."`
+}
+
+func (c *breaksCommand) runChecker() error {
+	unseen := 0
+	for _, b := range breaks.Checker {
+		if !strings.Contains(b.What, c.Only) {
+			continue
+		}
+		found, err := b.Run(c.Root)
+		if err != nil {
+			unseen++
+			fmt.Printf("UNSEEN %s: %v\n", b.What, err)
+			continue
+		}
+		fmt.Printf("%s: %s\n", b.What, found)
+	}
+	if unseen > 0 {
+		return errors.Newf("%d breaks unseen", unseen)
+	}
+	return nil
 }
 
 func (c *breaksCommand) Run() error {
+	if c.Checker {
+		return c.runChecker()
+	}
 	unseen := 0
 	for _, b := range breaks.All {
 		if c.Rule != 0 && b.Rule != c.Rule {
@@ -360,15 +387,16 @@
 }
 
 var commands struct {
-	Backend  backendCommand   `cmd:"" help:"Run one stand-in back end."`
-	Fleet    fleetCommand     `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
-	Capacity capacity.Command `cmd:"" help:"Measure what nodes, desks and cores cost at a size, with hollow processes in simulated time."`
-	Breaks   breaksCommand    `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
-	Loads    loadsCommand     `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
-	Terms    termsCommand     `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
-	Crash    crashCommand     `cmd:"" help:"Lose each process concerned after each message and round each sync of each operation, and judge."`
-	Simulate simulateCommand  `cmd:"" help:"Run the simulator over seeds."`
-	Relaysim relaysimCommand  `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	Backend    backendCommand     `cmd:"" help:"Run one stand-in back end."`
+	Fleet      fleetCommand       `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and judge it."`
+	Capacity   capacity.Command   `cmd:"" help:"Measure what nodes, desks and cores cost at a size, with hollow processes in simulated time."`
+	Breaks     breaksCommand      `cmd:"" help:"Break the code on purpose in scratch copies, one line at a time, and want each break found."`
+	Loads      loadsCommand       `cmd:"" help:"Measure alerts under a crowd and the use of shares, in simulated time."`
+	Terms      termsCommand       `cmd:"" help:"Measure, in simulated time, what lengths of a member's term give and cost."`
+	Crash      crashCommand       `cmd:"" help:"Lose each process concerned after each message and round each sync of each operation, and judge."`
+	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of a part's shipped state machine within bounds, or replay a trace."`
+	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
+	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
 }
 
 func main() {
--- /dev/null
+++ b/rehearsalkit/modelcheck/clone.go
@@ -0,0 +1,117 @@
+package modelcheck
+
+import (
+	"reflect"
+	"sync"
+	"unsafe"
+
+	"saffronfall/rule/part"
+)
+
+// cloneMachine copies a machine with all its private state, so that both can go
+// on apart. Functions and interface values are shared: they hold nothing that
+// a machine changes in place.
+func cloneMachine(m *part.Machine) *part.Machine {
+	return deepCopy(reflect.ValueOf(m)).Interface().(*part.Machine)
+}
+
+// deepCopy copies a value. It must not come from an unexported field directly;
+// copyFields sees to that for the fields of structs.
+func deepCopy(v reflect.Value) reflect.Value {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			return v
+		}
+		fresh := reflect.New(v.Type().Elem())
+		fresh.Elem().Set(v.Elem())
+		if sharing(v.Type().Elem()) {
+			copyShared(fresh.Elem())
+		}
+		return fresh
+	case reflect.Slice:
+		if v.IsNil() {
+			return v
+		}
+		fresh := reflect.MakeSlice(v.Type(), v.Len(), v.Len())
+		reflect.Copy(fresh, v)
+		if sharing(v.Type().Elem()) {
+			for i := range fresh.Len() {
+				copyShared(fresh.Index(i))
+			}
+		}
+		return fresh
+	case reflect.Map:
+		return deepCopyMap(v)
+	case reflect.Struct:
+		fresh := reflect.New(v.Type()).Elem()
+		fresh.Set(v)
+		if sharing(v.Type()) {
+			copyShared(fresh)
+		}
+		return fresh
+	}
+	return v
+}
+
+func deepCopyMap(v reflect.Value) reflect.Value {
+	if v.IsNil() {
+		return v
+	}
+	fresh := reflect.MakeMapWithSize(v.Type(), v.Len())
+	deep := sharing(v.Type().Elem())
+	for walk := v.MapRange(); walk.Next(); {
+		value := walk.Value()
+		if deep {
+			value = deepCopy(value)
+		}
+		fresh.SetMapIndex(walk.Key(), value)
+	}
+	return fresh
+}
+
+// copyShared gives a value that was copied by assignment its own maps, slices
+// and pointers. The value must be addressable.
+func copyShared(v reflect.Value) {
+	if v.Kind() != reflect.Struct {
+		v.Set(deepCopy(v))
+		return
+	}
+	for _, i := range sharingFields(v.Type()) {
+		field := v.Field(i)
+		copyShared(reflect.NewAt(field.Type(), unsafe.Pointer(field.UnsafeAddr())).Elem())
+	}
+}
+
+var fieldsOfTypes sync.Map
+
+// sharingFields are the places of the fields of a struct that assigning it
+// would leave shared.
+func sharingFields(t reflect.Type) []int {
+	if known, ok := fieldsOfTypes.Load(t); ok {
+		return known.([]int)
+	}
+	var fields []int
+	for i := range t.NumField() {
+		if sharing(t.Field(i).Type) {
+			fields = append(fields, i)
+		}
+	}
+	fieldsOfTypes.Store(t, fields)
+	return fields
+}
+
+// sharing reports whether assigning a value of a type leaves two values that
+// share what a machine may change.
+func sharing(t reflect.Type) bool {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Map:
+		return true
+	case reflect.Slice:
+		// Values of entries are never changed in place.
+		return t.Elem().Kind() != reflect.Uint8
+	case reflect.Struct:
+		return len(sharingFields(t)) > 0
+	}
+	return false
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/command.go
@@ -0,0 +1,128 @@
+package modelcheck
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Command explores scenarios, or replays a trace.
+type Command struct {
+	Scenario string        `help:"Which scenario; all: one after the other." default:"all"`
+	Depth    int           `help:"How many actions a trace may have; 0: the scenario's own bound."`
+	States   int           `help:"How many distinct states are visited at most; 0: no limit."`
+	Faults   int           `help:"How many more of each kind of fault than the scenario has."`
+	Timeout  time.Duration `help:"How long each scenario may take; 0: no limit."`
+	Workers  int           `help:"How many states are expanded at once." default:"4"`
+	Save     string        `help:"A folder that traces of violations are written to." type:"path"`
+	Replay   string        `help:"Replay the trace in a file and explore nothing." type:"path"`
+	List     bool          `help:"List the scenarios."`
+}
+
+// garbagePercent lets the heap grow further between collections than usual: the
+// frontier is large and lives long.
+const garbagePercent = 300
+
+// Run runs the command.
+func (c *Command) Run() error {
+	switch {
+	case c.List:
+		for _, s := range Scenarios() {
+			fmt.Printf("%-10s %s (depth %d)\n", s.Name, s.About, s.Depth)
+		}
+		return nil
+	case c.Replay != "":
+		return replayFile(c.Replay)
+	}
+	debug.SetGCPercent(garbagePercent)
+	broken, found := 0, false
+	for _, s := range Scenarios() {
+		if c.Scenario != "all" && c.Scenario != s.Name {
+			continue
+		}
+		found = true
+		s.Bounds.more(c.Faults)
+		report := Explore(s, Limits{Depth: c.Depth, States: c.States, Timeout: c.Timeout, Workers: c.Workers, Progress: printProgress})
+		fmt.Println(report)
+		if report.Found == nil {
+			continue
+		}
+		broken++
+		fmt.Print("BROKEN ", report.Found)
+		if err := c.save(report.Found); err != nil {
+			return err
+		}
+	}
+	switch {
+	case !found:
+		return errors.Newf("no scenario %q", c.Scenario)
+	case broken > 0:
+		return errors.Newf("%d scenarios broken", broken)
+	}
+	return nil
+}
+
+func (c *Command) save(trace *Trace) error {
+	if c.Save == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.Save, 0o755); err != nil {
+		return errors.Wrap(err, "folder for traces")
+	}
+	return trace.Save(filepath.Join(c.Save, trace.Scenario+".json"))
+}
+
+func printProgress(p Progress) {
+	fmt.Printf("  depth %d: %d distinct states, %d transitions, %d in the frontier, %v\n", p.Depth, p.Distinct, p.Transitions, p.Frontier, p.Elapsed.Round(time.Millisecond))
+}
+
+// String sums a report up in a line.
+func (r Report) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s: %d distinct states, %d transitions, depth %d, %v", r.Scenario, r.Distinct, r.Transitions, r.Depth, r.Elapsed.Round(time.Millisecond))
+	switch {
+	case r.Found != nil:
+		text.WriteString("; broken")
+	case r.Cut == "":
+		text.WriteString("; all states within the bounds")
+	default:
+		fmt.Fprintf(&text, "; cut off by %s with %d states in the frontier", r.Cut, r.Frontier)
+	}
+	return text.String()
+}
+
+// replayFile replays a trace and prints each state on its way.
+func replayFile(path string) error {
+	trace, err := LoadTrace(path)
+	if err != nil {
+		return err
+	}
+	step := 0
+	broken, err := trace.Replay(func(a Action, w *World) {
+		step++
+		fmt.Printf("%3d %s\n      %s\n", step, a, w)
+	})
+	switch {
+	case errors.Is(err, ErrImpossible):
+		fmt.Printf("after %d of %d actions the code does not allow the next one: %v\n", step, len(trace.Actions), err)
+		return nil
+	case err != nil:
+		return err
+	case broken != nil:
+		return errors.Newf("BROKEN %s", broken)
+	}
+	fmt.Println("nothing is broken")
+	return nil
+}
+
+// more adds to the bounds of each kind of fault.
+func (b *Bounds) more(faults int) {
+	for _, bound := range []*int{&b.Reboots, &b.Crashes, &b.Losses, &b.Duplicates, &b.Skews, &b.Delays} {
+		*bound += faults
+	}
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/encode.go
@@ -0,0 +1,196 @@
+package modelcheck
+
+import (
+	"encoding/binary"
+	"math"
+	"reflect"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"saffronfall/rule/part"
+)
+
+// digest is the 128-bit hash of an encoding.
+type digest [2]uint64
+
+// secondSeed makes the second half of a digest independent of the first.
+const secondSeed = 0x9e3779b97f4a7c15
+
+// plus adds digests; a sum of digests stands for a multiset.
+func (d digest) plus(other digest) digest { return digest{d[0] + other[0], d[1] + other[1]} }
+
+// less orders digests.
+func (d digest) less(other digest) bool {
+	return d[0] < other[0] || (d[0] == other[0] && d[1] < other[1])
+}
+
+// unencoded are the types of fields that are no part of a machine's state:
+// counters, settings, and the output of the step before.
+var unencoded = map[reflect.Type]bool{
+	reflect.TypeFor[part.Counters](): true,
+	reflect.TypeFor[part.Params]():   true,
+	reflect.TypeFor[*part.Output]():  true,
+	reflect.TypeFor[part.Rules]():    true,
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// nextQuantum rounds a time up to the next at which a clock may be looked at. A
+// machine asks whether a time has come; which of those between two looks it is
+// makes no difference to it.
+func nextQuantum(n int64) int64 {
+	q := int64(quantum)
+	if rest := n % q; rest > 0 {
+		return n - rest + q
+	}
+	return n
+}
+
+// encoder writes values canonically: maps in the order of their keys, seats
+// under the names that a renaming gives them.
+type encoder struct {
+	buffer []byte
+	rename map[string]string
+}
+
+func digestOf(rename map[string]string, values ...any) digest {
+	e := encoder{buffer: make([]byte, 0, 1024), rename: rename}
+	for _, value := range values {
+		e.encode(reflect.ValueOf(value))
+	}
+	return e.digest()
+}
+
+func (e *encoder) digest() digest {
+	second := xxhash.NewWithSeed(secondSeed)
+	second.Write(e.buffer)
+	return digest{xxhash.Sum64(e.buffer), second.Sum64()}
+}
+
+func (e *encoder) number(n uint64) { e.buffer = binary.AppendUvarint(e.buffer, n) }
+
+func (e *encoder) text(s string) {
+	e.number(uint64(len(s)))
+	e.buffer = append(e.buffer, s...)
+}
+
+func (e *encoder) name(s string) string {
+	if other, ok := e.rename[s]; ok {
+		return other
+	}
+	return s
+}
+
+func (e *encoder) encode(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Invalid:
+		e.number(0)
+	case reflect.Bool:
+		if v.Bool() {
+			e.number(1)
+		} else {
+			e.number(0)
+		}
+	case reflect.Int, reflect.Int64:
+		n := v.Int()
+		if v.Type() == durationType {
+			n = nextQuantum(n)
+		}
+		e.number(uint64(n))
+	case reflect.Uint8, reflect.Uint64:
+		e.number(v.Uint())
+	case reflect.Float64:
+		e.number(math.Float64bits(v.Float()))
+	case reflect.String:
+		e.text(e.name(v.String()))
+	case reflect.Pointer:
+		e.pointer(v)
+	case reflect.Interface:
+		e.dynamic(v)
+	case reflect.Slice, reflect.Array:
+		e.list(v)
+	case reflect.Map:
+		e.table(v)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if field := v.Field(i); !unencoded[field.Type()] {
+				e.encode(field)
+			}
+		}
+	case reflect.Func:
+	default:
+		panic("modelcheck: no encoding for a " + v.Type().String())
+	}
+}
+
+func (e *encoder) pointer(v reflect.Value) {
+	if v.IsNil() {
+		e.number(0)
+		return
+	}
+	e.number(1)
+	e.encode(v.Elem())
+}
+
+func (e *encoder) dynamic(v reflect.Value) {
+	if v.IsNil() {
+		e.number(0)
+		return
+	}
+	e.text(v.Elem().Type().String())
+	e.encode(v.Elem())
+}
+
+func (e *encoder) list(v reflect.Value) {
+	e.number(uint64(v.Len()))
+	if v.Type().Elem().Kind() == reflect.String {
+		e.seats(v)
+		return
+	}
+	for i := range v.Len() {
+		e.encode(v.Index(i))
+	}
+}
+
+// seats writes a list of seats. Under a renaming the order does not count, or
+// no two states that differ by names would meet.
+func (e *encoder) seats(v reflect.Value) {
+	names := make([]string, v.Len())
+	for i := range names {
+		names[i] = e.name(v.Index(i).String())
+	}
+	if e.rename != nil {
+		slices.Sort(names)
+	}
+	for _, name := range names {
+		e.text(name)
+	}
+}
+
+type tableRow struct {
+	key   string
+	value reflect.Value
+}
+
+func (e *encoder) table(v reflect.Value) {
+	rows := make([]tableRow, 0, v.Len())
+	for walk := v.MapRange(); walk.Next(); {
+		key := walk.Key()
+		row := tableRow{value: walk.Value()}
+		if key.Kind() == reflect.String {
+			row.key = e.name(key.String())
+		} else {
+			row.key = string(binary.BigEndian.AppendUint64(nil, key.Uint()))
+		}
+		rows = append(rows, row)
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].key < rows[j].key })
+	e.number(uint64(len(rows)))
+	for _, row := range rows {
+		e.text(row.key)
+		e.encode(row.value)
+	}
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/explore.go
@@ -0,0 +1,217 @@
+package modelcheck
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Limits bound an exploration, whatever a scenario's bounds are.
+type Limits struct {
+	// Depth is how many actions a trace may have, States how many distinct states
+	// are visited, Timeout how long it may take. Zero: the scenario's depth, and
+	// no other limit.
+	Depth   int
+	States  int
+	Timeout time.Duration
+	Workers int
+	// Progress is told of each depth; it may be nil.
+	Progress func(Progress)
+}
+
+// Progress is how far an exploration has come.
+type Progress struct {
+	Depth, Distinct, Frontier int
+	Transitions               int64
+	Elapsed                   time.Duration
+}
+
+// Report is what an exploration has come to.
+type Report struct {
+	Scenario string
+	Progress
+	// Cut says which limit ended it while states were left in the frontier; it is
+	// empty where all states within the bounds were visited.
+	Cut   string
+	Found *Trace
+}
+
+// node is a visited state's place in the tree of shortest traces.
+type node struct {
+	parent *node
+	action Action
+	world  *World
+}
+
+func (n *node) trace() []Action {
+	var list []Action
+	for ; n.parent != nil; n = n.parent {
+		list = append(list, n.action)
+	}
+	slices.Reverse(list)
+	return list
+}
+
+// shards is over how many locks the set of visited states is spread.
+const shards = 64
+
+type visited struct {
+	parts [shards]struct {
+		lock sync.Mutex
+		set  map[digest]struct{}
+	}
+}
+
+// add reports whether a state is new.
+func (v *visited) add(d digest) bool {
+	part := &v.parts[d[0]%shards]
+	part.lock.Lock()
+	defer part.lock.Unlock()
+	if _, ok := part.set[d]; ok {
+		return false
+	}
+	if part.set == nil {
+		part.set = map[digest]struct{}{}
+	}
+	part.set[d] = struct{}{}
+	return true
+}
+
+// layer is what one worker makes of its share of a frontier.
+type layer struct {
+	next        []*node
+	transitions int64
+	found       []*node
+}
+
+// Explore visits all states of a scenario within its bounds, nearest first, and
+// ends at the depth of the first violation.
+func Explore(scenario *Scenario, limits Limits) Report {
+	began := time.Now()
+	if limits.Depth == 0 {
+		limits.Depth = scenario.Depth
+	}
+	report := Report{Scenario: scenario.Name}
+	start := scenario.Start()
+	seen := &visited{}
+	seen.add(start.fingerprint())
+	frontier := []*node{{world: start}}
+	report.Distinct = 1
+	if start.broken != nil {
+		report.Found = newTrace(scenario, frontier[0])
+		return report
+	}
+	for {
+		report.Frontier, report.Elapsed = len(frontier), time.Since(began)
+		report.Cut = limits.cut(&report)
+		if limits.Progress != nil {
+			limits.Progress(report.Progress)
+		}
+		if report.Frontier == 0 || report.Cut != "" {
+			return report
+		}
+		merged := expandAll(frontier, seen, limits, began)
+		report.Depth++
+		report.Transitions += merged.transitions
+		report.Distinct += len(merged.next) + len(merged.found)
+		if len(merged.found) > 0 {
+			report.Found = newTrace(scenario, least(merged.found))
+			report.Elapsed = time.Since(began)
+			return report
+		}
+		frontier = merged.next
+	}
+}
+
+// cut names the limit that an exploration has come to.
+func (l *Limits) cut(report *Report) string {
+	switch {
+	case report.Frontier == 0:
+		return ""
+	case report.Depth >= l.Depth:
+		return "depth"
+	case l.States > 0 && report.Distinct >= l.States:
+		return "states"
+	case l.Timeout > 0 && report.Elapsed >= l.Timeout:
+		return "timeout"
+	}
+	return ""
+}
+
+// expandAll takes every action in every state of a frontier. After the timeout
+// the rest of the frontier is left.
+func expandAll(frontier []*node, seen *visited, limits Limits, began time.Time) layer {
+	workers := max(1, limits.Workers)
+	layers := make([]layer, workers)
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	taken := 0
+	take := func() *node {
+		lock.Lock()
+		defer lock.Unlock()
+		if taken == len(frontier) {
+			return nil
+		}
+		taken++
+		return frontier[taken-1]
+	}
+	for i := range layers {
+		group.Go(func() {
+			for n := take(); n != nil; n = take() {
+				if limits.Timeout > 0 && time.Since(began) >= limits.Timeout {
+					layers[i].next = append(layers[i].next, n)
+					continue
+				}
+				layers[i].expand(n, seen)
+			}
+		})
+	}
+	group.Wait()
+	var merged layer
+	for _, l := range layers {
+		merged.next = append(merged.next, l.next...)
+		merged.found = append(merged.found, l.found...)
+		merged.transitions += l.transitions
+	}
+	return merged
+}
+
+func (l *layer) expand(n *node, seen *visited) {
+	for _, action := range n.world.Actions() {
+		next, err := n.world.Apply(action)
+		if err != nil {
+			continue
+		}
+		l.transitions++
+		if next.idle(n.world, action) {
+			continue
+		}
+		if next.broken == nil && !seen.add(next.fingerprint()) {
+			continue
+		}
+		next.judgeDisks()
+		fresh := &node{parent: n, action: action, world: next}
+		if next.broken != nil {
+			l.found = append(l.found, fresh)
+		} else {
+			l.next = append(l.next, fresh)
+		}
+	}
+	n.world = nil
+}
+
+// least is the violation whose trace comes first, so that the same run names
+// the same one.
+func least(found []*node) *node {
+	return slices.MinFunc(found, func(a, b *node) int {
+		return slices.CompareFunc(a.trace(), b.trace(), func(x, y Action) int {
+			switch xs, ys := x.String(), y.String(); {
+			case xs < ys:
+				return -1
+			case xs > ys:
+				return 1
+			}
+			return 0
+		})
+	})
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/modelcheck_test.go
@@ -0,0 +1,241 @@
+package modelcheck
+
+import (
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"saffronfall/rule/part"
+)
+
+// smallDepths bound the exploration of each scenario in a test run. The command
+// goes as deep as it is told.
+var smallDepths = map[string]int{
+	"orders": 6, "again": 6, "replace": 7, "leave": 6, "catchup": 6, "read": 7, "cut": 7, "renewal": 7,
+	"restart": 7, "promise": 7, "power": 6, "candidate": 7, "unsynced": 11, "leftover": 5,
+}
+
+func TestScenariosHold(t *testing.T) {
+	for _, s := range Scenarios() {
+		t.Run(s.Name, func(t *testing.T) {
+			depth, ok := smallDepths[s.Name]
+			if !ok {
+				t.Fatal("no depth for a test run")
+			}
+			report := Explore(s, Limits{Depth: depth, Workers: 4})
+			t.Log(report)
+			if report.Found != nil {
+				t.Error(report.Found)
+			}
+			if report.Distinct < 100 || report.Depth < depth {
+				t.Errorf("%d states to depth %d show nothing", report.Distinct, report.Depth)
+			}
+		})
+	}
+}
+
+// Traces that once broke a property must not break one again.
+func TestKeptTraces(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(paths) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			trace, err := LoadTrace(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if broken, _ := trace.Replay(nil); broken != nil {
+				t.Error(broken)
+			}
+		})
+	}
+}
+
+// A read that counts from when it was answered, and not from when it came, is
+// stale when its process froze in between. The judge must see the difference.
+func TestPlaceOfLastLeaseCheck(t *testing.T) {
+	actions := []Action{
+		{Kind: BeginRead, Seat: "c"}, {Kind: Advance}, {Kind: Advance}, {Kind: Tick, Seat: "a"},
+		{Kind: Exchange, Message: "Stand", From: "a", Seat: "b"}, {Kind: Exchange, Message: "Stand", From: "a", Seat: "b"},
+		{Kind: Exchange, Message: "Write", From: "a", Seat: "b"}, {Kind: Propose, Seat: "a", Count: 1},
+		{Kind: Exchange, Message: "Write", From: "a", Seat: "b"}, {Kind: AnswerRead, Seat: "c"},
+	}
+	for _, late := range []bool{false, true} {
+		s, _ := Find("read")
+		s.LateReads = late
+		w := s.Start()
+		for _, a := range actions {
+			next, err := w.Apply(a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w = next
+		}
+		switch {
+		case !late && w.broken != nil:
+			t.Error(w.broken)
+		case late && (w.broken == nil || w.broken.Property != Fresh):
+			t.Errorf("a read judged by its end: %v", w.broken)
+		}
+	}
+}
+
+// What a clone does must not show in its source, nor the other way round.
+func TestCloneSharesNothing(t *testing.T) {
+	s, _ := Find("replace")
+	w := s.Start()
+	for range 40 {
+		for _, p := range w.processes {
+			if p.machine == nil {
+				continue
+			}
+			fresh := cloneMachine(p.machine)
+			if digestOf(nil, fresh) != digestOf(nil, p.machine) {
+				t.Fatal("a clone differs from its source")
+			}
+			wantApart(t, reflect.ValueOf(p.machine).Elem(), reflect.ValueOf(fresh).Elem(), "machine")
+		}
+		list := w.Actions()
+		next, err := w.Apply(list[len(list)/2])
+		if err != nil {
+			next, err = w.Apply(list[0])
+		}
+		if err != nil {
+			return
+		}
+		w = next
+	}
+}
+
+// wantApart looks for maps, slices and pointers that two values share.
+func wantApart(t *testing.T, a, b reflect.Value, path string) {
+	t.Helper()
+	switch a.Kind() {
+	case reflect.Map, reflect.Pointer:
+		if !a.IsNil() && a.Pointer() == b.Pointer() {
+			t.Errorf("%s is shared", path)
+		}
+	case reflect.Slice:
+		if a.Len() > 0 && a.Type().Elem().Kind() != reflect.Uint8 && a.Pointer() == b.Pointer() {
+			t.Errorf("%s is shared", path)
+		}
+	case reflect.Struct:
+		for i := range a.NumField() {
+			wantApart(t, a.Field(i), b.Field(i), path+"."+a.Type().Field(i).Name)
+		}
+		return
+	}
+	if a.Kind() == reflect.Pointer && !a.IsNil() && !unencoded[a.Type()] {
+		wantApart(t, a.Elem(), b.Elem(), path)
+	}
+}
+
+// A step must leave the state that it starts from as it was.
+func TestApplyLeavesItsStart(t *testing.T) {
+	for _, s := range Scenarios() {
+		w := s.Start()
+		for range 6 {
+			before := freshFingerprint(w)
+			var next *World
+			for _, a := range w.Actions() {
+				if one, err := w.Apply(a); err == nil {
+					next = one
+				}
+				if freshFingerprint(w) != before {
+					t.Fatalf("%s: %v has changed the state before it", s.Name, a)
+				}
+			}
+			if next == nil {
+				break
+			}
+			w = next
+		}
+	}
+}
+
+// freshFingerprint computes a fingerprint with nothing remembered.
+func freshFingerprint(w *World) digest {
+	for _, p := range w.processes {
+		p.digests = nil
+	}
+	return w.fingerprint()
+}
+
+// States that differ by the names of members that are alike count as one.
+func TestAlikeMembersAreOneState(t *testing.T) {
+	s, _ := Find("orders")
+	s.setup = func(*World) {}
+	w := s.Start()
+	var prints []digest
+	for _, seat := range []string{"b", "c"} {
+		next, err := w.Apply(Action{Kind: Crash, Seat: seat})
+		if err != nil {
+			t.Fatal(err)
+		}
+		prints = append(prints, next.fingerprint())
+	}
+	owner, err := w.Apply(Action{Kind: Crash, Seat: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if prints[0] != prints[1] || prints[0] == owner.fingerprint() {
+		t.Error("b and c are not alike, or a is")
+	}
+}
+
+func TestQuorumsIntersect(t *testing.T) {
+	trio := part.Group{Seats: []string{"a", "b", "c"}}
+	joint := part.Group{Seats: []string{"a", "b", "d"}, Former: trio.Seats}
+	final := part.Group{Seats: joint.Seats}
+	if !quorumsIntersect(trio, joint) || !quorumsIntersect(joint, final) || quorumsIntersect(trio, final) {
+		t.Error("quorums are counted wrong")
+	}
+}
+
+func TestBookSeesBrokenRules(t *testing.T) {
+	empty := &book{values: map[uint64]string{}, refused: map[string]bool{}}
+	one, broken := empty.see(1, "x", "")
+	if broken != nil || one.latest != 1 || empty.latest != 0 {
+		t.Fatal("a first value", broken)
+	}
+	if _, broken := one.see(1, "y", ""); broken == nil || broken.Property != OneValue {
+		t.Error("a second value under a number:", broken)
+	}
+	if _, broken := one.refuse(Order{Number: 1, Value: "x"}); broken == nil || broken.Property != RefusedGone {
+		t.Error("refused and in force:", broken)
+	}
+	refused, _ := one.refuse(Order{Number: 2, Value: "y"})
+	if _, broken := refused.see(2, "y", ""); broken == nil || broken.Property != RefusedGone {
+		t.Error("in force after it was refused:", broken)
+	}
+}
+
+func TestTraceSurvivesItsFile(t *testing.T) {
+	trace := &Trace{Scenario: "orders", Violation: Violation{Property: Fresh, Detail: "d"}, Actions: []Action{{Kind: Advance}, {Kind: Tick, Seat: "a"}}}
+	path := filepath.Join(t.TempDir(), "trace.json")
+	if err := trace.Save(path); err != nil {
+		t.Fatal(err)
+	}
+	back, err := LoadTrace(path)
+	if err != nil || !reflect.DeepEqual(back, trace) {
+		t.Errorf("%+v, %v", back, err)
+	}
+	if broken, err := back.Replay(nil); broken != nil || err != nil {
+		t.Error(broken, err)
+	}
+}
+
+// Limits must end an exploration and be told.
+func TestLimitsAreTold(t *testing.T) {
+	for want, limits := range map[string]Limits{
+		"depth": {Depth: 2}, "states": {Depth: 20, States: 500}, "timeout": {Depth: 40, Timeout: 50 * time.Millisecond},
+	} {
+		s, _ := Find("orders")
+		if r := Explore(s, limits); r.Cut != want || r.Frontier == 0 {
+			t.Errorf("%s: cut off by %q with %d in the frontier", want, r.Cut, r.Frontier)
+		}
+	}
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/process.go
@@ -0,0 +1,115 @@
+package modelcheck
+
+import (
+	"maps"
+	"time"
+
+	"saffronfall/rule/part"
+)
+
+// process is one replica: its machine, its disk, and what waits for the disk.
+type process struct {
+	seat string
+	// machine is nil while the process is down.
+	machine *part.Machine
+	// skew is by how much its clock has run fast.
+	skew time.Duration
+	// disk is what is synced; pending was issued and is not.
+	disk    part.Copy
+	pending []part.Record
+	// held are synced messages that wait for the records before them.
+	held []packet
+	// slow: syncs of its disk are steps of their own, else they are done at once.
+	slow bool
+	// lost: it is gone for good, and its disk with it.
+	lost bool
+	// agreed is the group that the machine has last reported as agreed.
+	agreed part.Group
+
+	// What follows from the rest, once it was asked for: digests under each
+	// renaming and of the disk, and what a read would return without and with
+	// a lease.
+	digests  []digest
+	stored   *digest
+	readable [2]*recovery
+}
+
+// clone copies a process, its machine included.
+func (p *process) clone() *process {
+	fresh := *p
+	if p.machine != nil {
+		fresh.machine = cloneMachine(p.machine)
+	}
+	fresh.pending = append([]part.Record(nil), p.pending...)
+	fresh.held = append([]packet(nil), p.held...)
+	fresh.digests, fresh.readable = nil, [2]*recovery{}
+	return &fresh
+}
+
+// store brings the disk up to some records.
+func (p *process) store(records []part.Record) {
+	if len(records) == 0 {
+		return
+	}
+	p.disk.Entries, p.stored = maps.Clone(p.disk.Entries), nil
+	for _, record := range records {
+		p.disk.Apply(record)
+	}
+}
+
+// start begins a new life of the process with what its disk holds.
+func (p *process) start(now time.Duration) {
+	p.machine = newMachine(p.seat, p.disk, now+p.skew)
+	p.agreed = part.Group{}
+}
+
+// crash ends the process. Of the records that were not synced the first kept
+// ones are on the disk all the same.
+func (p *process) crash(kept int) {
+	p.store(p.pending[:kept])
+	p.machine, p.pending, p.held = nil, nil, nil
+}
+
+// owns reports whether the process owns the part at a true time.
+func (p *process) owns(now time.Duration) bool {
+	if p.machine == nil {
+		return false
+	}
+	_, ok := p.machine.Owns(now + p.skew)
+	return ok
+}
+
+// digestUnder is the digest of the process under one of the renamings.
+func (p *process) digestUnder(renamings []map[string]string, n int) digest {
+	if p.digests == nil {
+		digests := make([]digest, len(renamings))
+		for i, renaming := range renamings {
+			digests[i] = digestOf(renaming, p.seat, p.machine, p.skew, p.disk, p.pending, p.held, p.lost)
+		}
+		p.digests = digests
+	}
+	return p.digests[n]
+}
+
+// Timing of the checked machines, in quanta of true time: a lease lasts two, a
+// replica keeps its word for three, and renewals go out once in a quantum.
+const (
+	quantum   = 50 * time.Millisecond
+	ownerTerm = 2 * quantum
+	drift     = 0.5
+	renewals  = 2
+	noSweeps  = 1 << 20
+)
+
+// newMachine makes the shipped machine, with a copy that is its own.
+func newMachine(seat string, disk part.Copy, now time.Duration) *part.Machine {
+	disk.Entries = maps.Clone(disk.Entries)
+	return part.New(part.Options{
+		Params: part.Params{OwnerTerm: ownerTerm, Drift: drift, Renewals: renewals, Sweeps: noSweeps},
+		Seat:   seat,
+		Rules:  registerRules{},
+		Copy:   disk,
+		Now:    now,
+		Random: func() float64 { return 0 },
+	})
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/scenarios.go
@@ -0,0 +1,315 @@
+package modelcheck
+
+// trio is the group of most scenarios; the fourth is a spare.
+var trio = []string{"a", "b", "c"}
+
+const spare = "d"
+
+func electedByAll(w *World) { w.elect("a", "b", "c") }
+
+// settled is an owner with one order that all have taken.
+func settled(w *World) {
+	electedByAll(w)
+	w.order("a", 0, "b", "c", spare)
+}
+
+// Scenarios are all that the checker knows.
+func Scenarios() []*Scenario {
+	return []*Scenario{
+		ordersScenario(),
+		againScenario(),
+		replaceScenario(),
+		leaveScenario(),
+		catchupScenario(),
+		readScenario(),
+		cutScenario(),
+		renewalScenario(),
+		restartScenario(),
+		promiseScenario(),
+		powerScenario(),
+		candidateScenario(),
+		unsyncedScenario(),
+		leftoverScenario(),
+	}
+}
+
+// Find is the scenario of a name.
+func Find(name string) (*Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// ordersScenario: two leaders and two orders based on one version.
+func ordersScenario() *Scenario {
+	return &Scenario{
+		Name:    "orders",
+		About:   "two leaders and two orders based on one version",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
+		Bounds:  Bounds{Delays: 1, Advances: 3, Reboots: 2, Attempts: 1},
+		Alike:   []string{"b", "c"},
+		Depth:   9,
+		setup:   electedByAll,
+	}
+}
+
+// againScenario: an order sent again through another member after its answer was lost.
+func againScenario() *Scenario {
+	return &Scenario{
+		Name:    "again",
+		About:   "an order sent again through another member after its answer was lost",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
+		Bounds:  Bounds{Delays: 1, Advances: 3, Crashes: 1, Duplicates: 1, Attempts: 2},
+		Alike:   []string{"b", "c"},
+		Depth:   9,
+		setup:   electedByAll,
+	}
+}
+
+// replaceScenario: replacement of a member, then a second loss, at every step of it.
+func replaceScenario() *Scenario {
+	return &Scenario{
+		Name:    "replace",
+		About:   "replacement of a member, then a second loss, at every step of it",
+		Members: trio,
+		Spares:  []string{spare},
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Changes: []Change{{Add: spare, Remove: "c"}},
+		Bounds:  Bounds{Delays: 1, Advances: 1, Losses: 2, Attempts: 1},
+		Depth:   9,
+		setup:   settled,
+	}
+}
+
+// leaveScenario: a member that leaves while holding the only complete copy besides the owner's, at every step.
+func leaveScenario() *Scenario {
+	return &Scenario{
+		Name:    "leave",
+		About:   "a member that leaves while holding the only complete copy besides the owner's, at every step",
+		Members: trio,
+		Spares:  []string{spare},
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Changes: []Change{{Add: spare, Remove: "a"}},
+		Bounds:  Bounds{Delays: 1, Advances: 1, Losses: 1, Leaves: 1, Attempts: 1},
+		Depth:   9,
+		setup: func(w *World) {
+			electedByAll(w)
+			w.order("a", 0, "b")
+		},
+	}
+}
+
+// catchupScenario: a member that missed orders restarts, catches up while orders come, and leads.
+func catchupScenario() *Scenario {
+	return &Scenario{
+		Name:    "catchup",
+		About:   "a member that missed orders restarts, catches up while orders come, and leads",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:  Bounds{Delays: 1, Advances: 4, Reboots: 1, Crashes: 1, Attempts: 1},
+		Depth:   9,
+		setup: func(w *World) {
+			electedByAll(w)
+			w.order("a", 0, "b")
+		},
+	}
+}
+
+// readScenario: a lease read against a successor's write, with clocks that drift.
+func readScenario() *Scenario {
+	return &Scenario{
+		Name:    "read",
+		About:   "a lease read against a successor's write, with clocks that drift",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:  Bounds{Advances: 3, Skews: 2, Attempts: 1, Reads: true},
+		Depth:   9,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+			w.pass(1)
+		},
+	}
+}
+
+// cutScenario: a member that the owner's renewals do not reach wants to own the part.
+func cutScenario() *Scenario {
+	return &Scenario{
+		Name:    "cut",
+		About:   "a member that the owner's renewals do not reach wants to own the part",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:  Bounds{Advances: 2, Reboots: 1, Attempts: 1},
+		Depth:   8,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+			for range 2 {
+				w.pass(1)
+				w.tick("c")
+				w.settleAmong("c", "b")
+			}
+			w.pass(1)
+		},
+	}
+}
+
+// renewalScenario: the owner's renewals are answered, and the answers come late.
+func renewalScenario() *Scenario {
+	return &Scenario{
+		Name:    "renewal",
+		About:   "the owner's renewals are answered, and the answers come late",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}},
+		Bounds:  Bounds{Advances: 2, Delays: 1},
+		Depth:   9,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+			w.pass(1)
+			w.tick("c")
+			w.bring("c", "a", "Renew")
+			w.bring("c", "b", "Renew")
+			w.pass(2)
+		},
+	}
+}
+
+// restartScenario: members that renewed the owner's lease restart.
+func restartScenario() *Scenario {
+	return &Scenario{
+		Name:    "restart",
+		About:   "members that renewed the owner's lease restart",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}},
+		Bounds:  Bounds{Advances: 2, Reboots: 2},
+		Depth:   9,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+		},
+	}
+}
+
+// promiseScenario: a candidate is promised its term while the owner's write is on its way, and power is lost.
+func promiseScenario() *Scenario {
+	return &Scenario{
+		Name:      "promise",
+		About:     "a candidate is promised its term while the owner's write is on its way, and power is lost",
+		Members:   trio,
+		Orders:    []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:    Bounds{Reboots: 1, Delays: 1},
+		SlowDisks: []string{"a", "b"},
+		Depth:     11,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+			w.propose("c", 1)
+			w.forget("a")
+			w.pass(3)
+			w.tick("a")
+		},
+	}
+}
+
+// powerScenario: power is lost while records are not synced.
+func powerScenario() *Scenario {
+	return &Scenario{
+		Name:      "power",
+		About:     "power is lost while records are not synced",
+		Members:   trio,
+		Orders:    []Order{{0, 1, "x"}, {0, 1, "y"}},
+		Bounds:    Bounds{Delays: 1, Advances: 3, Reboots: 2, Attempts: 1},
+		SlowDisks: trio,
+		Alike:     []string{"b", "c"},
+		Depth:     8,
+		setup:     electedByAll,
+	}
+}
+
+// candidateScenario: a candidate renews the owner's lease while it asks, and restarts.
+func candidateScenario() *Scenario {
+	return &Scenario{
+		Name:    "candidate",
+		About:   "a candidate renews the owner's lease while it asks, and restarts",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:  Bounds{Delays: 1, Advances: 1, Reboots: 1},
+		Depth:   8,
+		setup: func(w *World) {
+			w.elect("c", "a", "b")
+			w.order("c", 0, "a", "b")
+			// Renewals reach b; then they are on their way to a alone.
+			w.pass(1)
+			w.tick("c")
+			w.settleAmong("c", "b")
+			w.pass(1)
+			w.tick("c")
+			w.forget("b")
+			w.pass(1)
+			w.tick("a")
+			// While a asks b, the renewal reaches a, and so does the next one.
+			w.bring("c", "a", "Renew")
+			w.bring("a", "c", "Renewed")
+			w.tick("c")
+			w.bring("c", "a", "Renew")
+			w.bring("a", "c", "Renewed")
+		},
+	}
+}
+
+// unsyncedScenario: a member that missed the owner's first write takes it late, renews, and loses power.
+func unsyncedScenario() *Scenario {
+	return &Scenario{
+		Name:      "unsynced",
+		About:     "a member that missed the owner's first write takes it late, renews, and loses power",
+		Members:   trio,
+		Orders:    []Order{{0, 1, "x"}, {1, 2, "y"}},
+		Bounds:    Bounds{Advances: 1, Reboots: 1},
+		SlowDisks: []string{"a"},
+		Depth:     12,
+		setup: func(w *World) {
+			w.elect("a", "b", "c")
+			w.order("a", 0, "b", "c")
+			w.pass(4)
+			w.elect("c", "b")
+			w.pass(1)
+			w.touch("a").slow = true
+			// The renewal tells the owner that a has missed its first write, a
+			// takes that, and the next renewals find it not synced.
+			w.tick("c")
+			w.settleAmong("a", "b", "c")
+			for range 2 {
+				w.pass(1)
+				w.tick("c")
+				w.settleAmong("a", "c")
+			}
+		},
+	}
+}
+
+// leftoverScenario: an order that only its owner took is left over when another owner serves.
+func leftoverScenario() *Scenario {
+	return &Scenario{
+		Name:    "leftover",
+		About:   "an order that only its owner took is left over when another owner serves",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
+		Bounds:  Bounds{Advances: 1, Reboots: 1, Attempts: 2, Delays: 1},
+		Depth:   8,
+		setup: func(w *World) {
+			electedByAll(w)
+			w.propose("a", 0)
+			late := w.network
+			w.network = nil
+			w.pass(4)
+			w.elect("b", "c")
+			w.network = late
+		},
+	}
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/trace.go
@@ -0,0 +1,81 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Trace is a way from a scenario's start to a violation. It can be kept in a
+// file and replayed.
+type Trace struct {
+	Scenario  string    `json:"scenario"`
+	Violation Violation `json:"violation"`
+	Actions   []Action  `json:"actions"`
+}
+
+func newTrace(scenario *Scenario, n *node) *Trace {
+	trace := &Trace{Scenario: scenario.Name, Actions: n.trace()}
+	if n.world.broken != nil {
+		trace.Violation = *n.world.broken
+	}
+	return trace
+}
+
+// String prints a trace, one action a line.
+func (t *Trace) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s\n  in scenario %s after %d actions:\n", &t.Violation, t.Scenario, len(t.Actions))
+	for i, action := range t.Actions {
+		fmt.Fprintf(&text, "  %3d %s\n", i+1, action)
+	}
+	return text.String()
+}
+
+// Save writes a trace to a file.
+func (t *Trace) Save(path string) error {
+	raw, err := json.MarshalIndent(t, "", "\t")
+	if err != nil {
+		return errors.Wrap(err, "trace")
+	}
+	return errors.Wrap(os.WriteFile(path, append(raw, '\n'), 0o644), "trace")
+}
+
+// LoadTrace reads a trace from a file.
+func LoadTrace(path string) (*Trace, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "trace")
+	}
+	var trace Trace
+	return &trace, errors.Wrapf(json.Unmarshal(raw, &trace), "trace %s", path)
+}
+
+// Replay takes a trace's actions and tells each state to a function that may be
+// nil. It returns what is broken at the end or on the way, and
+// ErrImpossible where the code no longer allows an action.
+func (t *Trace) Replay(tell func(Action, *World)) (*Violation, error) {
+	scenario, ok := Find(t.Scenario)
+	if !ok {
+		return nil, errors.Newf("no scenario %q", t.Scenario)
+	}
+	w := scenario.Start()
+	for _, action := range t.Actions {
+		next, err := w.Apply(action)
+		if err != nil {
+			return nil, err
+		}
+		next.judgeDisks()
+		if tell != nil {
+			tell(action, next)
+		}
+		if next.broken != nil {
+			return next.broken, nil
+		}
+		w = next
+	}
+	return nil, nil
+}
