Part: a renewed hold outlives a restart of a candidate and a lost promise

Cause: the model checker found two holders of a lease at once (traces in rehearsalkit/modelcheck/testdata, tests in rule/part/lease_test.go).

Change: a candidate that has renewed another's hold since it asked gives up before it promises itself; a renewal waits for the sync of the promise it rests on. With nothing waiting for the disk it leaves at once, as before.

Ruled out: a longer wait in New for every seat, which would undo that a former owner serves at once after all have lost their processes.

--- a/rule/part/machine.go
+++ b/rule/part/machine.go
@@ -799,6 +799,12 @@
 		return
 	}
 	if o.asking {
+		if now < m.until && m.holder.Owner != m.seat {
+			// It has renewed another's hold since it asked, and must not promise
+			// itself anything while that lasts: its next life would not know of it.
+			m.stepDown(now)
+			return
+		}
 		o.asking, o.promises, o.refused, o.sent = false, map[string]Promise{}, map[string]bool{}, now
 		m.ask(now)
 		return
@@ -996,7 +1002,8 @@
 	if b.Digest != 0 && r.Whole == b.Seq && m.sum|1 != b.Digest {
 		r.Stale = true
 	}
-	m.send(from, r, false)
+	// The promise that it rests on may not be on disk yet.
+	m.send(from, r, true)
 }
 
 func (m *Machine) onRenewed(now time.Duration, from string, b Renewed) {
