--- a/rehearsalkit/relaysim/judge.go
+++ b/rehearsalkit/relaysim/judge.go
@@ -53,7 +53,7 @@
 	b.byNumber = append(b.byNumber, r.Tables...)
 	sort.SliceStable(b.byNumber, func(i, j int) bool { return b.byNumber[i].Number < b.byNumber[j].Number })
 	var list []Breach
-	for _, rule := range []func() []Breach{b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.handling, b.leaving, b.served, b.heldUp} {
+	for _, rule := range []func() []Breach{b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.linear, b.handling, b.leaving, b.served, b.heldUp} {
 		list = append(list, rule()...)
 	}
 	return list
--- a/rehearsalkit/relaysim/operator.go
+++ b/rehearsalkit/relaysim/operator.go
@@ -139,7 +139,7 @@
 		default:
 			w.logf("table %d on %d refused by %s: race %v, %v", t.Number, t.Base, at.id, h.Race, h.Faults)
 			w.Counts["tables refused"]++
-			t.Refused, over = true, true
+			t.Refused, t.RefusedAt, over = true, w.now, true
 			done()
 		}
 	})
@@ -147,8 +147,8 @@
 }
 
 // read reads the table in force, at one desk after the other.
-func (w *World) read(until time.Duration, done func(t core.AgreedTable)) {
-	over := false
+func (w *World) read(until time.Duration, done func(from time.Duration, t core.AgreedTable)) {
+	over, from := false, w.now
 	again := func() {
 		if !over && w.now <= until {
 			over = true
@@ -158,7 +158,8 @@
 	w.operate(w.anyDesk(), func(d Desk, now time.Duration, ticket uint64) desk.Output { return d.Read(now, ticket) }, func(body any) {
 		if t, ok := body.(core.AgreedTable); ok && !over && t.Number > 0 {
 			over = true
-			done(t)
+			w.Counts["tables read"]++
+			done(from, t)
 		}
 	})
 	w.after(time.Second, again)
@@ -178,7 +179,8 @@
 		}
 		return
 	}
-	w.read(w.now+10*time.Second, func(now core.AgreedTable) {
+	w.read(w.now+10*time.Second, func(from time.Duration, now core.AgreedTable) {
+		w.Record.Readings = append(w.Record.Readings, ReadBack{From: from, At: w.now, Number: now.Number, Text: now.Text})
 		harm := 0
 		if w.chance(0.25) {
 			harm = 1 + w.random.IntN(6)
@@ -196,7 +198,7 @@
 
 // readBack reads the table in force at the end.
 func (w *World) readBack() {
-	w.read(w.Record.End, func(t core.AgreedTable) {
-		w.Record.Reads = append(w.Record.Reads, ReadBack{At: w.now, Number: t.Number, Text: t.Text})
+	w.read(w.Record.End, func(from time.Duration, t core.AgreedTable) {
+		w.Record.Reads = append(w.Record.Reads, ReadBack{From: from, At: w.now, Number: t.Number, Text: t.Text})
 	})
 }
--- a/rehearsalkit/relaysim/record.go
+++ b/rehearsalkit/relaysim/record.go
@@ -94,6 +94,8 @@
 	Sent, Acked time.Duration
 	IsAcked     bool
 	Refused     bool
+	// RefusedAt is when that answer came.
+	RefusedAt time.Duration
 }
 
 // Route is one route of a table, by the judge's own books.
@@ -106,11 +108,11 @@
 	Repeats bool
 }
 
-// ReadBack is the table that a desk read back at the end.
+// ReadBack is the table that a desk read back, asked From and answered At.
 type ReadBack struct {
-	At     time.Duration
-	Number uint64
-	Text   []byte
+	From, At time.Duration
+	Number   uint64
+	Text     []byte
 }
 
 // Trouble is a time in which a machine, or any of the stores, was harmed. It has
@@ -142,7 +144,9 @@
 	Runs     []Work
 	Words    []Word
 	Tables   []*Table
+	// Reads are those at the end, Readings the operators' own.
 	Reads    []ReadBack
+	Readings []ReadBack
 	Troubles []Trouble
 	// Closing is when the closing fault began, Back when all machines were back;
 	// zero: there was none. End is when the run ended.
