--- a/rehearsalkit/modelcheck/action.go
+++ b/rehearsalkit/modelcheck/action.go
@@ -118,6 +118,9 @@
 	case BeginRead:
 		w.reading = reading{Seat: p.seat, Sampled: now, Latest: w.book.latest}
 	case AnswerRead:
+		if !w.frozen(p.seat) {
+			return errors.Wrap(ErrImpossible, a.String())
+		}
 		w.answerRead(p)
 	default:
 		return errors.Newf("no action is called %q", a.Kind)
--- a/rehearsalkit/modelcheck/command.go
+++ b/rehearsalkit/modelcheck/command.go
@@ -19,6 +19,8 @@
 	Faults   int           `help:"How many more of each kind of fault than the scenario has."`
 	Timeout  time.Duration `help:"How long each scenario may take; 0: no limit."`
 	Workers  int           `help:"How many states are expanded at once." default:"4"`
+	Walks    int           `help:"Make so many random walks instead of an exploration; depth is their length."`
+	First    uint64        `help:"First seed of random walks." default:"1"`
 	Save     string        `help:"A folder that traces of violations are written to." type:"path"`
 	Replay   string        `help:"Replay the trace in a file and explore nothing." type:"path"`
 	List     bool          `help:"List the scenarios."`
@@ -47,14 +49,13 @@
 		}
 		found = true
 		s.Bounds.more(c.Faults)
-		report := Explore(s, Limits{Depth: c.Depth, States: c.States, Timeout: c.Timeout, Workers: c.Workers, Progress: printProgress})
-		fmt.Println(report)
-		if report.Found == nil {
+		trace := c.check(s)
+		if trace == nil {
 			continue
 		}
 		broken++
-		fmt.Print("BROKEN ", report.Found)
-		if err := c.save(report.Found); err != nil {
+		fmt.Print("BROKEN ", trace)
+		if err := c.save(trace); err != nil {
 			return err
 		}
 	}
@@ -67,6 +68,26 @@
 	return nil
 }
 
+// defaultWalk is how many actions a random walk takes where no depth is told.
+const defaultWalk = 60
+
+// check explores a scenario, or walks in it, and returns the trace of what is
+// broken.
+func (c *Command) check(s *Scenario) *Trace {
+	if c.Walks == 0 {
+		report := Explore(s, Limits{Depth: c.Depth, States: c.States, Timeout: c.Timeout, Workers: c.Workers, Progress: printProgress})
+		fmt.Println(report)
+		return report.Found
+	}
+	length := c.Depth
+	if length == 0 {
+		length = defaultWalk
+	}
+	report := Walk(s, Walks{Count: c.Walks, First: c.First, Length: length, Timeout: c.Timeout, Workers: c.Workers})
+	fmt.Printf("%s: %d random walks, %d steps, %v\n", s.Name, report.Walks, report.Steps, report.Elapsed.Round(time.Millisecond))
+	return report.Found
+}
+
 func (c *Command) save(trace *Trace) error {
 	if c.Save == "" {
 		return nil
--- a/rehearsalkit/modelcheck/modelcheck_test.go
+++ b/rehearsalkit/modelcheck/modelcheck_test.go
@@ -239,3 +239,19 @@
 		}
 	}
 }
+
+// A walk must find a violation that is there, and shorten its trace; the judge
+// of reads that is wrong on purpose gives one.
+func TestWalksFindAndShorten(t *testing.T) {
+	s, _ := Find("read")
+	if r := Walk(s, Walks{Count: 20, First: 1, Length: 30, Workers: 4}); r.Found != nil || r.Steps < 100 {
+		t.Errorf("%d steps: %v", r.Steps, r.Found)
+	}
+	s, _ = Find("read")
+	s.LateReads = true
+	r := Walk(s, Walks{Count: 20000, First: 1, Length: 30, Workers: 4})
+	if r.Found == nil || r.Found.Violation.Property != Fresh || len(r.Found.Actions) > 15 {
+		t.Errorf("%d walks: %v", r.Walks, r.Found)
+	}
+	t.Logf("%d walks, %v: %v", r.Walks, r.Elapsed, r.Found)
+}
--- /dev/null
+++ b/rehearsalkit/modelcheck/walk.go
@@ -0,0 +1,140 @@
+package modelcheck
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Walks bound random walks, which go deeper than an exploration can.
+type Walks struct {
+	// Count is how many walks are made, from the first seed on, Length how many
+	// actions each takes.
+	Count   int
+	First   uint64
+	Length  int
+	Timeout time.Duration
+	Workers int
+}
+
+// WalkReport is what random walks have come to.
+type WalkReport struct {
+	Walks, Steps int
+	Elapsed      time.Duration
+	// Seed is that of the walk that found something.
+	Seed  uint64
+	Found *Trace
+}
+
+// Walk takes random actions from a scenario's start, again and again, until a
+// property is broken or all walks are made. What it finds is shortened.
+func Walk(scenario *Scenario, walks Walks) WalkReport {
+	began := time.Now()
+	start := scenario.Start()
+	// All digests of the start are computed before workers share it.
+	start.fingerprint()
+	var report WalkReport
+	var lock sync.Mutex
+	take := func() (uint64, bool) {
+		lock.Lock()
+		defer lock.Unlock()
+		late := walks.Timeout > 0 && time.Since(began) >= walks.Timeout
+		if report.Walks == walks.Count || report.Found != nil || late {
+			return 0, false
+		}
+		report.Walks++
+		return walks.First + uint64(report.Walks-1), true
+	}
+	var group sync.WaitGroup
+	for range max(1, walks.Workers) {
+		group.Go(func() {
+			for seed, ok := take(); ok; seed, ok = take() {
+				actions, broken := walk(start, seed, walks.Length)
+				lock.Lock()
+				report.Steps += len(actions)
+				if broken != nil && report.Found == nil {
+					report.Seed = seed
+					report.Found = &Trace{Scenario: scenario.Name, Violation: *broken, Actions: actions}
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	if report.Found != nil {
+		report.Found.shorten(scenario)
+	}
+	report.Elapsed = time.Since(began)
+	return report
+}
+
+// walk takes one random walk.
+func walk(start *World, seed uint64, length int) ([]Action, *Violation) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var taken []Action
+	w := start
+	for len(taken) < length {
+		next, action := w.randomStep(random)
+		if next == nil {
+			return taken, nil
+		}
+		taken = append(taken, action)
+		next.judgeDisks()
+		if next.broken != nil {
+			return taken, next.broken
+		}
+		next.fingerprint()
+		w = next
+	}
+	return taken, nil
+}
+
+// randomStep takes one of the actions that are possible.
+func (w *World) randomStep(random *rand.Rand) (*World, Action) {
+	list := w.Actions()
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, action := range list {
+		if next, err := w.Apply(action); err == nil && !next.idle(w, action) {
+			return next, action
+		}
+	}
+	return nil, Action{}
+}
+
+// shorten leaves out actions as long as the same property is broken without
+// them.
+func (t *Trace) shorten(scenario *Scenario) {
+	for again := true; again; {
+		again = false
+		for i := len(t.Actions) - 1; i >= 0; i-- {
+			shorter := Trace{Scenario: t.Scenario, Actions: slices.Delete(slices.Clone(t.Actions), i, i+1)}
+			broken, steps := shorter.replayPossible(scenario)
+			if broken == nil || broken.Property != t.Violation.Property {
+				continue
+			}
+			t.Actions, t.Violation, again = steps, *broken, true
+			break
+		}
+	}
+}
+
+// replayPossible replays a trace without the actions that are not possible. It
+// returns what is broken and the actions taken until then.
+func (t *Trace) replayPossible(scenario *Scenario) (*Violation, []Action) {
+	w := scenario.Start()
+	var taken []Action
+	for _, action := range t.Actions {
+		next, err := w.Apply(action)
+		if err != nil {
+			continue
+		}
+		next.judgeDisks()
+		taken = append(taken, action)
+		if next.broken != nil {
+			return next.broken, taken
+		}
+		w = next
+	}
+	return nil, taken
+}
