--- a/rehearsalkit/breaks/checker.go
+++ b/rehearsalkit/breaks/checker.go
@@ -72,6 +72,8 @@
 		From: "if c.adding != \"\" && o.whole[c.adding] < o.committed {", To: "if false {"},
 	{What: "a write without a majority is answered as done when its owner steps down", Scenario: "orders", Depth: 8, Property: durable,
 		From: "m.out.Returns = append(m.out.Returns, Return{Ticket: r.Ticket, Unsure: true})", To: "m.out.Returns = append(m.out.Returns, r)"},
+	{What: "what is left over, though refused since, is taken up", Scenario: "refusal", Depth: 7, Property: refused,
+		From: "if e.Stamp.Term.Less(base) || alike && e.Gone {", To: "if alike && e.Gone {"},
 	{What: "a write is answered before it is agreed", Scenario: "orders", Depth: 8, Property: durable,
 		From: "case tx.written || len(o.entries) > 0:\n\t\to.returns = append(o.returns, r)", To: "case tx.written || len(o.entries) > 0:\n\t\tm.out.Returns = append(m.out.Returns, r)"},
 }
--- a/rehearsalkit/modelcheck/command.go
+++ b/rehearsalkit/modelcheck/command.go
@@ -105,12 +105,14 @@
 // String sums a report up in a line.
 func (r Report) String() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s: %d distinct states, %d transitions, depth %d, %v", r.Scenario, r.Distinct, r.Transitions, r.Depth, r.Elapsed.Round(time.Millisecond))
+	fmt.Fprintf(&text, "%s: %d distinct states, %d transitions in %v, depth %d", r.Scenario, r.Distinct, r.Transitions, r.Elapsed.Round(time.Millisecond), r.Depth)
 	switch {
 	case r.Found != nil:
 		text.WriteString("; broken")
 	case r.Cut == "":
 		text.WriteString("; all states within the bounds")
+	case r.Cut == timeoutCut:
+		fmt.Fprintf(&text, " not complete; cut off by timeout with %d states in the frontier", r.Frontier)
 	default:
 		fmt.Fprintf(&text, "; cut off by %s with %d states in the frontier", r.Cut, r.Frontier)
 	}
--- a/rehearsalkit/modelcheck/explore.go
+++ b/rehearsalkit/modelcheck/explore.go
@@ -123,17 +123,25 @@
 	}
 }
 
+// Limits that may cut an exploration off. At the timeout the last depth is not
+// complete.
+const (
+	depthCut   = "depth"
+	statesCut  = "states"
+	timeoutCut = "timeout"
+)
+
 // cut names the limit that an exploration has come to.
 func (l *Limits) cut(report *Report) string {
 	switch {
 	case report.Frontier == 0:
 		return ""
 	case report.Depth >= l.Depth:
-		return "depth"
+		return depthCut
 	case l.States > 0 && report.Distinct >= l.States:
-		return "states"
+		return statesCut
 	case l.Timeout > 0 && report.Elapsed >= l.Timeout:
-		return "timeout"
+		return timeoutCut
 	}
 	return ""
 }
--- a/rehearsalkit/modelcheck/modelcheck_test.go
+++ b/rehearsalkit/modelcheck/modelcheck_test.go
@@ -13,7 +13,7 @@
 // goes as deep as it is told.
 var smallDepths = map[string]int{
 	"orders": 6, "again": 6, "replace": 7, "leave": 6, "catchup": 6, "read": 7, "cut": 7, "renewal": 7,
-	"restart": 7, "promise": 7, "power": 6, "candidate": 7, "unsynced": 11, "leftover": 5,
+	"restart": 7, "promise": 7, "power": 6, "candidate": 7, "unsynced": 11, "leftover": 5, "refusal": 5,
 }
 
 func TestScenariosHold(t *testing.T) {
--- a/rehearsalkit/modelcheck/scenarios.go
+++ b/rehearsalkit/modelcheck/scenarios.go
@@ -7,6 +7,13 @@
 
 func electedByAll(w *World) { w.elect("a", "b", "c") }
 
+// nearSuccession has an owner whose lease ends after one more quantum, and a
+// member that may stand after two.
+func nearSuccession(w *World) {
+	w.elect("c", "a", "b")
+	w.pass(1)
+}
+
 // settled is an owner with one order that all have taken.
 func settled(w *World) {
 	electedByAll(w)
@@ -30,6 +37,7 @@
 		candidateScenario(),
 		unsyncedScenario(),
 		leftoverScenario(),
+		refusalScenario(),
 	}
 }
 
@@ -51,9 +59,9 @@
 		Members: trio,
 		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
 		Bounds:  Bounds{Delays: 1, Advances: 3, Reboots: 2, Attempts: 1},
-		Alike:   []string{"b", "c"},
+		Alike:   []string{"a", "b"},
 		Depth:   9,
-		setup:   electedByAll,
+		setup:   nearSuccession,
 	}
 }
 
@@ -65,9 +73,9 @@
 		Members: trio,
 		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
 		Bounds:  Bounds{Delays: 1, Advances: 3, Crashes: 1, Duplicates: 1, Attempts: 2},
-		Alike:   []string{"b", "c"},
+		Alike:   []string{"a", "b"},
 		Depth:   9,
-		setup:   electedByAll,
+		setup:   nearSuccession,
 	}
 }
 
@@ -111,11 +119,12 @@
 		About:   "a member that missed orders restarts, catches up while orders come, and leads",
 		Members: trio,
 		Orders:  []Order{{0, 1, "x"}, {1, 2, "y"}},
-		Bounds:  Bounds{Delays: 1, Advances: 4, Reboots: 1, Crashes: 1, Attempts: 1},
+		Bounds:  Bounds{Delays: 1, Advances: 3, Reboots: 1, Crashes: 1, Attempts: 1},
 		Depth:   9,
 		setup: func(w *World) {
-			electedByAll(w)
-			w.order("a", 0, "b")
+			w.elect("c", "a", "b")
+			w.order("c", 0, "b")
+			w.pass(1)
 		},
 	}
 }
@@ -302,14 +311,31 @@
 		Orders:  []Order{{0, 1, "x"}, {0, 1, "y"}},
 		Bounds:  Bounds{Advances: 1, Reboots: 1, Attempts: 2, Delays: 1},
 		Depth:   8,
-		setup: func(w *World) {
-			electedByAll(w)
-			w.propose("a", 0)
-			late := w.network
-			w.network = nil
-			w.pass(4)
-			w.elect("b", "c")
-			w.network = late
-		},
+		setup:   leftOver,
 	}
 }
+
+// refusalScenario: an order that only its owner took is refused by the next owner, under another number.
+func refusalScenario() *Scenario {
+	return &Scenario{
+		Name:    "refusal",
+		About:   "an order that only its owner took is refused by the next owner",
+		Members: trio,
+		Orders:  []Order{{0, 1, "x"}, {0, 2, "y"}},
+		Bounds:  Bounds{Delays: 1, Advances: 1, Reboots: 1, Attempts: 2},
+		Depth:   7,
+		setup:   leftOver,
+	}
+}
+
+// leftOver has an order in its former owner's copy alone, and the write of it
+// still in flight, while another owner serves.
+func leftOver(w *World) {
+	electedByAll(w)
+	w.propose("a", 0)
+	late := w.network
+	w.network = nil
+	w.pass(4)
+	w.elect("b", "c")
+	w.network = late
+}
