--- a/rehearsalkit/relaysim/judge.go
+++ b/rehearsalkit/relaysim/judge.go
@@ -41,13 +41,13 @@
 // Judge looks for broken rules.
 func (r *Record) Judge() []Breach {
 	b := r.books()
-	return all(b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.handling, b.leaving, b.served, b.heldUp)
+	return all(b.ran, b.budgets, b.spent, b.kept, b.chains, b.answers, b.rates, b.tables, b.linear, b.handling, b.leaving, b.served, b.heldUp)
 }
 
 // JudgeTables looks for broken rules of routing tables only.
 func (r *Record) JudgeTables() []Breach {
 	b := r.books()
-	return all(b.ran, b.tables, b.handling, b.heldUp)
+	return all(b.ran, b.tables, b.linear, b.handling, b.heldUp)
 }
 
 func all(rules ...func() []Breach) (list []Breach) {
