--- a/rehearsalkit/modelcheck/modelcheck_test.go
+++ b/rehearsalkit/modelcheck/modelcheck_test.go
@@ -167,7 +167,7 @@
 // States that differ by the names of members that are alike count as one.
 func TestAlikeMembersAreOneState(t *testing.T) {
 	s, _ := Find("orders")
-	s.setup = func(*World) {}
+	s.Alike, s.setup = []string{"b", "c"}, func(*World) {}
 	w := s.Start()
 	var prints []digest
 	for _, seat := range []string{"b", "c"} {
@@ -255,3 +255,31 @@
 	}
 	t.Logf("%d walks, %v: %v", r.Walks, r.Elapsed, r.Found)
 }
+
+// In these scenarios another owner must be within reach of a few steps, or they
+// are not about two owners.
+func TestSuccessorIsWithinReach(t *testing.T) {
+	for _, name := range []string{"orders", "again", "catchup", "read"} {
+		s, _ := Find(name)
+		w := s.Start()
+		for _, a := range []Action{
+			{Kind: Advance}, {Kind: Advance}, {Kind: Tick, Seat: "a"},
+			{Kind: Exchange, Message: "Stand", From: "a", Seat: "b"}, {Kind: Exchange, Message: "Stand", From: "a", Seat: "b"},
+		} {
+			next, err := w.Apply(a)
+			if err != nil {
+				t.Fatal(name, err)
+			}
+			w = next
+		}
+		for _, kind := range []string{"Stand", "Write"} {
+			// Where copies differ, their entries are asked for once more.
+			if next, err := w.Apply(Action{Kind: Exchange, Message: kind, From: "a", Seat: "b"}); err == nil {
+				w = next
+			}
+		}
+		if !w.processes[w.find("a")].owns(w.now) {
+			t.Errorf("%s: %v", name, w)
+		}
+	}
+}
