Core: a core that hears of another incarnation of its own claims a version above it

Cause: a new core that lost its disk just after it had told its name came back with another incarnation, joined by a topology that did not have it yet, and claimed the same version, 1. The others had the former incarnation of version 1 in memory and take only what is newer, also from the configuration's part, which had the later one. They counted the core as silent for good: it got no seat, a dead one's was not replaced, a retirement never ended. Hearing of the other made it claim again, but with the same entry, which was agreed as it stood.

Ruled out: a group that can't change (all parts were served, no change was under way).

Change: the next claim is above the version heard of. TestSecondLossFound was seen to fail before.

--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -65,7 +65,12 @@
 		return
 	case c.Incarnation != m.self.Incarnation:
 		// The configuration's part knows which of the two came later.
-		m.unknown = m.unknown || c.Version >= m.self.Version
+		if c.Version >= m.self.Version {
+			// Others keep the one that they heard of first, so this one's next claim
+			// is above it.
+			m.unknown = true
+			m.refused = max(m.refused, c.Version+1-m.self.Version)
+		}
 		return
 	}
 	m.self.Retired = c.Retired
--- a/rehearsalkit/relaysim/secondloss_test.go
+++ b/rehearsalkit/relaysim/secondloss_test.go
@@ -85,3 +85,24 @@
 	}
 	return c
 }
+
+// TestSecondLossFound runs the points at which faults were found once.
+func TestSecondLossFound(t *testing.T) {
+	for _, c := range []struct {
+		lossCase
+		at int
+	}{
+		{lossCase{change: changeReplacement, loss: lossPower, seats: 3}, 327},
+		{lossCase{change: changeReplacement, loss: lossPower, seats: 3}, 364},
+		{lossCase{change: changeReplacement, loss: lossWipe, seats: 5}, 762},
+		{lossCase{change: changePlanned, loss: lossWipe, seats: 5}, 202},
+	} {
+		p := secondLossParams(uint64(c.seats))
+		p.Cores, p.Seats = c.cores(), c.seats
+		r := newLossRun(p, c.lossCase, c.at)
+		r.play()
+		for _, b := range r.findings.Breaches {
+			t.Errorf("%s, point %d: %s", c, c.at, b)
+		}
+	}
+}
