A table that is known already is not parsed again

Behaviour stays: a table is taken if its number is newer. TestKnownTableIsNotParsedAgain was seen to fail first.

--- a/peer/desk/current.go
+++ b/peer/desk/current.go
@@ -82,8 +82,12 @@
 	return differences
 }
 
-// installText takes a table from its text, if it is newer.
-func (m *Machine) installText(now time.Duration, digest string, text []byte) {
+// installText takes a table from its text, if it is newer. One that is known
+// already, as an operator brought it here or a difference led to it, is not parsed.
+func (m *Machine) installText(now time.Duration, number uint64, digest string, text []byte) {
+	if number <= m.table.number() {
+		return
+	}
 	table, faults := route.Parse(text)
 	if faults != nil {
 		m.Counters.BadMessages++
--- a/peer/desk/current_test.go
+++ b/peer/desk/current_test.go
@@ -79,3 +79,17 @@
 		t.Errorf("one that is far behind: %+v", b)
 	}
 }
+
+// TestKnownTableIsNotParsedAgain: the cores' news of a table that an operator just
+// brought here, or that a difference led to, costs no second reading of its text.
+func TestKnownTableIsNotParsedAgain(t *testing.T) {
+	m := newDesk(nil)
+	founded(m)
+	agree(m, 0, 2)
+	again := message.Marshal(core.AgreedTable{Number: 2, Text: []byte("not a table"), Digest: "digest 2"})
+	at := part.Stamp{Term: part.Term{Round: 1, Owner: "c.1"}, Seq: 9}
+	m.Receive(0, "c:1", core.News{Part: core.ConfigurationPart, Upto: at, Entries: []part.Entry{{Key: core.TableKey, Value: again, Stamp: at}}})
+	if m.Counters.BadMessages != 0 || m.Number() != 2 {
+		t.Errorf("%d texts were found bad, table %d", m.Counters.BadMessages, m.Number())
+	}
+}
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -120,7 +120,7 @@
 		}
 	}
 	if b.Table != nil {
-		m.installText(now, b.Digest, b.Table)
+		m.installText(now, b.Number, b.Digest, b.Table)
 	}
 	for _, difference := range b.Differences {
 		if next, ok := difference.Apply(m.table.parsedOf(), m.table.digestOf()); ok {
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -36,7 +36,7 @@
 		case e.Key == core.TableKey:
 			var agreed core.AgreedTable
 			if message.Unmarshal(e.Value, &agreed) == nil {
-				m.installText(now, agreed.Digest, agreed.Text)
+				m.installText(now, agreed.Number, agreed.Digest, agreed.Text)
 			}
 		case core.IsCoreKey(e.Key) && !e.Gone:
 			var one core.Core
--- a/peer/relay/table.go
+++ b/peer/relay/table.go
@@ -36,9 +36,7 @@
 func (m *Machine) learnTable(now time.Duration, b desk.Bulletin) {
 	if b.Table != nil {
 		m.wantWhole = false
-		if t, faults := route.Parse(b.Table); faults == nil && (m.pending == nil || m.pending.Number < t.Number) {
-			m.pending, m.digest = t, b.Digest
-		}
+		m.learnText(b)
 	}
 	for _, difference := range b.Differences {
 		if m.pending == nil || difference.BaseNumber != m.pending.Number {
@@ -56,6 +54,17 @@
 	}
 }
 
+// learnText takes a newer table from its text. Each desk sends it to a node that
+// has none; it is parsed once.
+func (m *Machine) learnText(b desk.Bulletin) {
+	if m.pending != nil && b.Number <= m.pending.Number {
+		return
+	}
+	if t, faults := route.Parse(b.Table); faults == nil {
+		m.pending, m.digest = t, b.Digest
+	}
+}
+
 func (m *Machine) install(now time.Duration) {
 	m.table = m.pending
 	m.tenants = map[string]*route.Tenant{}
