--- a/rule/part/election.go
+++ b/rule/part/election.go
@@ -113,8 +113,7 @@
 		if m.copy.Promised != b.Term {
 			m.record(Record{Promised: b.Term})
 		}
-		m.holder, m.until = b.Term, now+m.hold()
-		m.standAt = m.until + m.patience()
+		m.keepHold(now, b.Term)
 		m.useKey(b.Key)
 		promise := Promise{Term: b.Term, Base: m.copy.Base, Group: m.copy.Group, Clock: m.copy.Clock, Sent: b.Sent, Light: b.Light, Sum: m.sum}
 		if !b.Light {
