Orders of a former version's list: one reading for tables and descriptions

agreeTable and agreeDescription each searched the old list and carried it over with loops of their own; both now read it as order identities, which one function looks up and one records. No change of behaviour; their tests are as they were.

--- a/peer/core/orders.go
+++ b/peer/core/orders.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,77 +52,66 @@
 	return defaultOrderKeep
 }
 
-// wasAccepted reports whether this very order was accepted before.
-func wasAccepted(tx *part.Tx, order orderID) bool {
+// wasAccepted reports whether this very order was accepted before: whether it has
+// its record, or is in the list that a former version kept.
+func wasAccepted(tx *part.Tx, order orderID, past []orderID) bool {
 	record, ok := read[acceptedOrder](tx, order.key())
-	return ok && record.Base == order.base && record.Digest == order.digest
+	return ok && record.Base == order.base && record.Digest == order.digest || slices.Contains(past, order)
 }
 
-// recordAccepted makes an order known again.
-func (r *rules) recordAccepted(tx *part.Tx, order orderID) {
+// recordAccepted makes orders known again.
+func (r *rules) recordAccepted(tx *part.Tx, orders ...orderID) {
 	until := tx.Clock() + r.params.orderKeep()
-	write(tx, order.key(), acceptedOrder{Base: order.base, Digest: order.digest, Until: until})
-	r.ends.add(order.key(), until)
+	for _, order := range orders {
+		write(tx, order.key(), acceptedOrder{Base: order.base, Digest: order.digest, Until: until})
+		r.ends.add(order.key(), until)
+	}
 }
 
 // agreeTable puts a routing table in force if it builds on the one that is.
 func (r *rules) agreeTable(tx *part.Tx, c AgreeTable) any {
 	order := orderID{kind: tableOrder, base: c.Base, number: c.Number, digest: c.Digest}
-	if wasAccepted(tx, order) {
-		return TableAgreed{OK: true, Number: c.Number}
-	}
 	current, _ := read[AgreedTable](tx, TableKey)
-	if current.lists(order) {
+	past := current.past()
+	if wasAccepted(tx, order, past) {
 		return TableAgreed{OK: true, Number: c.Number}
 	}
 	if current.Number != c.Base || c.Number <= current.Number {
 		return TableAgreed{Number: current.Number}
 	}
-	for _, past := range current.Past {
-		r.recordAccepted(tx, orderID{kind: tableOrder, base: past.Base, number: past.Number, digest: past.Digest})
-	}
-	r.recordAccepted(tx, order)
+	r.recordAccepted(tx, append(past, order)...)
 	write(tx, TableKey, AgreedTable{Number: c.Number, Text: c.Text, Digest: c.Digest})
 	return TableAgreed{OK: true, Number: c.Number}
 }
 
-// lists reports whether the former version's list names an order.
-func (t AgreedTable) lists(order orderID) bool {
-	for _, past := range t.Past {
-		if past == (HandedNumber{Base: order.base, Number: order.number, Digest: order.digest}) {
-			return true
-		}
+// past are the orders in the list that a former version kept.
+func (t AgreedTable) past() (orders []orderID) {
+	for _, one := range t.Past {
+		orders = append(orders, orderID{kind: tableOrder, base: one.Base, number: one.Number, digest: one.Digest})
 	}
-	return false
+	return orders
 }
 
 // agreeDescription puts a description in force if it builds on the one that is.
 func (r *rules) agreeDescription(tx *part.Tx, c AgreeConfiguration) any {
 	order := orderID{kind: descriptionOrder, base: c.BasedOn, number: c.BasedOn + 1, digest: c.Digest}
-	if wasAccepted(tx, order) {
-		return Agreed{Agreed: true, Version: order.number}
-	}
 	current, _ := read[Configured](tx, configurationKey)
-	if current.lists(order) {
+	past := current.past()
+	if wasAccepted(tx, order, past) {
 		return Agreed{Agreed: true, Version: order.number}
 	}
 	if current.Version != c.BasedOn {
 		return Agreed{Version: current.Version}
 	}
-	for _, past := range current.Past {
-		r.recordAccepted(tx, orderID{kind: descriptionOrder, base: past.Version - 1, number: past.Version, digest: past.Digest})
-	}
-	r.recordAccepted(tx, order)
+	r.recordAccepted(tx, append(past, order)...)
 	write(tx, configurationKey, Configured{Version: order.number, Text: c.Text, Digest: c.Digest})
 	return Agreed{Agreed: true, Version: order.number}
 }
 
-// lists reports whether the former version's list names an order.
-func (c Configured) lists(order orderID) bool {
-	for _, past := range c.Past {
-		if past == (Handed{Version: order.number, Digest: order.digest}) {
-			return true
-		}
+// past are the orders in the list that a former version kept.
+func (c Configured) past() (orders []orderID) {
+	for _, one := range c.Past {
+		orders = append(orders, orderID{kind: descriptionOrder, base: one.Version - 1, number: one.Version, digest: one.Digest})
 	}
-	return false
+	return orders
 }
