Fuzzed tables: digests of keys are looked up in lower case, as the table does

Tables take digests in either case and index them in lower case (Whose looks up what configuration.Sum makes, which is lower case); the test looked them up as written. Ruled out: a fault of Parse or index. The check is as strict: each key must be there, in lower case, and its holder the tenant.

--- a/rule/route/table_test.go
+++ b/rule/route/table_test.go
@@ -118,7 +118,8 @@
 		}
 		for _, tenant := range table.Tenants {
 			for _, key := range tenant.Keys {
-				if table.byKey[key].Name != tenant.Name {
+				holder, ok := table.byKey[strings.ToLower(key)]
+				if !ok || holder.Name != tenant.Name {
 					t.Fatalf("%s is not %s's", key, tenant.Name)
 				}
 			}
