Tests that fail: requesters' ids decide, and requesters hold without bound

- A kept turn lies under the attempt's id that its requester chose, without the tenant: of two tenants that choose one id, the second is told that its turn is kept, and reads 404.
The same for a second turn under one id.
- Names of tenants and programs are joined by a slash: a/b + c and a + b/c share one budget.

--- /dev/null
+++ b/peer/core/identity_test.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRequestersIDsAreApart: requesters choose the ids of their attempts and
+// programs. Neither another tenant's choice nor a second use of one's own may
+// touch what was acknowledged.
+func TestRequestersIDsAreApart(t *testing.T) {
+	t.Run("turns of tenants", turnsOfTenants)
+	t.Run("turns under one id", turnsUnderOneID)
+	t.Run("books of tenants", booksOfTenants)
+}
+
+// turnsOfTenants: two tenants choose the same id; each keeps its own turn under it.
+func turnsOfTenants(t *testing.T) {
+	a := newAlone(t)
+	keep := func(tenant, output string) bool {
+		return a.run(KeepTurn{Tenant: tenant, Attempt: "same", Input: []byte("in"), Output: []byte(output), Keep: time.Minute}).(Done).OK
+	}
+	if !keep("first", "of the first") || !keep("second", "of the second") {
+		t.Fatal("a turn was not kept")
+	}
+	for tenant, want := range map[string]string{"first": "of the first", "second": "of the second"} {
+		k := a.run(ReadTurn{Tenant: tenant, Attempt: "same"}).(KeptTurn)
+		if !k.Found || string(k.Output) != want {
+			t.Errorf("tenant %s, whose turn was acknowledged as kept, reads found=%v %q", tenant, k.Found, k.Output)
+		}
+	}
+	if d := a.run(ProlongTurn{Tenant: "second", Attempt: "same", Keep: time.Hour}).(Done); !d.OK {
+		t.Error("the second tenant's turn can't be prolonged")
+	}
+}
+
+// turnsUnderOneID: a turn that is not the one that is kept
+// under its id must not be acknowledged as kept. The same command that comes again
+// is.
+func turnsUnderOneID(t *testing.T) {
+	a := newAlone(t)
+	command := KeepTurn{Tenant: "t", Attempt: "x", Before: []string{"w"}, Input: []byte("in"), Output: []byte("out"), Keep: time.Minute}
+	if !a.run(command).(Done).OK || !a.run(command).(Done).OK {
+		t.Fatal("a turn, or its repetition, was not kept")
+	}
+	for name, change := range map[string]func(c *KeepTurn){
+		"input":  func(c *KeepTurn) { c.Input = []byte("other") },
+		"output": func(c *KeepTurn) { c.Output = []byte("other") },
+		"before": func(c *KeepTurn) { c.Before = []string{"v"} },
+	} {
+		other := command
+		change(&other)
+		if a.run(other).(Done).OK {
+			t.Errorf("another %s under the same id was acknowledged as kept", name)
+		}
+	}
+}
+
+// booksOfTenants: names of tenants and programs are free texts.
+func booksOfTenants(t *testing.T) {
+	a := newAlone(t)
+	reserve := func(tenant, program string) bool {
+		return a.run(ReserveTurn{Tenant: tenant, Program: program, Attempt: "x" + tenant, Most: 80, Budget: 100, Keep: time.Minute}).(TurnReserved).OK
+	}
+	if !reserve("a/b", "c") || !reserve("a", "b/c") {
+		t.Error("a program's budget was spent by a program of another tenant")
+	}
+}
--- /dev/null
+++ b/peer/front/held_test.go
@@ -0,0 +1,87 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"saffronfall/peer/clock"
+	"saffronfall/peer/relay"
+)
+
+// TestRequestersHoldNothingForLong: a requester that stops reading or sending
+// keeps neither a replica's place, nor a request under way, nor memory beyond what
+// it has sent.
+func TestRequestersHoldNothingForLong(t *testing.T) {
+	t.Run("reads nothing of a stream", readsNothingOfAStream)
+	t.Run("sends half a body", sendsHalfABody)
+	t.Run("announces bodies that do not come", announcesBodies)
+}
+
+// readsNothingOfAStream: the replica's connection and the request end with the
+// request's time.
+func readsNothingOfAStream(t *testing.T) {
+	event := "data: " + strings.Repeat("x", 32<<10) + "\n\n"
+	ended := make(chan error, 1)
+	r := newReplica(t, func(c net.Conn, h heard) {
+		_, err := io.WriteString(c, streamHead)
+		for err == nil {
+			_, err = io.WriteString(c, chunk(event))
+		}
+		ended <- err
+	})
+	step := stream(true)
+	step.Within = 300 * time.Millisecond
+	n := newNode(t, []relay.Step{step, broke}, r)
+	q := n.dial(t)
+	q.say(request)
+	select {
+	case <-n.outcomes:
+	case <-time.After(patience / 2):
+		t.Fatal("the request is still under way long after its time")
+	}
+	if err := <-ended; strings.Contains(err.Error(), "timeout") {
+		t.Errorf("the replica was never let go: %v", err)
+	}
+}
+
+// sendsHalfABody: it is told so once its deadline has passed.
+func sendsHalfABody(t *testing.T) {
+	n := newNode(t, nil)
+	q := n.dial(t)
+	q.say("POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: a1\r\nSaffronfall-Deadline-Ms: 200\r\nContent-Length: 100\r\n\r\nhalf")
+	q.SetDeadline(clock.Deadline(patience / 2))
+	got := q.read("POST")
+	if got.StatusCode != 408 || !got.Close {
+		t.Errorf("%d, closes %v", got.StatusCode, got.Close)
+	}
+}
+
+// announcesBodies: memory is taken for what came, not for what was announced.
+func announcesBodies(t *testing.T) {
+	const requesters, announced = 200, 1 << 20
+	n := newNode(t, nil)
+	before := heap()
+	for i := 0; i < requesters; i++ {
+		q := n.dial(t)
+		q.say(fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: a%d\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", i, announced))
+		// The word to go on shows that the body is being read.
+		if _, err := q.reader.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if grown := heap() - before; grown > requesters*announced/10 {
+		t.Errorf("%d requesters that sent heads alone hold %d MiB", requesters, grown>>20)
+	}
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
