Metrics, last failures and one line for each failed request

Cause: a request that failed could not be explained afterwards: the log told changes of state only.

Change: roles tell /metrics (VictoriaMetrics' client library, text format; histograms by route with bounded routes; violations of invariants) and nodes /failures, the last 256 requests that were not served, with cause, attempts, replica, times, table, incarnation and the tenant's keyed digest. One line for each cause and second goes to the log with the number of those left out. An address that can't be had does not end the process. strict_invariants makes a violation end the process, for rehearsals.

--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -19,8 +19,10 @@
 	"saffronfall/peer/disk"
 	"saffronfall/peer/operator"
 	"saffronfall/peer/stream"
+	"saffronfall/rule/invariant"
 	"saffronfall/rule/message"
 	"saffronfall/saffronfall/params"
+	"saffronfall/saffronfall/telemetry"
 )
 
 type written struct {
@@ -49,24 +51,25 @@
 	toDisk  chan batch
 	onDisk  chan written
 
-	changes  []core.Change
-	issued   uint64
-	synced   uint64
-	busy     bool
-	busyAt   time.Duration
-	held     []heldSend
-	answers  map[uint64]chan any
-	next     uint64
-	owned    int
-	sent     int64
-	dropped  int64
-	received int64
-	bad      int64
+	violations *invariant.Counts
+	changes    []core.Change
+	issued     uint64
+	synced     uint64
+	busy       bool
+	busyAt     time.Duration
+	held       []heldSend
+	answers    map[uint64]chan any
+	next       uint64
+	owned      int
+	messages
 	syncs    int64
 	syncTime time.Duration
 	stalled  bool
 }
 
+// messages counts what was said to and by other processes of the fleet.
+type messages struct{ sent, dropped, received, bad int64 }
+
 type heldSend struct {
 	after uint64
 	send  core.Send
@@ -86,12 +89,12 @@
 	if err != nil {
 		return err
 	}
-	s := &process{params: p, adopt: adopt, others: map[string]byte{}, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
+	s := &process{params: p, violations: telemetry.Violations(p.Strict, log), adopt: adopt, others: map[string]byte{}, log: log, streams: streams, start: clock.Now(), calls: make(chan func(time.Duration) core.Output, 64),
 		drain: make(chan struct{}, 1), toDisk: make(chan batch, 1), onDisk: make(chan written, 1), answers: map[uint64]chan any{}}
 	var image core.Stored
 	image.CopyFrom(stored)
 	s.machine = core.New(core.Options{Params: p.Core(), ID: p.ID, Zone: p.Zone, Address: p.PeerAdvertise, Operator: p.OperatorAdvertise, Seeds: p.Seeds,
-		Stored: stored, Now: s.now(), Random: rand.Float64})
+		Stored: stored, Now: s.now(), Random: rand.Float64, Violated: s.violations.Report})
 	log.Info("core started", "id", p.ID, "incarnation", stored.Incarnation, "founded", s.machine.Founded())
 
 	var group run.Group
@@ -99,6 +102,7 @@
 	group.Add(func() error { return s.own(ctx, life) }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
 	group.Add(func() error { return s.write(life, folder, image) }, func(error) { cancel() })
+	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "core", Look: s.snapshot}, log)
 	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second}
 	group.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -241,7 +245,7 @@
 			s.held = append(s.held, heldSend{after: s.issued, send: send})
 			continue
 		}
-		s.send(send)
+		s.sendSynced(send, s.issued)
 	}
 	for _, a := range o.Answers {
 		if waiting, ok := s.answers[a.Ticket]; ok {
@@ -251,6 +255,14 @@
 	}
 }
 
+// sendSynced sends what rests on the changes that were issued up to a number.
+func (s *process) sendSynced(send core.Send, rests uint64) {
+	if send.Synced && rests > s.synced {
+		invariant.Report(s.violations.Report).Violated(invariant.AcknowledgedAfterSync, "%T to %s rests on change %d; %d are synced", send.Body, send.To, rests, s.synced)
+	}
+	s.send(send)
+}
+
 func (s *process) send(send core.Send) {
 	if send.To == s.params.PeerAdvertise {
 		s.take(s.machine.Receive(s.now(), send.To, send.Body))
@@ -267,7 +279,7 @@
 	s.held = nil
 	for _, h := range ready {
 		if h.after <= s.synced {
-			s.send(h.send)
+			s.sendSynced(h.send, h.after)
 		} else {
 			s.held = append(s.held, h)
 		}
@@ -360,6 +372,16 @@
 	})
 }
 
+// snapshot is what this process counts now.
+func (s *process) snapshot(ctx context.Context) (told telemetry.Snapshot, err error) {
+	if told.Values, err = s.Counters(ctx); err != nil {
+		return told, err
+	}
+	violations, err := s.Look(ctx, func(*core.Machine, time.Duration) any { return telemetry.Counted(s.violations) })
+	told.Violations, _ = violations.(map[invariant.Name]int64)
+	return told, err
+}
+
 // Counters are this process's counts.
 func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
 	body, err := s.Look(ctx, func(m *core.Machine, now time.Duration) any {
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -22,6 +22,7 @@
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
 	"saffronfall/saffronfall/params"
+	"saffronfall/saffronfall/telemetry"
 )
 
 type process struct {
@@ -143,6 +144,7 @@
 	var group run.Group
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
+	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "desk", Look: s.snapshot}, log)
 	server := &http.Server{Addr: p.OperatorListen, Handler: surface(s), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	ended := make(chan struct{})
 	group.Add(func() error {
@@ -291,6 +293,12 @@
 	return call[desk.Emptied](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return m.Retired(now, ticket, id) })
 }
 
+// snapshot is what this process counts now.
+func (s *process) snapshot(ctx context.Context) (telemetry.Snapshot, error) {
+	values, err := s.Counters(ctx)
+	return telemetry.Snapshot{Values: values}, err
+}
+
 // Counters are this process's counts.
 func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
 	return call[map[string]int64](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -18,11 +18,24 @@
 	Requests      int64   `json:"requests"`
 	CacheBytes    int64   `json:"cache_bytes"`
 	BookKeepMS    int64   `json:"book_keep_ms"`
-	DialMS        int64   `json:"dial_ms"`
 	Founds        bool    `json:"founds"`
 	PartsPerCore  int64   `json:"parts_per_core"`
-	ReadyListen   string  `json:"ready_listen"`
-	NotReadyMS    int64   `json:"not_ready_ms"`
+	Front
+	Telemetry
+}
+
+// Front are the settings of a node towards requesters and replicas.
+type Front struct {
+	DialMS      int64  `json:"dial_ms"`
+	ReadyListen string `json:"ready_listen"`
+	NotReadyMS  int64  `json:"not_ready_ms"`
+}
+
+// Telemetry are the settings of what a process tells of itself.
+type Telemetry struct {
+	MetricsListen string `json:"metrics_listen"`
+	FailuresKept  int64  `json:"failures_kept"`
+	Strict        bool   `json:"strict_invariants"`
 }
 
 // Orders are the settings of what operators order.
@@ -49,6 +62,9 @@
 		configuration.Row{Path: "parts_per_core", Type: "int", Default: 2, Min: 1, Max: 64, About: "parts that a desk founds a fleet with for each core, besides the configuration's"},
 		configuration.Row{Path: "ready_listen", Type: "text", Default: "", Check: maybeAddress, About: "where a node says whether it is ready; empty: nowhere else"},
 		configuration.Row{Path: "not_ready_ms", Type: "int", Default: 2500, Min: 0, Max: 60000, About: "how long a leaving node still takes requests after it says that it is not ready"},
+		configuration.Row{Path: "metrics_listen", Type: "text", Default: "", Check: maybeAddress, About: "where the process tells its metrics (/metrics) and last failed requests (/failures), to anyone who asks; empty: nowhere"},
+		configuration.Row{Path: "failures_kept", Type: "int", Default: 256, Min: 0, Max: 1e5, About: "how many of the last failed requests a node remembers"},
+		configuration.Row{Path: "strict_invariants", Type: "bool", Default: false, About: "the process ends at a violated invariant, for rehearsals; otherwise it is counted and logged"},
 	)
 }
 
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -20,7 +20,9 @@
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
 	"saffronfall/peer/stream"
+	"saffronfall/rule/invariant"
 	"saffronfall/saffronfall/params"
+	"saffronfall/saffronfall/telemetry"
 )
 
 type told struct {
@@ -50,13 +52,16 @@
 	waiting map[uint64]*way
 	lines   map[string]*line
 	next    uint64
-	sent    int64
-	dropped int64
-	bad     int64
-	number  uint64
-	ready   bool
+	messages
+	observer   *observer
+	violations *invariant.Counts
+	number     uint64
+	ready      bool
 }
 
+// messages counts what was said to and by other processes of the fleet.
+type messages struct{ sent, dropped, bad int64 }
+
 type line struct {
 	*replica.Line
 	address string
@@ -79,12 +84,15 @@
 	s := &process{params: p, adopt: adopt, log: log, streams: streams, start: clock.Now(), life: life, closing: make(chan struct{}),
 		arrive: make(chan *way, 64), came: make(chan came, 64), gone: make(chan uint64, 64), calls: make(chan func(time.Duration), 16),
 		waiting: map[uint64]*way{}, lines: map[string]*line{}}
-	s.machine = relay.New(relay.Options{Params: p.RelayNode(), ID: p.ID, Life: hex.EncodeToString(raw), Zone: p.Zone, Address: p.PeerAdvertise, Seeds: p.Seeds, Now: s.now(), Random: rand.Float64})
+	s.violations = telemetry.Violations(p.Strict, log)
+	s.observer = newObserver(p.Secret, hex.EncodeToString(raw), int(p.FailuresKept), log)
+	s.machine = relay.New(relay.Options{Params: p.RelayNode(), ID: p.ID, Life: hex.EncodeToString(raw), Zone: p.Zone, Address: p.PeerAdvertise, Seeds: p.Seeds, Now: s.now(), Random: rand.Float64, Violated: s.violations.Report})
 	log.Info("relay started", "id", p.ID)
 
 	var group run.Group
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
+	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "node", Look: s.snapshot, Set: s.observer.set}, log)
 	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
 	serve(&group, server, front.Serve, "requester address")
@@ -197,6 +205,10 @@
 			s.dropped++
 		}
 	}
+	now := s.now()
+	for _, e := range o.Ended {
+		s.observer.ended(now, e)
+	}
 	for _, r := range o.Returns {
 		w, ok := s.waiting[r.Ticket]
 		if !ok {
@@ -323,15 +335,21 @@
 func (s *process) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, r *http.Request) {
-		var counts map[string]int64
-		if err := s.look(r.Context(), func(now time.Duration) {
-			counts = s.machine.Status(now)
-			counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.sent, s.dropped, s.bad
-		}); err != nil {
+		told, err := s.snapshot(r.Context())
+		if err != nil {
 			operator.Write(w, 503, operator.Fault{Code: "unsure", Reason: err.Error(), Ran: "no"})
 			return
 		}
-		operator.Write(w, 200, counts)
+		operator.Write(w, 200, told.Values)
 	})
 	return mux
 }
+
+// snapshot is what this process counts now.
+func (s *process) snapshot(ctx context.Context) (told telemetry.Snapshot, err error) {
+	err = s.look(ctx, func(now time.Duration) {
+		told = telemetry.Snapshot{Values: s.machine.Status(now), Violations: telemetry.Counted(s.violations), Failures: s.observer.failures()}
+		told.Values["messages_sent"], told.Values["messages_dropped"], told.Values["bad_streams"] = s.sent, s.dropped, s.bad
+	})
+	return told, err
+}
