What requesters call an attempt decides nothing alone: turns, books, caches

Cause: ids that requesters choose were used as keys of what the fleet acknowledges. Class: an identity taken from outside without its namespace. It stood in four places: kept turns (by attempt, over all tenants), a node's cache of them (a mismatch of tenants was answered 404), reservations (an id used again ran on the former booking, unbooked), and the key of a program's books (tenant and program joined by a slash).

Ruled out: once-keys, users and programs of the product's own interface (names of tenants there hold no slash; ids of programs are the nodes'). Replicas' ids are the platform's.

Change: a reservation has a name of the node's own (its life and a count). A kept turn belongs to its tenant and its attempt; another turn under a used id is not acknowledged as kept; the first tenant's stays where a core of the former version looks for it. The cache is keyed by both and says only what is there. A tenant's name is escaped in the key of books.

--- a/peer/core/identity_test.go
+++ b/peer/core/identity_test.go
@@ -66,3 +66,36 @@
 		t.Error("a program's budget was spent by a program of another tenant")
 	}
 }
+
+// TestFormerVersionFindsTurns: in the middle of an upgrade a core of the former
+// version may lead. It looks for a turn under its attempt alone.
+func TestFormerVersionFindsTurns(t *testing.T) {
+	a := newAlone(t)
+	command := KeepTurn{Tenant: "t", Attempt: "x", Output: []byte("out"), Keep: time.Minute}
+	a.run(command)
+	e, ok := a.m.parts[Target(4, command)].Copied().Entries[keptPrefix+"x"]
+	if !ok || e.Gone {
+		t.Fatal("the first tenant's turn is not under its attempt alone")
+	}
+}
+
+// TestMisleadingID: an id that reads like another tenant's name and id takes nothing
+// from it.
+func TestMisleadingID(t *testing.T) {
+	a := newAlone(t)
+	keep := func(tenant, attempt string) bool {
+		return a.run(KeepTurn{Tenant: tenant, Attempt: attempt, Output: []byte(tenant), Keep: time.Minute}).(Done).OK
+	}
+	found := func(tenant, attempt string) bool {
+		k := a.run(ReadTurn{Tenant: tenant, Attempt: attempt}).(KeptTurn)
+		return k.Found && string(k.Output) == tenant
+	}
+	for _, one := range [][2]string{{"c", "x"}, {"b", "a/x"}, {"a", "x"}} {
+		if !keep(one[0], one[1]) {
+			t.Errorf("tenant %s, id %s is not kept", one[0], one[1])
+		}
+	}
+	if !found("c", "x") || !found("b", "a/x") || !found("a", "x") {
+		t.Error("a turn that was kept is lost")
+	}
+}
--- a/peer/core/relay.go
+++ b/peer/core/relay.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"bytes"
+	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,7 +17,9 @@
 // Commands of nodes that relay requests, and of desks. Each may be repeated
 // without harm.
 type (
-	// ReserveTurn books the most that a turn may put out.
+	// ReserveTurn books the most that a turn may put out. Attempt is the node's own
+	// name of this one reservation, never what its requester calls the attempt: the
+	// same command may be repeated, and two turns must not share a booking.
 	ReserveTurn struct {
 		Tenant  string        `msgpack:"t"`
 		Program string        `msgpack:"p"`
@@ -251,7 +256,7 @@
 	case ReserveTurn:
 		return r.reserveTurn(tx, c)
 	case SettleTurn:
-		key := bookPrefix + c.Tenant + "/" + c.Program
+		key := bookKey(c.Tenant, c.Program)
 		b, ok := read[keptBook](tx, key)
 		if !ok {
 			// A reservation may still be under way; it must find this one ended.
@@ -263,23 +268,16 @@
 		}
 		return Done{OK: true}
 	case KeepTurn:
-		key := keptPrefix + c.Attempt
-		if _, ok := tx.Get(key); !ok {
-			t := keptTurn{Tenant: c.Tenant, Before: c.Before, Input: c.Input, Output: c.Output, Until: tx.Clock() + c.Keep}
-			write(tx, key, t)
-			r.ends.add(key, t.Until)
-		}
-		return Done{OK: true}
+		return r.keepTurn(tx, c)
 	case ReadTurn:
-		t, ok := read[keptTurn](tx, keptPrefix+c.Attempt)
-		if !ok || t.Tenant != c.Tenant {
+		_, t, ok := findTurn(tx, c.Tenant, c.Attempt)
+		if !ok {
 			return KeptTurn{}
 		}
 		return KeptTurn{Found: true, Before: t.Before, Input: t.Input, Output: t.Output, Left: t.Until - tx.Clock()}
 	case ProlongTurn:
-		key := keptPrefix + c.Attempt
-		t, ok := read[keptTurn](tx, key)
-		if !ok || t.Tenant != c.Tenant {
+		key, t, ok := findTurn(tx, c.Tenant, c.Attempt)
+		if !ok {
 			return Done{}
 		}
 		if until := tx.Clock() + c.Keep; until > t.Until {
@@ -320,8 +318,51 @@
 	return answer
 }
 
+// bookKey is where a program's books are. Names of tenants and programs are free
+// texts; a tenant's is escaped, so that no two pairs share a key.
+func bookKey(tenant, program string) string {
+	return bookPrefix + url.PathEscape(tenant) + "/" + program
+}
+
+// keptKeys are where a kept turn may be. Requesters choose the ids of their attempts,
+// so an id means something only together with its tenant. The first tenant that uses
+// an id has its turn under the id alone, where a core of the former version, which
+// may lead the partition in the middle of an upgrade, looks for it; others have
+// theirs under a mark that no header can hold, their name and the id.
+func keptKeys(tenant, attempt string) [2]string {
+	return [2]string{keptPrefix + attempt, keptPrefix + "\x00" + url.PathEscape(tenant) + "/" + attempt}
+}
+
+// findTurn finds a tenant's kept turn. If there is none, the key is where it goes.
+func findTurn(tx *part.Tx, tenant, attempt string) (key string, t keptTurn, ok bool) {
+	free := ""
+	for _, key := range keptKeys(tenant, attempt) {
+		t, taken := read[keptTurn](tx, key)
+		switch {
+		case taken && t.Tenant == tenant:
+			return key, t, true
+		case !taken && free == "":
+			free = key
+		}
+	}
+	return free, keptTurn{}, false
+}
+
+// keepTurn keeps a turn. The same command is acknowledged again; another turn under
+// an id that its tenant used before is not kept, and not said to be.
+func (r *rules) keepTurn(tx *part.Tx, c KeepTurn) any {
+	key, t, ok := findTurn(tx, c.Tenant, c.Attempt)
+	if ok {
+		return Done{OK: slices.Equal(t.Before, c.Before) && bytes.Equal(t.Input, c.Input) && bytes.Equal(t.Output, c.Output)}
+	}
+	t = keptTurn{Tenant: c.Tenant, Before: c.Before, Input: c.Input, Output: c.Output, Until: tx.Clock() + c.Keep}
+	write(tx, key, t)
+	r.ends.add(key, t.Until)
+	return Done{OK: true}
+}
+
 func (r *rules) reserveTurn(tx *part.Tx, c ReserveTurn) any {
-	key := bookPrefix + c.Tenant + "/" + c.Program
+	key := bookKey(c.Tenant, c.Program)
 	b, ok := read[keptBook](tx, key)
 	if !b.Book.Reserve(c.Attempt, c.Most, c.Budget) {
 		return TurnReserved{Charged: b.Book.Charged + b.Book.Outstanding()}
--- a/peer/relay/budget.go
+++ b/peer/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"saffronfall/peer/core"
@@ -9,7 +10,9 @@
 // reserve books the most that a turn may put out in its program's books.
 func (m *Machine) reserve(now time.Duration, w *way) {
 	w.reserving = true
-	c := core.ReserveTurn{Tenant: m.tenantName(w), Program: w.ask.Program, Attempt: w.ask.Attempt, Most: w.ask.Most, Budget: w.ask.Budget, Keep: m.params.BookKeep}
+	m.reservations++
+	w.reservation = m.life + "-" + strconv.FormatUint(m.reservations, 36)
+	c := core.ReserveTurn{Tenant: m.tenantName(w), Program: w.ask.Program, Attempt: w.reservation, Most: w.ask.Most, Budget: w.ask.Budget, Keep: m.params.BookKeep}
 	m.caller.Call(now, c, w.patience, func(now time.Duration, o core.Outcome) {
 		w.reserving = false
 		r, ok := o.Answer.(core.TurnReserved)
@@ -50,6 +53,6 @@
 	}
 	w.reserved = false
 	m.Counters.Settles++
-	c := core.SettleTurn{Tenant: m.tenantName(w), Program: w.ask.Program, Attempt: w.ask.Attempt, Tokens: tokens}
+	c := core.SettleTurn{Tenant: m.tenantName(w), Program: w.ask.Program, Attempt: w.reservation, Tokens: tokens}
 	m.caller.Call(now, c, now+m.params.BookKeep, func(time.Duration, core.Outcome) {})
 }
--- a/peer/relay/chain.go
+++ b/peer/relay/chain.go
@@ -46,18 +46,24 @@
 // cache holds the kept turns that this node knows to be kept. What is not here
 // is asked of the cores: the cache saves a way and decides nothing.
 type cache struct {
-	turns map[string]*turn
+	turns map[turnName]*turn
 	order *list.List
 	bytes int64
 	most  int64
 }
 
+// turnName names a turn: requesters choose the ids of attempts, so an id means
+// something only together with its tenant.
+type turnName struct{ tenant, attempt string }
+
+func (t *turn) name() turnName { return turnName{tenant: t.tenant, attempt: t.attempt} }
+
 func newCache(most int64) *cache {
-	return &cache{turns: map[string]*turn{}, order: list.New(), most: most}
+	return &cache{turns: map[turnName]*turn{}, order: list.New(), most: most}
 }
 
-func (c *cache) get(now time.Duration, attempt string) *turn {
-	t := c.turns[attempt]
+func (c *cache) get(now time.Duration, tenant, attempt string) *turn {
+	t := c.turns[turnName{tenant: tenant, attempt: attempt}]
 	if t == nil {
 		return nil
 	}
@@ -71,10 +77,10 @@
 }
 
 func (c *cache) put(t *turn) {
-	if old := c.turns[t.attempt]; old != nil {
+	if old := c.turns[t.name()]; old != nil {
 		c.drop(old)
 	}
-	c.turns[t.attempt] = t
+	c.turns[t.name()] = t
 	t.place = c.order.PushBack(t)
 	c.bytes += t.size()
 	for c.bytes > c.most && c.order.Len() > 1 {
@@ -84,6 +90,6 @@
 
 func (c *cache) drop(t *turn) {
 	c.order.Remove(t.place)
-	delete(c.turns, t.attempt)
+	delete(c.turns, t.name())
 	c.bytes -= t.size()
 }
--- a/peer/relay/history.go
+++ b/peer/relay/history.go
@@ -10,11 +10,7 @@
 // names of all before it, which are then read side by side.
 func (m *Machine) fetch(now time.Duration, w *way) {
 	tenant := m.tenantName(w)
-	if t := m.cache.get(now, w.ask.Previous); t != nil {
-		if t.tenant != tenant {
-			m.unknownTurn(now, w)
-			return
-		}
+	if t := m.cache.get(now, tenant, w.ask.Previous); t != nil {
 		m.Counters.CacheHits++
 		w.former = t
 		return
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -48,12 +48,10 @@
 	services  map[string][]*standing
 	standings map[string]*standing
 	gatherAt  time.Duration
-	drawAt    time.Duration
-	paces     map[string]*pace
-	births    int
-	cache     *cache
-	live      map[uint64]*way
-	leaving   bool
+	spending
+	cache   *cache
+	live    map[uint64]*way
+	leaving bool
 	// early are requests that wait for a first table, parked those that wait for
 	// a first replica.
 	early   []*way
@@ -61,6 +59,16 @@
 	parked  []*way
 }
 
+// spending is what a node holds and has counted of tenants' rates and programs'
+// budgets.
+type spending struct {
+	paces  map[string]*pace
+	births int
+	drawAt time.Duration
+	// reservations counts those that this life of the node has made.
+	reservations uint64
+}
+
 // following is what a node knows of the desks, and by them of other nodes.
 type following struct {
 	desks    []string
@@ -76,7 +84,7 @@
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, zone: o.Zone, address: o.Address, seeds: o.Seeds, random: o.Random, started: o.Now,
 		following: following{boards: map[string]*board{}, left: departed{}}, routing: routing{tenants: map[string]*route.Tenant{}},
 		audit: audit{violated: o.Violated, byCause: map[Cause]int64{}, tickedAt: o.Now}, services: map[string][]*standing{}, standings: map[string]*standing{},
-		paces: map[string]*pace{}, cache: newCache(o.Params.Cache), live: map[uint64]*way{}}
+		spending: spending{paces: map[string]*pace{}}, cache: newCache(o.Params.Cache), live: map[uint64]*way{}}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
 		Parts:  func() int { return len(m.topology.Owners) },
--- a/peer/relay/pace.go
+++ b/peer/relay/pace.go
@@ -52,8 +52,8 @@
 	count int64
 }
 
-// spending is how finely the times of spendings are told.
-const spending = 100 * time.Millisecond
+// spendingTime is how finely the times of spendings are told.
+const spendingTime = 100 * time.Millisecond
 
 func (p *pace) spend(now time.Duration) {
 	p.spent++
@@ -62,7 +62,7 @@
 		return
 	}
 	// The end of the time that they are counted in is told: never too early.
-	p.recent = append(p.recent, spend{at: now + spending, count: 1})
+	p.recent = append(p.recent, spend{at: now + spendingTime, count: 1})
 }
 
 // acknowledge forgets the times of what the part has booked.
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -45,13 +45,20 @@
 	// admitted: all but the rate is there.
 	admitted bool
 
+	booking
+	fetching bool
+	former   *turn
+	// overdue: it was found to be held beyond its time.
+	overdue bool
+}
+
+// booking is what a turn has in its program's books.
+type booking struct {
 	reserving bool
 	reserved  bool
 	refused   bool
-	fetching  bool
-	former    *turn
-	// overdue: it was found to be held beyond its time.
-	overdue bool
+	// reservation is this node's own name of it.
+	reservation string
 }
 
 // Arrive takes a request that came whole. Its first step comes in a return.
--- a/rehearsalkit/sizes/larger_test.go
+++ b/rehearsalkit/sizes/larger_test.go
@@ -32,7 +32,7 @@
 	"struct peer/node/machine.go held":                              17,
 	"struct peer/node/turn.go shot":                                 17,
 	"struct peer/node/types.go Counters":                            23,
-	"struct peer/relay/machine.go Machine":                          27,
+	"struct peer/relay/machine.go Machine":                          25,
 	"struct peer/relay/pace.go pace":                                18,
 	"struct peer/relay/types.go Counters":                           17,
 	"struct peer/relay/way.go way":                                  28,
