--- a/rehearsalkit/fleet/fleet.go
+++ b/rehearsalkit/fleet/fleet.go
@@ -1,3 +1,5 @@
+// Package fleet runs a whole fleet of processes on one machine, with stand-in
+// requesters and back ends and links that can be cut.
 package fleet
 
 import (
@@ -18,6 +20,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/peer/operator"
 	"saffronfall/rehearsalkit/judge"
+	"saffronfall/rehearsalkit/links"
 	"saffronfall/rule/configuration"
 )
 
@@ -79,7 +82,7 @@
 	cores    []*Machine
 	nodes    []*Machine
 	backends []*backend
-	links    *links
+	links    *links.Links
 	client   *http.Client
 	start    time.Time
 	notes    chan func(r *judge.Record)
@@ -106,7 +109,7 @@
 
 // New lays a fleet out and writes its settings files.
 func New(ctx context.Context, l Layout) (*Fleet, error) {
-	f := &Fleet{Layout: l, links: newLinks(ctx), start: time.Now(), notes: make(chan func(*judge.Record), 64), ctx: ctx, record: &judge.Record{}, marks: map[string]uint64{},
+	f := &Fleet{Layout: l, links: links.New(ctx), start: time.Now(), notes: make(chan func(*judge.Record), 64), ctx: ctx, record: &judge.Record{}, marks: map[string]uint64{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 	f.record.Limits = judge.Limits{ProgramTokens: 50_000, TurnTokens: 1000, Keep: time.Hour, Late: 2 * time.Second, Rate: map[string]float64{}, Burst: map[string]float64{},
 		MinuteDollars: 50, Price: map[string]float64{"model": 10}, Drift: 0.03, Users: map[string]judge.UserLimits{}}
@@ -178,7 +181,7 @@
 	if err := os.WriteFile(m.settings, text, 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	return m, errors.Wrap(f.links.relay(f.ctx, m.ip+":7000", m.ip+":7100"), "relay")
+	return m, errors.Wrap(f.links.Relay(f.ctx, m.ip+":7000", m.ip+":7100"), "relay")
 }
 
 // Start starts one process.
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -24,6 +24,7 @@
 	"saffronfall/rehearsalkit/modelcheck"
 	"saffronfall/rehearsalkit/relaysim"
 	"saffronfall/rehearsalkit/simulator"
+	"saffronfall/rehearsalkit/soak"
 	"saffronfall/rule/ordered"
 )
 
@@ -437,6 +438,7 @@
 	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of a partition's shipped state machine within bounds, or replay a trace."`
 	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
 	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random troubles, over seeds, and judge."`
 }
 
 func main() {
--- /dev/null
+++ b/rehearsalkit/soak/client.go
@@ -0,0 +1,252 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Tenants of the rehearsed table. Two of them use the same ids for their attempts.
+const (
+	tenantFirst   = "first"
+	tenantSecond  = "second"
+	tenantLimited = "limited"
+	limitedRate   = 20
+	limitedBurst  = 20
+)
+
+// deadline is what requesters give a request.
+const deadline = 2500 * time.Millisecond
+
+// held is how long after its deadline a request may still be without an answer.
+const held = 1500 * time.Millisecond
+
+func keyOf(tenant string) string { return "key of " + tenant }
+
+// host is what requests name.
+const host = "soak.example"
+
+// connection is a requester's connection to a node, which may be kept.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	node   *process
+}
+
+func dialNode(node *process) (*connection, error) {
+	c, err := net.DialTimeout("tcp", node.at(clientPort), time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: c, reader: bufio.NewReader(c), node: node}, nil
+}
+
+// head is a request's head. More headers may follow it.
+func (q *request) head(key string, more ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nSaffronfall-Attempt: %s\r\nSaffronfall-Key: %s\r\nSaffronfall-Deadline-Ms: %d\r\n", q.Method, q.Path, host, q.Attempt, key, deadline.Milliseconds())
+	if q.Program != "" {
+		fmt.Fprintf(&b, "Saffronfall-Program: %s\r\nSaffronfall-Budget: %d\r\nSaffronfall-Tokens: 10,%d\r\n", q.Program, q.Budget, turnTokens)
+	}
+	if q.Previous != "" {
+		fmt.Fprintf(&b, "Saffronfall-Previous: %s\r\n", q.Previous)
+	}
+	for _, line := range more {
+		b.WriteString(line + "\r\n")
+	}
+	if q.Method == http.MethodPost {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
+	}
+	return b.String() + "\r\n"
+}
+
+// begin notes a request before anything of it is sent.
+func (f *Fleet) begin(q *request, node *process) {
+	q.Node, q.Began, q.Ended = node.name, f.now(), -1
+	f.note(func(r *record) { r.Requests = append(r.Requests, q) })
+}
+
+// end notes what became of it.
+func (f *Fleet) end(q *request, status int, whole bool, answer string) {
+	at := f.now()
+	f.note(func(*record) { q.Ended, q.Status, q.Whole, q.Answer = at, status, whole, answer })
+}
+
+// ask makes a request over a connection and waits for its answer. It reports whether
+// the connection can be used again.
+func (f *Fleet) ask(c *connection, q *request) bool {
+	f.begin(q, c.node)
+	c.SetDeadline(time.Now().Add(deadline + held + time.Second))
+	if _, err := io.WriteString(c, q.head(keyOf(q.Tenant))+q.Body); err != nil {
+		f.end(q, 0, false, "")
+		return false
+	}
+	return f.answer(c, q)
+}
+
+func (f *Fleet) answer(c *connection, q *request) bool {
+	got, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+	if err != nil {
+		f.end(q, 0, false, "")
+		return false
+	}
+	body, err := io.ReadAll(got.Body)
+	if seal := got.Header.Get("Saffronfall-Seal"); err == nil && got.StatusCode == http.StatusOK && seal != "seal-"+q.Attempt {
+		f.found(RuleAnswers, "attempt %s at %s got a success sealed %q", q.Attempt, q.Node, seal)
+	}
+	if id := got.Header.Get("Saffronfall-Attempt"); id != "" && id != q.Attempt {
+		f.found(RuleAnswers, "attempt %s at %s got the answer to %s", q.Attempt, q.Node, id)
+	}
+	f.end(q, got.StatusCode, err == nil, string(body))
+	return err == nil && !got.Close
+}
+
+// anyNode is a node by chance, as requesters are spread by hash.
+func (f *Fleet) anyNode() *process {
+	nodes := f.of(roleNode)
+	return nodes[rand.IntN(len(nodes))]
+}
+
+// requester is one stand-in requester, which may keep its connection.
+type requester struct {
+	fleet  *Fleet
+	tenant string
+	name   string
+	count  int
+	keeps  bool
+	kept   *connection
+}
+
+func (r *requester) attempt() string {
+	r.count++
+	return fmt.Sprintf("%s-%d", r.name, r.count)
+}
+
+// send sends one request, over a kept connection where there is one.
+func (r *requester) send(q *request) *request {
+	c := r.kept
+	r.kept = nil
+	if c == nil {
+		var err error
+		if c, err = dialNode(r.fleet.anyNode()); err != nil {
+			return q
+		}
+	}
+	if r.fleet.ask(c, q) && r.keeps {
+		r.kept = c
+		return q
+	}
+	c.Close()
+	return q
+}
+
+// closes lets go of a kept connection.
+func (r *requester) closes() {
+	if r.kept != nil {
+		r.kept.Close()
+		r.kept = nil
+	}
+}
+
+func (r *requester) request(kind, method, body string) *request {
+	return &request{Attempt: r.attempt(), Kind: kind, Tenant: r.tenant, Method: method, Path: "/" + kind + "/x", Body: body}
+}
+
+// live lets one requester make requests of a kind until the context ends.
+func (r *requester) live(ctx context.Context, one func(ctx context.Context), between time.Duration) {
+	defer r.closes()
+	for ctx.Err() == nil {
+		one(ctx)
+		pause(ctx, time.Duration(rand.Int64N(int64(between))))
+	}
+}
+
+func (r *requester) alert(context.Context) { r.send(r.request(kindAlert, http.MethodGet, "")) }
+
+func (r *requester) once(context.Context) {
+	r.send(r.request(kindOnce, http.MethodPost, "notice of "+r.name+strings.Repeat("-", rand.IntN(2000))))
+}
+
+// program runs turns until its budget is spent, some side by side.
+func (r *requester) program(ctx context.Context) {
+	program := "p-" + r.attempt()
+	budget := int64(turnTokens*3 + 20)
+	for turns := 0; turns < 8 && ctx.Err() == nil; turns++ {
+		q := r.request(kindChat, http.MethodPost, "say more")
+		q.Program, q.Budget = program, budget
+		if r.send(q); q.Status == http.StatusPaymentRequired {
+			return
+		}
+	}
+}
+
+// conversation runs turns that go on from one another.
+func (r *requester) conversation(ctx context.Context) {
+	previous, before := "", ""
+	for turns := 0; turns < 6 && ctx.Err() == nil; turns++ {
+		q := r.request(kindKept, http.MethodPost, fmt.Sprintf("turn %d of %s;", turns, r.tenant))
+		q.Previous, q.Before = previous, before
+		if r.send(q); q.Whole && q.Status == http.StatusOK {
+			previous, before = q.Attempt, before+q.Body+spoken(q.Answer)
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+}
+
+// spoken is what a stream said: the data of its events, each followed by a line feed.
+func spoken(stream string) string {
+	var text strings.Builder
+	for _, line := range strings.Split(stream, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			text.WriteString(data + "\n")
+		}
+	}
+	return text.String()
+}
+
+// populate lets requesters, operators and rude requesters live. It returns how to end
+// them, and what tells that they have ended.
+func (f *Fleet) populate(parent context.Context) (end context.CancelFunc, ended <-chan struct{}) {
+	ctx, cancel := context.WithCancel(parent)
+	done, count := make(chan struct{}), 0
+	begin := func(live func()) {
+		count++
+		go func() {
+			live()
+			done <- struct{}{}
+		}()
+	}
+	for i := range 2 {
+		for _, tenant := range []string{tenantFirst, tenantSecond} {
+			// Requesters of two tenants name their attempts alike.
+			named := func(kind string) *requester {
+				return &requester{fleet: f, tenant: tenant, name: fmt.Sprintf("%s%d", kind, i), keeps: i == 0}
+			}
+			alerts, notices, programs, conversations := named("a"), named("o"), named("c"), named("k")
+			begin(func() { alerts.live(ctx, alerts.alert, 60*time.Millisecond) })
+			begin(func() { notices.live(ctx, notices.once, 60*time.Millisecond) })
+			begin(func() { programs.live(ctx, programs.program, 100*time.Millisecond) })
+			begin(func() { conversations.live(ctx, conversations.conversation, 100*time.Millisecond) })
+		}
+	}
+	for i := range 3 {
+		flood := &requester{fleet: f, tenant: tenantLimited, name: fmt.Sprint("l", i), keeps: true}
+		begin(func() { flood.live(ctx, flood.alert, 20*time.Millisecond) })
+	}
+	begin(func() { f.beRude(ctx) })
+	begin(func() { f.table.operate(ctx) })
+	over := make(chan struct{})
+	go func() {
+		for range count {
+			<-done
+		}
+		close(over)
+	}()
+	return cancel, over
+}
--- /dev/null
+++ b/rehearsalkit/soak/fleet.go
@@ -0,0 +1,233 @@
+// Package soak runs the roles that serve on the platform (cores, desks and relaying
+// nodes) as real processes over real sockets, under seeded random troubles that
+// overlap: kills, freezes, ends, reloads, cuts, delays, resets, lost disks, racing
+// tables, and replicas and requesters that misbehave. Invariants are strict in the
+// processes. What requesters, replicas and operators saw is held against the rules
+// when the run has ended. Start reading at Run.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"saffronfall/rehearsalkit/links"
+)
+
+// Bounds of the rehearsed fleet, by which its settings are made and it is judged.
+const (
+	beat        = 300 * time.Millisecond
+	graceTime   = 1800 * time.Millisecond
+	applyTime   = 2 * time.Second
+	drainBound  = 2 * time.Second
+	contactTime = 3 * time.Second
+	rateWindow  = 5 * time.Second
+	rateSlack   = 2
+	keepTime    = time.Minute
+	// routeTimeout is the longest that a request is held.
+	routeTimeout = 3 * time.Second
+)
+
+// Options are what a run is made of.
+type Options struct {
+	Binary, Folder string
+	Seed           uint64
+	// Calm is how long requesters live before troubles begin, Length how long
+	// troubles come, Settle how long they live after the last one is over.
+	Calm, Length, Settle time.Duration
+	// Troubles is how many come in a second, at the mean.
+	Troubles float64
+	Logf     func(format string, args ...any)
+}
+
+// Fleet is a running fleet with its requesters, replicas and operators.
+type Fleet struct {
+	Options
+	*journal
+	random    *rand.Rand
+	links     *links.Links
+	processes []*process
+	replicas  *replicas
+	table     *tables
+	client    *http.Client
+	// busy lets one trouble at a time have a process.
+	busy map[*process]chan struct{}
+	// diskLost lets one disk be lost at a time.
+	diskLost chan struct{}
+}
+
+// Breach is one rule that was seen broken.
+type Breach struct{ Rule, Text string }
+
+func (b Breach) String() string { return b.Rule + ": " + b.Text }
+
+// host is the IP number of one machine of a run. Runs side by side have networks of
+// their own.
+func (o Options) host(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+o.Seed%128, kind, number)
+}
+
+// Kinds of hosts.
+const (
+	hostFleet   = 1
+	hostReplica = 9
+)
+
+func newFleet(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{Options: o, journal: newJournal(ctx), random: rand.New(rand.NewPCG(o.Seed, 21)), links: links.New(ctx), busy: map[*process]chan struct{}{},
+		diskLost: make(chan struct{}, 1), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.replicas, f.table = newReplicas(f), &tables{fleet: f}
+	for i, name := range []string{"core1", "core2", "core3", "desk1", "desk2", "node1", "node2", "node3"} {
+		p := &process{fleet: f, name: name, role: map[string]string{"core": roleCore, "desk": roleDesk, "node": roleNode}[name[:4]], ip: o.host(hostFleet, i+1), folder: filepath.Join(o.Folder, name)}
+		f.processes = append(f.processes, p)
+		f.busy[p] = make(chan struct{}, 1)
+	}
+	for i, p := range f.processes {
+		p.settings = f.settingsOf(p, fmt.Sprintf("zone%d", i%3+1))
+		if err := f.links.Relay(ctx, p.at(relayedPort), p.at(peerPort)); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) settingsOf(p *process, zone string) map[string]any {
+	var seeds []string
+	for _, desk := range f.of(roleDesk) {
+		seeds = append(seeds, desk.at(relayedPort))
+	}
+	s := map[string]any{"id": p.name, "zone": zone, "seeds": seeds, "fleet_secret": fleetSecret, "operator_key": operatorKey, "replica_key": replicaKey,
+		"peer_listen": p.at(peerPort), "peer_advertise": p.at(relayedPort), "operator_listen": p.at(operatorPort), "metrics_listen": p.at(metricsPort),
+		"owner_term_ms": contactTime.Milliseconds() / 6, "member_term_ms": contactTime.Milliseconds() / 2, "pull_ms": 150, "retry_ms": 125, "core_gone_ms": 2200,
+		"grace_ms": graceTime.Milliseconds(), "beat_ms": beat.Milliseconds(), "follow_ms": beat.Milliseconds() / 2, "order_ms": 3000, "rate_window_ms": rateWindow.Milliseconds(),
+		"rate_overshoot": 0.1, "rate_slack": rateSlack, "dial_ms": 300, "not_ready_ms": 700, "cold_start": true, "strict_invariants": true}
+	switch p.role {
+	case roleCore:
+		s["folder"] = p.dataFolder()
+	case roleDesk:
+		s["folder"], s["founds"] = p.dataFolder(), p.name == "desk1"
+	default:
+		s["requester_listen"], s["ready_listen"] = p.at(clientPort), p.at(readyPort)
+	}
+	return s
+}
+
+// of lists the processes of a role.
+func (f *Fleet) of(role string) (list []*process) {
+	for _, p := range f.processes {
+		if p.role == role {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// up starts everything and puts a first table in force.
+func (f *Fleet) up(ctx context.Context) error {
+	for _, p := range f.processes {
+		if err := p.writeSettings(nil); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	f.replicas.fill(ctx)
+	const within = 20 * time.Second
+	if !f.until(ctx, within, func() bool { return f.table.hand(ctx, f.of(roleDesk)[0], 0, 1) == http.StatusOK }) {
+		return errors.Newf("no first table within %v", within)
+	}
+	for _, p := range f.of(roleNode) {
+		if !f.until(ctx, within, func() bool { return f.ready(p) }) {
+			return errors.Newf("%s is not ready within %v", p.name, within)
+		}
+	}
+	for _, p := range f.processes {
+		// Only the very first start founds.
+		p.settings["cold_start"], p.settings["founds"] = false, false
+		if p.role != roleDesk {
+			delete(p.settings, "founds")
+		}
+		if err := p.writeSettings(nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) until(ctx context.Context, within time.Duration, met func() bool) bool {
+	for end := f.now() + within; f.now() < end && ctx.Err() == nil; pause(ctx, 50*time.Millisecond) {
+		if met() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) ready(p *process) bool {
+	answer, err := f.client.Get("http://" + p.at(readyPort) + "/")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// stop ends all processes, in good order where they still listen.
+func (f *Fleet) stop() {
+	for _, p := range f.processes {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+}
+
+// Report is what a run came to.
+type Report struct {
+	Seed     uint64
+	Breaches []Breach
+	Troubles []trouble
+	// Served and Asked count requests by kind.
+	Served, Asked map[string]int
+	// Runs counts what replicas ran.
+	Runs int
+}
+
+// Run runs one seed.
+func Run(parent context.Context, o Options) (Report, error) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	f, err := newFleet(ctx, o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.stop()
+	if err := f.up(ctx); err != nil {
+		return Report{}, errors.Wrapf(err, "seed %d: %s", o.Seed, tail(f.of(roleDesk)[0].logPath()))
+	}
+	base := f.levels(ctx)
+	living, ended := f.populate(ctx)
+	pause(ctx, o.Calm)
+	f.upheave(ctx)
+	pause(ctx, o.Settle)
+	f.lastLook(ctx)
+	living()
+	<-ended
+	f.back(ctx, base)
+	all := f.copied()
+	report := Report{Seed: o.Seed, Breaches: all.judge(), Troubles: all.Troubles, Served: map[string]int{}, Asked: map[string]int{}, Runs: len(all.Runs)}
+	for _, q := range all.Requests {
+		if !q.Rude {
+			report.Asked[q.Kind]++
+			if q.Whole && q.Status < 300 {
+				report.Served[q.Kind]++
+			}
+		}
+	}
+	return report, nil
+}
--- /dev/null
+++ b/rehearsalkit/soak/judge.go
@@ -0,0 +1,295 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Names of the rules that a run is judged by.
+const (
+	RuleOnce     = "runs at most once"
+	RulePromised = "refused is never run"
+	RuleAnswers  = "answers are the replica's whole"
+	RuleUnasked  = "only what was asked runs, unchanged"
+	RuleBudget   = "budget"
+	RuleSpent    = "refused for its budget only when it cannot fit"
+	RuleKept     = "kept turns are found"
+	RuleChain    = "replicas get the chain of former turns"
+	RuleRate     = "rate"
+	RuleTables   = "acknowledged tables stay"
+	RuleRace     = "one table on one base"
+	RuleLeaving  = "leaving replicas are left alone"
+	RuleHeld     = "no request is held beyond its time"
+	RuleServed   = "served once the troubles are over"
+	RuleBack     = "nothing is held when requesters are gone"
+	RuleEnds     = "no process ends by itself, and all end when told"
+	RuleChecked  = "invariants hold in the code"
+)
+
+// name names a request: two tenants may use the same id.
+func name(tenant, attempt string) string { return tenant + "/" + attempt }
+
+// judge holds the record against the rules.
+func (r *record) judge() []Breach {
+	runs := map[string][]run{}
+	for _, one := range r.Runs {
+		runs[name(one.Tenant, one.Attempt)] = append(runs[name(one.Tenant, one.Attempt)], one)
+	}
+	list := r.Found
+	for _, rule := range []func(runs map[string][]run) []Breach{r.judgeRuns, r.judgeAnswers, r.judgeUnasked, r.judgeBudgets, r.judgeKept, r.judgeRate, r.judgeTables, r.judgeLeaving, r.judgeHeld, r.judgeServed} {
+		list = append(list, rule(runs)...)
+	}
+	return list
+}
+
+func breach(rule, format string, args ...any) Breach {
+	return Breach{Rule: rule, Text: fmt.Sprintf(format, args...)}
+}
+
+// promises are the statuses that promise that a request has not run and never will.
+var promises = map[int]bool{http.StatusPaymentRequired: true, http.StatusUnauthorized: true, http.StatusNotFound: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true, http.StatusRequestTimeout: true}
+
+// judgeRuns looks for requests that ran too often, or after they were refused.
+func (r *record) judgeRuns(runs map[string][]run) (list []Breach) {
+	for _, q := range r.Requests {
+		ran := runs[name(q.Tenant, q.Attempt)]
+		if q.Repeats {
+			continue
+		}
+		if (q.Kind == kindOnce || q.Kind == kindKept) && len(ran) > 1 {
+			list = append(list, breach(RuleOnce, "%s at %s ran %d times: %+v", q.Attempt, q.Node, len(ran), ran))
+		}
+		if promises[q.Status] && len(ran) > 0 {
+			list = append(list, breach(RulePromised, "%s of %s at %s was answered %d at %v and ran at %v", q.Attempt, q.Tenant, q.Node, q.Status, q.Ended, ran[0].At))
+		}
+	}
+	return list
+}
+
+// judgeAnswers looks for successes that no replica gave so.
+func (r *record) judgeAnswers(runs map[string][]run) (list []Breach) {
+	for _, q := range r.Requests {
+		if !q.Whole || q.Status != http.StatusOK {
+			continue
+		}
+		given := false
+		for _, one := range runs[name(q.Tenant, q.Attempt)] {
+			given = given || one.Gave == q.Answer
+		}
+		// A stream that was taken up elsewhere is joined of two runs of the same text.
+		if q.Kind == kindChat && !given {
+			for _, one := range runs[name(q.Tenant, q.Attempt)] {
+				given = given || strings.HasSuffix(q.Answer, one.Gave) && q.Answer == wholeStream(q.Attempt)
+			}
+		}
+		if !given {
+			list = append(list, breach(RuleAnswers, "%s of %s at %s got an answer that no replica gave: %.200q", q.Attempt, q.Tenant, q.Node, q.Answer))
+		}
+	}
+	return list
+}
+
+func wholeStream(attempt string) string {
+	var text strings.Builder
+	for i := 1; i <= eventsOfTurn; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s/%d\n\n", i, attempt, i)
+	}
+	return text.String()
+}
+
+// judgeUnasked looks for runs that nobody asked for, or not so.
+func (r *record) judgeUnasked(map[string][]run) (list []Breach) {
+	asked := map[string]*request{}
+	for _, q := range r.Requests {
+		asked[name(q.Tenant, q.Attempt)] = q
+	}
+	services := map[string]string{kindAlert: serviceApp, kindOnce: serviceApp, kindChat: serviceModel, kindKept: serviceModel}
+	for _, one := range r.Runs {
+		q := asked[name(one.Tenant, one.Attempt)]
+		switch {
+		case q == nil:
+			list = append(list, breach(RuleUnasked, "%s of tenant %q ran at %s and was never asked for", one.Attempt, one.Tenant, one.Replica))
+		case q.Method != one.Method || q.Path != one.Path || services[q.Kind] != one.Service:
+			list = append(list, breach(RuleUnasked, "%s ran as %s %s at %s", q.Attempt, one.Method, one.Path, one.Service))
+		case one.Got != q.Before+q.Body && one.Got != unread:
+			rule := RuleUnasked
+			if q.Kind == kindKept {
+				rule = RuleChain
+			}
+			list = append(list, breach(rule, "%s of %s ran with %.300q, wanted %.300q", q.Attempt, q.Tenant, one.Got, q.Before+q.Body))
+		}
+	}
+	return list
+}
+
+// judgeBudgets sums up what programs got, and looks for turns refused without need.
+func (r *record) judgeBudgets(map[string][]run) (list []Breach) {
+	type books struct{ got, budget, most int64 }
+	programs := map[string]*books{}
+	sort.SliceStable(r.Requests, func(i, k int) bool { return r.Requests[i].Began < r.Requests[k].Began })
+	for _, q := range r.Requests {
+		if q.Program == "" {
+			continue
+		}
+		b := programs[name(q.Tenant, q.Program)]
+		if b == nil {
+			b = &books{budget: q.Budget}
+			programs[name(q.Tenant, q.Program)] = b
+		}
+		if q.Status == http.StatusPaymentRequired && b.most+turnTokens <= b.budget {
+			list = append(list, breach(RuleSpent, "%s was refused though program %s had been asked for %d of its %d at the most", q.Attempt, q.Program, b.most, b.budget))
+		}
+		b.most += turnTokens
+		b.got += tokensPerEvent * int64(strings.Count(q.Answer, "data: "))
+	}
+	for program, b := range programs {
+		if b.got > b.budget+turnTokens {
+			list = append(list, breach(RuleBudget, "program %s got %d tokens; its budget is %d and a turn's most %d", program, b.got, b.budget, turnTokens))
+		}
+	}
+	return list
+}
+
+// judgeKept looks for kept turns that were said not to be there.
+func (r *record) judgeKept(map[string][]run) (list []Breach) {
+	whole := map[string]time.Duration{}
+	for _, q := range r.Requests {
+		if q.Kind == kindKept && q.Whole && q.Status == http.StatusOK {
+			whole[name(q.Tenant, q.Attempt)] = q.Ended
+		}
+	}
+	for _, q := range r.Requests {
+		ended, ok := whole[name(q.Tenant, q.Previous)]
+		if q.Status == http.StatusNotFound && q.Previous != "" && ok && q.Began < ended+keepTime {
+			list = append(list, breach(RuleKept, "%s of %s at %s got 404 at %v; %s had come whole at %v", q.Attempt, q.Tenant, q.Node, q.Ended, q.Previous, ended))
+		}
+	}
+	return list
+}
+
+// judgeRate slides a window over what ran of the tenant with a limit.
+func (r *record) judgeRate(map[string][]run) []Breach {
+	most := int((limitedRate*rateWindow.Seconds()+limitedBurst)*1.1) + rateSlack
+	var window []time.Duration
+	for _, one := range r.Runs {
+		if one.Tenant != tenantLimited {
+			continue
+		}
+		window = append(window, one.At)
+		for window[0] <= one.At-rateWindow {
+			window = window[1:]
+		}
+		if len(window) > most {
+			return []Breach{breach(RuleRate, "%d requests of tenant %s ran in the %v up to %v; the limit is %d", len(window), tenantLimited, rateWindow, one.At, most)}
+		}
+	}
+	return nil
+}
+
+// judgeTables looks for acknowledged tables that are gone, hidden, or contradict one
+// another.
+func (r *record) judgeTables(map[string][]run) (list []Breach) {
+	taken := map[uint64]uint64{}
+	for _, o := range r.Orders {
+		if o.Status != http.StatusOK {
+			continue
+		}
+		if !o.Valid {
+			list = append(list, breach(RuleRace, "the invalid table %d was acknowledged", o.Number))
+		}
+		if other, ok := taken[o.Base]; ok && other != o.Number {
+			list = append(list, breach(RuleRace, "tables %d and %d were both acknowledged on %d", other, o.Number, o.Base))
+		}
+		taken[o.Base] = o.Number
+	}
+	for _, read := range r.Readings {
+		for _, o := range r.Orders {
+			if o.Status == http.StatusOK && o.Ended+applyTime < read.Began && read.Number < o.Number {
+				list = append(list, breach(RuleTables, "%s told table %d at %v; %d was acknowledged at %v", read.Desk, read.Number, read.Ended, o.Number, o.Ended))
+			}
+		}
+	}
+	return list
+}
+
+// judgeLeaving looks for requests that reach a replica long after it was acknowledged
+// that it leaves, at times when nothing was in trouble.
+func (r *record) judgeLeaving(map[string][]run) (list []Breach) {
+	left := map[string]time.Duration{}
+	for _, w := range r.Words {
+		left[w.Replica] = w.At
+	}
+	nodes := map[string]string{}
+	for _, q := range r.Requests {
+		nodes[name(q.Tenant, q.Attempt)] = q.Node
+	}
+	for _, one := range r.Runs {
+		at, ok := left[one.Replica]
+		if ok && one.At > at+drainBound && r.calm(at-contactTime, one.At) {
+			list = append(list, breach(RuleLeaving, "%s ran at %s by %s at %v; a desk had acknowledged at %v that it leaves", one.Attempt, one.Replica, nodes[name(one.Tenant, one.Attempt)], one.At, at))
+		}
+	}
+	return list
+}
+
+// calm reports whether no process and no link was in trouble in a time.
+func (r *record) calm(from, to time.Duration) bool {
+	for _, t := range r.Troubles {
+		if !strings.HasPrefix(t.Kind, "replica") && t.From < to && from < t.To+contactTime {
+			return false
+		}
+	}
+	return true
+}
+
+// judgeHeld looks for requests that got no end though nothing befell their node.
+func (r *record) judgeHeld(map[string][]run) (list []Breach) {
+	for _, q := range r.Requests {
+		if q.Rude || q.Ended < 0 || q.Ended-q.Began < deadline+held || r.befell(q.Node, q.Began-time.Second, q.Ended) {
+			continue
+		}
+		list = append(list, breach(RuleHeld, "%s of kind %s at %s was asked for at %v and ended at %v with %d", q.Attempt, q.Kind, q.Node, q.Began, q.Ended, q.Status))
+	}
+	return list
+}
+
+// befell reports whether a process was in trouble in a time.
+func (r *record) befell(who string, from, to time.Duration) bool {
+	for _, t := range r.Troubles {
+		if t.Whom == who && t.From < to && from < t.To+time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// servedShare is the least share of requests that is to be served once all is well,
+// as replicas go on misbehaving.
+const servedShare = 0.5
+
+// judgeServed looks at what was asked for once the troubles were over.
+func (r *record) judgeServed(map[string][]run) (list []Breach) {
+	var over time.Duration
+	for _, t := range r.Troubles {
+		over = max(over, t.To)
+	}
+	asked, served := map[string]int{}, map[string]int{}
+	for _, q := range r.Requests {
+		if q.Rude || q.Tenant == tenantLimited || q.Began < over+contactTime || q.Ended < 0 || q.Status == http.StatusPaymentRequired {
+			continue
+		}
+		asked[q.Kind]++
+		if q.Whole && q.Status < 300 {
+			served[q.Kind]++
+		}
+	}
+	for kind, count := range asked {
+		if count >= 20 && float64(served[kind]) < servedShare*float64(count) {
+			list = append(list, breach(RuleServed, "%d of %d requests of kind %s were served", served[kind], count, kind))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/rehearsalkit/soak/operator.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/route"
+)
+
+// tables hands routing tables over, as operators do. One goroutine works it, besides
+// the first table.
+type tables struct {
+	fleet *Fleet
+	// known is the newest table that was acknowledged to, or read by, the operators.
+	known  uint64
+	number uint64
+}
+
+// text is the table of a number. Each has a route of its own.
+func text(number uint64) []byte {
+	tenant := func(name string, rate, burst float64) route.Tenant {
+		return route.Tenant{Name: name, Keys: []string{configuration.Sum(keyOf(name))}, Rate: rate, Burst: burst}
+	}
+	to := func(service string) []route.Target { return []route.Target{{Service: service, Weight: 1}} }
+	one := func(kind, mode, service string, tries int64) route.Route {
+		return route.Route{Name: kind, Host: host, Prefix: "/" + kind + "/", Mode: mode, TimeoutMS: float64(routeTimeout.Milliseconds()), Tries: tries, Targets: to(service)}
+	}
+	chat, kept := one(kindChat, route.Stream, serviceModel, 2), one(kindKept, route.Stream, serviceModel, 2)
+	chat.Resumable, kept.Kept, kept.KeepSeconds = true, true, keepTime.Seconds()
+	t := route.Table{Number: number, Keyed: true, Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		Routes:   []route.Route{one(kindAlert, route.Repeatable, serviceApp, 2), one(kindOnce, route.Once, serviceApp, 3), chat, kept, one(fmt.Sprint("mark-", number), route.Repeatable, serviceApp, 2)},
+		Services: []route.Service{{Name: serviceModel, Connections: 100, TokensPerEvent: tokensPerEvent, Slots: 8}, {Name: serviceApp, Connections: 100, TokensPerEvent: 1, Slots: 8}},
+		Tenants:  []route.Tenant{tenant(tenantFirst, 0, 0), tenant(tenantSecond, 0, 0), tenant(tenantLimited, limitedRate, limitedBurst)}}
+	raw, err := json.Marshal(t)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// hand hands a table over at a desk and tells its answer, zero for none.
+func (t *tables) hand(ctx context.Context, desk *process, base, number uint64) int {
+	return t.handText(ctx, desk, order{Base: base, Number: number, Valid: true}, text(number))
+}
+
+func (t *tables) handText(ctx context.Context, desk *process, o order, body []byte) int {
+	f := t.fleet
+	o.Began = f.now()
+	o.Status, _ = t.call(ctx, http.MethodPut, desk, "/v1/table?base="+strconv.FormatUint(o.Base, 10), body)
+	o.Ended = f.now()
+	f.note(func(r *record) { r.Orders = append(r.Orders, o) })
+	if o.Status == http.StatusOK {
+		t.known = max(t.known, o.Number)
+	}
+	t.number = max(t.number, o.Number)
+	return o.Status
+}
+
+func (t *tables) call(ctx context.Context, method string, desk *process, path string, body []byte) (int, []byte) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+desk.at(operatorPort)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	q.Header.Set("Authorization", "Bearer "+operatorKey)
+	answer, err := t.fleet.client.Do(q)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	got, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, got
+}
+
+// read reads the table in force at a desk.
+func (t *tables) read(ctx context.Context, desk *process) bool {
+	f := t.fleet
+	began := f.now()
+	status, got := t.call(ctx, http.MethodGet, desk, "/v1/table", nil)
+	var read route.Table
+	if status != http.StatusOK || json.Unmarshal(got, &read) != nil {
+		return false
+	}
+	one := reading{Desk: desk.name, Began: began, Ended: f.now(), Number: read.Number}
+	f.note(func(r *record) { r.Readings = append(r.Readings, one) })
+	t.known = max(t.known, read.Number)
+	if !bytes.Equal(compact(got), compact(text(read.Number))) {
+		f.found(RuleTables, "table %d, read at %s, is not what was handed over", read.Number, desk.name)
+	}
+	return true
+}
+
+// compact is a table as it is parsed, so that texts can be compared.
+func compact(raw []byte) []byte {
+	parsed, faults := route.Parse(raw)
+	if faults != nil {
+		return raw
+	}
+	return parsed.Plain()
+}
+
+// operate changes tables until the context ends: mostly in order, some by two
+// operators at once, some invalid, some with their answers lost.
+func (t *tables) operate(ctx context.Context) {
+	desks := t.fleet.of(roleDesk)
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(300+rand.IntN(900))*time.Millisecond)
+		desk, other := desks[rand.IntN(len(desks))], desks[rand.IntN(len(desks))]
+		next := t.number + 1 + uint64(rand.IntN(3))
+		switch rand.IntN(6) {
+		case 0:
+			t.race(ctx, desk, other, next)
+		case 1:
+			t.handText(ctx, desk, order{Base: t.known, Number: next}, []byte(fmt.Sprintf(`{"number":%d,"routes":[{"host":"h"}]}`, next)))
+		case 2:
+			// The answer is lost; the same is sent again elsewhere.
+			lost, cancel := context.WithTimeout(ctx, time.Duration(rand.IntN(20))*time.Millisecond)
+			base := t.known
+			t.hand(lost, desk, base, next)
+			cancel()
+			t.hand(ctx, other, base, next)
+		case 3:
+			t.read(ctx, desk)
+		default:
+			if t.hand(ctx, desk, t.known, next) == http.StatusConflict {
+				t.read(ctx, other)
+			}
+		}
+	}
+}
+
+// race hands two tables over on one base at the same time.
+func (t *tables) race(ctx context.Context, desk, other *process, next uint64) {
+	base, first, second := t.known, *t, *t
+	done := make(chan struct{})
+	go func() {
+		first.hand(ctx, desk, base, next)
+		close(done)
+	}()
+	second.hand(ctx, other, base, next+1)
+	<-done
+	t.known, t.number = max(first.known, second.known), max(first.number, second.number)
+}
--- /dev/null
+++ b/rehearsalkit/soak/replica.go
@@ -0,0 +1,369 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Services of the rehearsed table.
+const (
+	serviceModel = "model"
+	serviceApp   = "app"
+)
+
+// eventsOfTurn is how many events a whole stream has, tokensPerEvent how many tokens
+// each counts.
+const (
+	eventsOfTurn   = 5
+	tokensPerEvent = 10
+	turnTokens     = eventsOfTurn * tokensPerEvent
+)
+
+// replicas are all stand-in replicas, by places. A place has one replica after the
+// other at one address.
+type replicas struct {
+	fleet  *Fleet
+	places []*place
+}
+
+// place is an address that replicas come and go at.
+type place struct {
+	fleet            *Fleet
+	service, address string
+	lives            int
+	current          *replica
+	// busy lets one trouble at a time have the place.
+	busy chan struct{}
+}
+
+// replica is one life of a replica.
+type replica struct {
+	place  *place
+	id     string
+	server net.Listener
+	cancel context.CancelFunc
+	ctx    context.Context
+	// leaving is closed when it begins to say that it leaves.
+	leaving chan struct{}
+}
+
+func newReplicas(f *Fleet) *replicas {
+	r := &replicas{fleet: f}
+	for i := range 5 {
+		service := serviceModel
+		if i >= 3 {
+			service = serviceApp
+		}
+		r.places = append(r.places, &place{fleet: f, service: service, address: f.host(hostReplica, i+1) + ":7900", busy: make(chan struct{}, 1)})
+	}
+	return r
+}
+
+func (r *replicas) fill(ctx context.Context) {
+	for _, p := range r.places {
+		p.begin(ctx)
+	}
+}
+
+// begin begins a new life at a place.
+func (p *place) begin(ctx context.Context) {
+	var listener net.Listener
+	for range 100 {
+		var err error
+		if listener, err = net.Listen("tcp", p.address); err == nil {
+			break
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	if listener == nil {
+		return
+	}
+	p.lives++
+	life, cancel := context.WithCancel(ctx)
+	one := &replica{place: p, id: fmt.Sprintf("%s-%s-%d", p.service, strings.ReplaceAll(p.address, ":", "."), p.lives), server: listener, ctx: life, cancel: cancel, leaving: make(chan struct{})}
+	p.current = one
+	server := &http.Server{Handler: http.HandlerFunc(one.serve)}
+	go server.Serve(listener)
+	context.AfterFunc(life, func() { server.Close() })
+	go one.announce()
+}
+
+// crash ends a life without a word.
+func (p *place) crash() {
+	if p.current != nil {
+		p.current.cancel()
+		p.current = nil
+	}
+}
+
+// leave says that a replica leaves, serves on for a while and ends it. Some say it
+// by their last word only.
+func (p *place) leave(ctx context.Context, lastWordFirst bool) {
+	one := p.current
+	if one == nil {
+		return
+	}
+	if !lastWordFirst {
+		close(one.leaving)
+	} else {
+		one.lastWord()
+	}
+	pause(ctx, drainBound+time.Duration(rand.IntN(1000))*time.Millisecond)
+	if !lastWordFirst {
+		one.lastWord()
+	}
+	p.crash()
+}
+
+// announce says all the time that the replica is there, at one desk or another.
+func (r *replica) announce() {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	desks := r.place.fleet.of(roleDesk)
+	at := rand.IntN(len(desks))
+	for call := 1; ; call++ {
+		leaving := false
+		select {
+		case <-r.leaving:
+			leaving = true
+		default:
+		}
+		body, _ := json.Marshal(map[string]any{"service": r.place.service, "address": r.place.address, "zone": "zone1", "slots": 8, "leaving": leaving, "call": call})
+		if r.tell(http.MethodPut, desks[at], body) {
+			if leaving {
+				r.place.fleet.left(r.id)
+			}
+		} else {
+			at = (at + 1) % len(desks)
+		}
+		select {
+		case <-ticker.C:
+		case <-r.leaving:
+			if !leaving {
+				continue
+			}
+			pause(r.ctx, beat)
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+// lastWord says that the replica goes, until a desk has heard it.
+func (r *replica) lastWord() {
+	for _, desk := range r.place.fleet.of(roleDesk) {
+		if r.tell(http.MethodDelete, desk, nil) {
+			r.place.fleet.left(r.id)
+			return
+		}
+	}
+}
+
+// left notes that a desk acknowledged that a replica leaves.
+func (f *Fleet) left(id string) {
+	at := f.now()
+	f.note(func(r *record) {
+		for _, w := range r.Words {
+			if w.Replica == id {
+				return
+			}
+		}
+		r.Words = append(r.Words, word{Replica: id, At: at})
+	})
+}
+
+// tell says something to a desk, and reports whether it was acknowledged in time.
+func (r *replica) tell(method string, desk *process, body []byte) bool {
+	ctx, cancel := context.WithTimeout(r.ctx, time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+desk.at(operatorPort)+"/v1/replicas/"+r.id, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	q.Header.Set("Authorization", "Bearer "+replicaKey)
+	answer, err := r.place.fleet.client.Do(q)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err == nil && answer.StatusCode == http.StatusOK
+}
+
+// manner is how a replica treats one request.
+type manner int
+
+// Manners of replicas.
+const (
+	mannerGood manner = iota
+	// mannerFull promises that it did not run.
+	mannerFull
+	// mannerFails answers 500 after it ran.
+	mannerFails
+	// mannerSwallows runs and ends the connection without an answer.
+	mannerSwallows
+	// mannerResets does so by a reset.
+	mannerResets
+	// mannerHalf breaks off in the middle of its answer.
+	mannerHalf
+	// mannerSurplus sends bytes after its whole answer.
+	mannerSurplus
+	// mannerSilent never answers.
+	mannerSilent
+	// mannerNonsense sends bytes that are no answer.
+	mannerNonsense
+	// mannerEarly answers before it has read the body.
+	mannerEarly
+	// mannerLate answers after a pause.
+	mannerLate
+	mannersOdd
+)
+
+// pick is good mostly, and else one of the others.
+func pick() manner {
+	if rand.Float64() < 0.82 {
+		return mannerGood
+	}
+	return manner(1 + rand.IntN(int(mannersOdd)-1))
+}
+
+func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
+	attempt := q.Header.Get("Saffronfall-Attempt")
+	w.Header().Set("Saffronfall-Attempt", attempt)
+	if target := q.Header.Get("Saffronfall-Replica"); target != r.id || attempt == "" {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	how := pick()
+	if how == mannerFull {
+		w.Header().Set("Saffronfall-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var got []byte
+	if how != mannerEarly {
+		var err error
+		if got, err = io.ReadAll(q.Body); err != nil {
+			return
+		}
+	}
+	f := r.place.fleet
+	stream := strings.HasPrefix(q.URL.Path, "/"+kindChat+"/") || strings.HasPrefix(q.URL.Path, "/"+kindKept+"/")
+	one := run{At: f.now(), Replica: r.id, Service: r.place.service, Attempt: attempt, Tenant: q.Header.Get("Saffronfall-Tenant"), Method: q.Method, Path: q.URL.Path, Got: string(got), Gave: r.answer(q, stream)}
+	if how == mannerEarly {
+		one.Got = unread
+	}
+	f.note(func(r *record) { r.Runs = append(r.Runs, one) })
+	pause(q.Context(), time.Duration(5+rand.IntN(30))*time.Millisecond)
+	if how == mannerLate {
+		pause(q.Context(), time.Duration(rand.IntN(2500))*time.Millisecond)
+	}
+	w.Header().Set("Saffronfall-Seal", "seal-"+attempt)
+	w.Header().Set("Saffronfall-Load", "1,0,8")
+	switch how {
+	case mannerGood, mannerLate, mannerEarly:
+		r.give(w, one, stream)
+	case mannerFails:
+		w.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(w, "failed "+attempt)
+	default:
+		r.misbehave(w, q, one, how, stream)
+	}
+}
+
+// unread stands for a body that a replica answered before.
+const unread = "(not read)"
+
+// pathLarge is asked for by who takes nothing of it: its streams are larger than what
+// sockets hold.
+const pathLarge = "/" + kindChat + "/large"
+
+// answer is the whole of what a replica answers to a request.
+func (r *replica) answer(q *http.Request, stream bool) string {
+	attempt := q.Header.Get("Saffronfall-Attempt")
+	if !stream {
+		return r.id + " ran " + attempt + strings.Repeat(".", 200)
+	}
+	first := 1
+	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	var text strings.Builder
+	padding := ""
+	if q.URL.Path == pathLarge {
+		padding = strings.Repeat("+", 300<<10)
+	}
+	for i := first; i <= eventsOfTurn; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s/%d%s\n\n", i, attempt, i, padding)
+	}
+	return text.String()
+}
+
+// give answers in good order: a stream event by event.
+func (r *replica) give(w http.ResponseWriter, one run, stream bool) {
+	if !stream {
+		io.WriteString(w, one.Gave)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, event := range strings.SplitAfter(one.Gave, "\n\n") {
+		io.WriteString(w, event)
+		if flusher, ok := w.(http.Flusher); ok {
+			flusher.Flush()
+		}
+		pause(r.ctx, time.Duration(rand.IntN(15))*time.Millisecond)
+	}
+}
+
+// misbehave answers by hand, and mostly badly.
+func (r *replica) misbehave(w http.ResponseWriter, q *http.Request, one run, how manner, stream bool) {
+	head := "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: " + one.Attempt + "\r\nSaffronfall-Seal: seal-" + one.Attempt + "\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(one.Gave))
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	c, buffer, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	say := func(text string) {
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		io.WriteString(c, text)
+	}
+	switch how {
+	case mannerResets:
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+	case mannerHalf:
+		cut := rand.IntN(len(one.Gave))
+		say(head + length + one.Gave[:cut])
+	case mannerSurplus:
+		say(head + length + one.Gave + "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: other\r\nSaffronfall-Seal: s\r\nContent-Length: 7\r\n\r\nsurplus")
+		r.linger(c, buffer.Reader, 300*time.Millisecond)
+	case mannerSilent:
+		r.linger(c, buffer.Reader, 10*time.Second)
+	case mannerNonsense:
+		say("no answer at all\r\n\r\n")
+	}
+}
+
+// linger keeps a connection until its other end closes it, or for a time.
+func (r *replica) linger(c net.Conn, reader *bufio.Reader, within time.Duration) {
+	stop := context.AfterFunc(r.ctx, func() { c.Close() })
+	defer stop()
+	c.SetReadDeadline(time.Now().Add(within))
+	reader.ReadByte()
+}
--- /dev/null
+++ b/rehearsalkit/soak/trouble.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"time"
+)
+
+// upheaval is one kind of trouble. It brings it about, waits and takes it back.
+type upheaval struct {
+	name string
+	// weight is how often it comes, among the others.
+	weight int
+	befall func(f *Fleet, ctx context.Context, random *rand.Rand) (whom string)
+}
+
+// upheavals are all kinds.
+var upheavals = []upheaval{
+	{"kill", 4, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.kill()
+		pause(ctx, between(random, 0, 1500*time.Millisecond))
+		p.start()
+	})},
+	{"freeze", 3, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, between(random, 200*time.Millisecond, 4*time.Second))
+		p.signal(syscall.SIGCONT)
+	})},
+	{"freeze and kill", 1, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, between(random, 0, 2*time.Second))
+		p.kill()
+		p.start()
+	})},
+	{"end", 4, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.signal(syscall.SIGTERM)
+		p.wait()
+		p.start()
+	})},
+	{"end twice, with a reload", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.signal(syscall.SIGTERM)
+		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			pause(ctx, between(random, 0, 400*time.Millisecond))
+			p.signal(s)
+		}
+		p.wait()
+		p.start()
+	})},
+	{"end while it starts", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.kill()
+		p.start()
+		pause(ctx, between(random, 0, 120*time.Millisecond))
+		p.signal(syscall.SIGTERM)
+		p.wait()
+		p.start()
+	})},
+	{"reload while it starts", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.kill()
+		p.start()
+		pause(ctx, between(random, 0, 20*time.Millisecond))
+		p.signal(syscall.SIGHUP)
+		pause(ctx, 300*time.Millisecond)
+	})},
+	{"reload", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.settings["dial_ms"], p.settings["log_verbosity"] = 200+random.IntN(200), random.IntN(2)
+		p.writeSettings(nil)
+		p.signal(syscall.SIGHUP)
+	})},
+	{"reload of a faulty file", 1, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		p.writeSettings([]byte(`{"id": "a b", "pull_ms": "soon"`))
+		p.signal(syscall.SIGHUP)
+		pause(ctx, between(random, 50*time.Millisecond, 500*time.Millisecond))
+		p.writeSettings(nil)
+		p.signal(syscall.SIGHUP)
+	})},
+	{"lost disk", 1, loseDisk},
+	{"cut off", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		f.cutFrom(ctx, p, f.processes, true)
+		pause(ctx, between(random, 300*time.Millisecond, 4*time.Second))
+		f.cutFrom(ctx, p, f.processes, false)
+	})},
+	{"one-way cut", 2, oneWayCut},
+	{"halves", 1, halves},
+	{"delay", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		delay := between(random, 10*time.Millisecond, 250*time.Millisecond)
+		f.delay(ctx, p, delay)
+		pause(ctx, between(random, 500*time.Millisecond, 4*time.Second))
+		f.delay(ctx, p, 0)
+	})},
+	{"reset", 2, onProcess(func(f *Fleet, ctx context.Context, random *rand.Rand, p *process) {
+		f.links.Reset(ctx, p.ip)
+	})},
+	{"replica leaves", 3, func(f *Fleet, ctx context.Context, random *rand.Rand) string {
+		return f.replicas.befall(random, func(p *place) {
+			p.leave(ctx, random.IntN(3) == 0)
+			p.begin(ctx)
+		})
+	}},
+	{"replica crashes", 2, func(f *Fleet, ctx context.Context, random *rand.Rand) string {
+		return f.replicas.befall(random, func(p *place) {
+			p.crash()
+			pause(ctx, between(random, 0, 2*time.Second))
+			p.begin(ctx)
+		})
+	}},
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
+// onProcess makes a trouble of what befalls one process that has no other trouble of
+// its own just now.
+func onProcess(what func(f *Fleet, ctx context.Context, random *rand.Rand, p *process)) func(f *Fleet, ctx context.Context, random *rand.Rand) string {
+	return func(f *Fleet, ctx context.Context, random *rand.Rand) string {
+		p := f.processes[random.IntN(len(f.processes))]
+		if !f.take(p) {
+			return ""
+		}
+		defer f.give(p)
+		p.check()
+		what(f, ctx, random, p)
+		return p.name
+	}
+}
+
+func (f *Fleet) take(p *process) bool {
+	select {
+	case f.busy[p] <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *Fleet) give(p *process) { <-f.busy[p] }
+
+// loseDisk ends a core and empties its folder. One disk at a time may be lost, until
+// the fleet has had time to make up for it.
+func loseDisk(f *Fleet, ctx context.Context, random *rand.Rand) string {
+	select {
+	case f.diskLost <- struct{}{}:
+	default:
+		return ""
+	}
+	const madeUp = 8 * time.Second
+	cores := f.of(roleCore)
+	p := cores[random.IntN(len(cores))]
+	if !f.take(p) {
+		<-f.diskLost
+		return ""
+	}
+	p.kill()
+	os.RemoveAll(p.dataFolder())
+	pause(ctx, between(random, 0, time.Second))
+	p.start()
+	f.give(p)
+	go func() {
+		pause(ctx, madeUp)
+		<-f.diskLost
+	}()
+	return p.name
+}
+
+// cutFrom cuts, or mends, the links between a process and others.
+func (f *Fleet) cutFrom(ctx context.Context, p *process, others []*process, cut bool) {
+	for _, o := range others {
+		if o != p {
+			f.links.Cut(ctx, p.ip, o.ip, cut)
+		}
+	}
+}
+
+func (f *Fleet) delay(ctx context.Context, p *process, delay time.Duration) {
+	for _, o := range f.processes {
+		if o != p {
+			f.links.Delay(ctx, p.ip, o.ip, delay)
+			f.links.Delay(ctx, o.ip, p.ip, delay)
+		}
+	}
+}
+
+// oneWayCut lets a process hear, and not be heard, or the other way round.
+func oneWayCut(f *Fleet, ctx context.Context, random *rand.Rand) string {
+	p := f.processes[random.IntN(len(f.processes))]
+	speaks := random.IntN(2) == 0
+	set := func(cut bool) {
+		for _, o := range f.processes {
+			switch {
+			case o == p:
+			case speaks:
+				f.links.CutOneWay(ctx, p.ip, o.ip, cut)
+			default:
+				f.links.CutOneWay(ctx, o.ip, p.ip, cut)
+			}
+		}
+	}
+	set(true)
+	pause(ctx, between(random, 300*time.Millisecond, 3*time.Second))
+	set(false)
+	return p.name
+}
+
+// halves cuts the cores and desks into two sides; nodes reach both.
+func halves(f *Fleet, ctx context.Context, random *rand.Rand) string {
+	var one, rest []*process
+	for _, p := range append(f.of(roleCore), f.of(roleDesk)...) {
+		if random.IntN(2) == 0 {
+			one = append(one, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	for _, cut := range []bool{true, false} {
+		for _, p := range one {
+			f.cutFrom(ctx, p, rest, cut)
+		}
+		if cut {
+			pause(ctx, between(random, 500*time.Millisecond, 4*time.Second))
+		}
+	}
+	return "cores and desks"
+}
+
+// befall brings something about at a place that has no other trouble.
+func (r *replicas) befall(random *rand.Rand, what func(p *place)) string {
+	p := r.places[random.IntN(len(r.places))]
+	select {
+	case p.busy <- struct{}{}:
+	default:
+		return ""
+	}
+	what(p)
+	<-p.busy
+	return p.address
+}
+
+// upheave lets troubles come for a time, overlapping as they may, and returns when
+// all are over.
+func (f *Fleet) upheave(ctx context.Context) {
+	all := 0
+	for _, u := range upheavals {
+		all += u.weight
+	}
+	done, begun := make(chan struct{}, 1<<12), 0
+	for end := f.now() + f.Length; f.now() < end && ctx.Err() == nil; {
+		at, chosen := f.random.IntN(all), upheavals[0]
+		for _, u := range upheavals {
+			if chosen = u; at < u.weight {
+				break
+			}
+			at -= u.weight
+		}
+		random := rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64()))
+		begun++
+		go func() {
+			f.bring(ctx, chosen, random)
+			done <- struct{}{}
+		}()
+		pause(ctx, time.Duration(f.random.ExpFloat64()/f.Troubles*float64(time.Second)))
+	}
+	for range begun {
+		<-done
+	}
+	for _, p := range f.processes {
+		p.check()
+	}
+}
+
+// bring brings one trouble about and notes it.
+func (f *Fleet) bring(ctx context.Context, u upheaval, random *rand.Rand) {
+	t := trouble{Kind: u.name, From: f.now()}
+	if t.Whom = u.befall(f, ctx, random); t.Whom == "" {
+		return
+	}
+	t.To = f.now()
+	f.note(func(r *record) { r.Troubles = append(r.Troubles, t) })
+	if f.Logf != nil {
+		f.Logf("seed %d: %s", f.Seed, t)
+	}
+}
--- /dev/null
+++ b/saffronfall/main_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// asProgram makes the test's own program behave as the shipped one.
+const asProgram = "SAFFRONFALL_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// TestReloadWhileStarting: a reload that comes before the settings have been read
+// does not end the process. The settings file is a pipe, so that the process is held
+// at reading it for as long as the test likes.
+func TestReloadWhileStarting(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "settings.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := json.Marshal(map[string]any{"id": "n", "seeds": []string{}, "fleet_secret": "a secret of some length", "folder": filepath.Join(folder, "data"),
+		"peer_listen": freeAddress(t), "operator_listen": freeAddress(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	command := exec.Command(os.Args[0], "desk", path)
+	command.Env = append(os.Environ(), asProgram+"=1")
+	command.Stdout, command.Stderr = &log, &log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	// A pipe opens for writing once the process reads it.
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command.Process.Signal(syscall.SIGHUP)
+	select {
+	case err := <-ended:
+		t.Fatalf("ended: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	if _, err := pipe.Write(settings); err != nil {
+		t.Fatal(err)
+	}
+	pipe.Close()
+	// The reload reads the file again.
+	if pipe, err = os.OpenFile(path, os.O_WRONLY, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pipe.Write(settings); err != nil {
+		t.Fatal(err)
+	}
+	pipe.Close()
+	command.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Fatalf("%v\n%s", err, log.String())
+		}
+	case <-time.After(10 * time.Second):
+		command.Process.Kill()
+		t.Fatalf("it does not end\n%s", log.String())
+	}
+	if !strings.Contains(log.String(), "settings read again") {
+		t.Fatalf("the reload was forgotten:\n%s", log.String())
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return fmt.Sprint(listener.Addr())
+}
