Reload: SIGHUP is taken before the settings are read, by one follower

Cause: both programs registered SIGHUP in a goroutine that began after the settings had been read; until then the signal's default ended the process, and a change of the file in between was never read. Class: a signal that is acted on later than it may come. Beside it, by reading: a draining node read its settings from another goroutine than the one that adopts new ones.

Ruled out: SIGTERM (its default ends the process, which is what is asked), a second SIGTERM or a SIGHUP while draining (taken and passed over; soak kind 'end twice, with a reload').

Change: saffronfall/reload listens first thing, and follows for both programs, in place of two copies. The drain asks the owner for its settings.

Left: in the milliseconds before a program has begun, nothing of it can take a signal.

--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -28,6 +28,7 @@
 	"saffronfall/saffronfall/nodeprocess"
 	"saffronfall/saffronfall/params"
 	"saffronfall/saffronfall/relayprocess"
+	"saffronfall/saffronfall/reload"
 )
 
 type role struct {
@@ -35,51 +36,22 @@
 }
 
 func (r role) start(run func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error) error {
+	reloads := reload.Listen()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	p, err := params.ReadFile(r.Settings)
 	if err != nil {
 		return err
 	}
 	stdr.SetVerbosity(int(p.Verbosity))
 	logger := stdr.New(log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	adopt := make(chan params.Params, 1)
-	go reread(ctx, r.Settings, p, adopt, logger)
+	follower := reload.Follower{Read: func() ([]byte, error) { return os.ReadFile(r.Settings) }, Adopt: adopt, Log: logger,
+		Taken: func(p params.Params) { stdr.SetVerbosity(int(p.Verbosity)) }}
+	go follower.Run(ctx, reloads, p)
 	return run(ctx, p, adopt, logger)
 }
 
-// reread takes on SIGHUP what may change while the process runs, and says what
-// needs a restart.
-func reread(ctx context.Context, path string, running params.Params, adopt chan<- params.Params, logger logr.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		text, err := os.ReadFile(path)
-		var next params.Params
-		var taken, restart []string
-		if err == nil {
-			next, taken, restart, err = params.Adopt(running, text)
-		}
-		if err != nil {
-			logger.Info("settings not taken; the old ones stay whole", "faults", err.Error())
-			continue
-		}
-		running = next
-		stdr.SetVerbosity(int(running.Verbosity))
-		select {
-		case adopt <- running:
-		case <-ctx.Done():
-			return
-		}
-		logger.Info("settings read again", "taken", taken, "need a restart", restart)
-	}
-}
-
 type deskCommand struct{ role }
 
 func (c *deskCommand) Run() error {
--- a/saffronfall/main_test.go
+++ b/saffronfall/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -34,15 +33,21 @@
 	if err := syscall.Mkfifo(path, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	operators := freeAddress(t)
 	settings, err := json.Marshal(map[string]any{"id": "n", "seeds": []string{}, "fleet_secret": "a secret of some length", "folder": filepath.Join(folder, "data"),
-		"peer_listen": freeAddress(t), "operator_listen": freeAddress(t)})
+		"peer_listen": freeAddress(t), "operator_listen": operators})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var log bytes.Buffer
+	logPath := filepath.Join(folder, "log")
+	log, err := os.Create(logPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
 	command := exec.Command(os.Args[0], "desk", path)
 	command.Env = append(os.Environ(), asProgram+"=1")
-	command.Stdout, command.Stderr = &log, &log
+	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -63,6 +68,13 @@
 		t.Fatal(err)
 	}
 	pipe.Close()
+	until(t, "the process listens", func() bool {
+		c, err := net.Dial("tcp", operators)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
 	// The reload reads the file again.
 	if pipe, err = os.OpenFile(path, os.O_WRONLY, 0); err != nil {
 		t.Fatal(err)
@@ -71,18 +83,33 @@
 		t.Fatal(err)
 	}
 	pipe.Close()
+	until(t, "the reload is carried out", func() bool {
+		text, err := os.ReadFile(logPath)
+		return err == nil && strings.Contains(string(text), "settings read again")
+	})
 	command.Process.Signal(syscall.SIGTERM)
 	select {
 	case err := <-ended:
 		if err != nil {
-			t.Fatalf("%v\n%s", err, log.String())
+			t.Fatal(err)
 		}
 	case <-time.After(10 * time.Second):
 		command.Process.Kill()
-		t.Fatalf("it does not end\n%s", log.String())
+		t.Fatal("it does not end")
 	}
-	if !strings.Contains(log.String(), "settings read again") {
-		t.Fatalf("the reload was forgotten:\n%s", log.String())
+}
+
+// until waits until a condition is met.
+func until(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	tick, deadline := time.NewTicker(20*time.Millisecond), time.After(10*time.Second)
+	defer tick.Stop()
+	for !met() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatalf("not in time: %s", what)
+		}
 	}
 }
 
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -132,16 +132,16 @@
 // connections here and what runs has ended.
 func (s *process) drain(server *http.Server) {
 	s.log.Info("relay leaves")
-	left := make(chan struct{})
+	left := make(chan params.Params, 1)
 	s.calls <- func(time.Duration) {
 		s.machine.Leave()
-		close(left)
+		left <- s.params
 	}
-	<-left
+	p := <-left
 	close(s.closing)
-	wait := time.NewTimer(time.Duration(s.params.NotReadyMS) * time.Millisecond)
+	wait := time.NewTimer(time.Duration(p.NotReadyMS) * time.Millisecond)
 	<-wait.C
-	ending, cancel := context.WithTimeout(context.Background(), s.params.Grace())
+	ending, cancel := context.WithTimeout(context.Background(), p.Grace())
 	defer cancel()
 	err := server.Shutdown(ending)
 	s.log.Info("relay stopped", "whole", err == nil)
