--- a/rehearsalkit/soak/command.go
+++ b/rehearsalkit/soak/command.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,9 @@
 
 // Run runs the seeds and prints what broke.
 func (c *Command) Run() error {
+	// Whoever starts processes and may tell them to reload at any moment starts them
+	// with the signal ignored, as nothing can take it before a program has begun.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	seeds, outcomes := make(chan uint64), make(chan outcome)
--- a/rehearsalkit/soak/replica.go
+++ b/rehearsalkit/soak/replica.go
@@ -26,6 +26,7 @@
 const (
 	eventsOfTurn   = 5
 	tokensPerEvent = 10
+	eventsOfLarge  = 40
 	turnTokens     = eventsOfTurn * tokensPerEvent
 )
 
@@ -299,11 +300,11 @@
 		first = last + 1
 	}
 	var text strings.Builder
-	padding := ""
+	padding, events := "", eventsOfTurn
 	if q.URL.Path == pathLarge {
-		padding = strings.Repeat("+", 300<<10)
+		padding, events = strings.Repeat("+", 300<<10), eventsOfLarge
 	}
-	for i := first; i <= eventsOfTurn; i++ {
+	for i := first; i <= events; i++ {
 		fmt.Fprintf(&text, "id: %d\ndata: %s/%d%s\n\n", i, attempt, i, padding)
 	}
 	return text.String()
--- a/rehearsalkit/soak/rude.go
+++ b/rehearsalkit/soak/rude.go
@@ -58,8 +58,8 @@
 	return q, c
 }
 
-// patient is how long a rude requester stays.
-const patient = 6 * time.Second
+// patient is how long a rude requester stays: longer than any request may be held.
+const patient = 12 * time.Second
 
 // stay keeps a connection open without reading.
 func stay(ctx context.Context, c net.Conn) {
