Requesters are bounded in time and memory, and time on the way counts

Cause: nothing bounded how long a requester may take to send a body or to read its answer, and a body's memory was taken by what its head announced. Class: a resource is held at the pace of somebody outside, without a bound of one's own. The same cause was looked for: bodies of answers (bounded by the request's time at the replica's connection), heads (10 s), operators' and heartbeats' bodies (bounded in size; their time is left open below), streams between processes (bounded). Beside it: time that passed while a body was read, or while a request or a step waited for a goroutine (as in a process that was stopped), was not counted; replicas were told of more time than was left.

Change: a body is read within the requester's deadline (body_ms at most) and ends by 408, not run; its memory grows with what came, out of a room shared by all requests (intake_bytes, 503 beyond); writing ends with the request's time, and ten seconds after an answer that is there whole. What a body and the owner's queue took is taken off the time left; a sending whose time has ended is not made.

--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"saffronfall/peer/clock"
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
 )
@@ -43,24 +44,41 @@
 	// Closing is closed when the node drains: answers then end their
 	// connections.
 	Closing <-chan struct{}
+	// BodyTime is how long a requester may take to send a body, besides the deadline
+	// that it names. IntakeSize is how many bytes the bodies of all requests under way
+	// may take. Zero: defaults.
+	BodyTime   time.Duration
+	IntakeSize int64
+	// Rejected, where it is set, is told of requests that did not arrive whole, on
+	// the goroutine that found it.
+	Rejected func(e relay.Ended)
 }
 
 // Handler serves requesters.
-func Handler(o Options) http.Handler { return &handler{Options: o} }
+func Handler(o Options) http.Handler {
+	if o.BodyTime <= 0 {
+		o.BodyTime = defaultBodyTime
+	}
+	return &handler{Options: o, intake: newIntake(o.IntakeSize)}
+}
 
-type handler struct{ Options }
+type handler struct {
+	Options
+	intake *intake
+}
 
 // exchange is one request with its answer.
 type exchange struct {
 	*handler
-	w       http.ResponseWriter
-	r       *http.Request
-	body    []byte
-	ask     relay.Ask
-	way     Way
-	started bool
-	lastID  string
-	output  []byte
+	w          http.ResponseWriter
+	r          *http.Request
+	controller *http.ResponseController
+	body       []byte
+	ask        relay.Ask
+	way        Way
+	started    bool
+	lastID     string
+	output     []byte
 }
 
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -72,32 +90,24 @@
 			w.Header().Set("Connection", "close")
 		}
 	}
-	x := &exchange{handler: h, w: w, r: r}
-	var err error
-	switch {
-	case r.ContentLength > h.Most:
-	case r.ContentLength > 0:
-		x.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, x.body)
-	case r.ContentLength < 0:
-		x.body, err = io.ReadAll(io.LimitReader(r.Body, h.Most+1))
-	}
-	switch {
-	case err != nil:
-		// The request did not come whole.
-		w.Header().Set("Connection", "close")
-		x.refuse(relay.Step{Status: 400, Check: "body", Reason: "the body did not come whole"})
-		return
-	case max(r.ContentLength, int64(len(x.body))) > h.Most:
-		w.Header().Set("Connection", "close")
-		x.refuse(relay.Step{Status: 413, Check: "limits", Reason: "the body is larger than any allowed"})
+	x := &exchange{handler: h, w: w, r: r, controller: http.NewResponseController(w)}
+	// What is left in the connection's buffer is written when the handler has ended.
+	defer x.mayWrite(answerTime)
+	came := clock.Now()
+	ask, fault := h.read(r)
+	x.ask = ask
+	if fault != "" {
+		x.reject(relay.CauseMalformed, relay.Step{Status: 400, Check: "request", Reason: fault})
 		return
 	}
-	fault := ""
-	if x.ask, fault = h.read(r, x.body); fault != "" {
-		x.refuse(relay.Step{Status: 400, Check: "request", Reason: fault})
+	held := body{intake: h.intake}
+	defer held.release()
+	if err := x.receive(&held); err != nil {
+		x.rejectBody(err)
 		return
 	}
+	x.body = held.raw
+	x.ask.Input, x.ask.BodyBytes, x.ask.Came = x.body, int64(len(x.body)), came
 	way, step, line, ok := h.Owner.Arrive(r.Context(), x.ask)
 	x.way = way
 	for ok {
@@ -122,13 +132,55 @@
 	panic(http.ErrAbortHandler)
 }
 
+// receive reads the body, within the time that the requester has for it.
+func (x *exchange) receive(held *body) error {
+	within := x.BodyTime
+	if x.ask.Left > 0 {
+		within = min(within, x.ask.Left)
+	}
+	x.mayWrite(within)
+	x.mayRead(within)
+	err := held.read(x.r, x.Most)
+	// From here on, reading only serves to notice that the requester goes away.
+	x.mayRead(0)
+	return err
+}
+
+// rejectBody ends a request whose body did not come as it should. What may still come
+// on its connection belongs to nothing.
+func (x *exchange) rejectBody(err error) {
+	x.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		x.reject(relay.CauseBodyTooLarge, relay.Step{Status: 413, Check: "limits", Reason: err.Error()})
+	case errors.Is(err, errIntakeFull):
+		x.reject(relay.CauseIntakeFull, relay.Step{Status: 503, Check: "intake", Reason: err.Error(), RetryAfter: intakeRetry})
+	case late(err):
+		x.reject(relay.CauseBodyLate, relay.Step{Status: 408, Check: "body", Reason: "the body did not come in time"})
+	default:
+		x.reject(relay.CauseBodyIncomplete, relay.Step{Status: 400, Check: "body", Reason: "the body did not come whole"})
+	}
+}
+
+// intakeRetry is after how long a request may come back that found no room.
+const intakeRetry = 500 * time.Millisecond
+
+// reject ends a request that has not arrived whole.
+func (x *exchange) reject(cause relay.Cause, s relay.Step) {
+	if x.Rejected != nil {
+		x.Rejected(relay.Ended{Cause: cause, Attempt: x.ask.Attempt, Program: x.ask.Program, Status: s.Status})
+	}
+	x.refuse(s)
+}
+
 // longestMS is as long as any deadline, in milliseconds.
 const longestMS = 86400000
 
-func (h *handler) read(r *http.Request, body []byte) (relay.Ask, string) {
+// read reads a request's head.
+func (h *handler) read(r *http.Request) (relay.Ask, string) {
 	n := h.Names
 	a := relay.Ask{Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(n.Attempt), Program: r.Header.Get(n.Program), Session: r.Header.Get(n.Session),
-		Previous: r.Header.Get(n.Previous), Key: r.Header.Get(n.Key), BodyBytes: int64(len(body)), Input: body}
+		Previous: r.Header.Get(n.Previous), Key: r.Header.Get(n.Key)}
 	_, a.HasKey = r.Header[http.CanonicalHeaderKey(n.Key)]
 	if i := strings.IndexByte(r.RequestURI, '?'); i >= 0 {
 		a.Path = r.RequestURI[:i]
@@ -191,6 +243,7 @@
 
 // refuse writes an answer of the node's own.
 func (x *exchange) refuse(s relay.Step) {
+	x.mayWrite(answerTime)
 	body, _ := json.Marshal(map[string]string{"error": s.Reason, "check": s.Check})
 	header := x.w.Header()
 	header.Set("Content-Type", "application/json")
@@ -229,6 +282,11 @@
 
 // send makes one sending and tells what became of it.
 func (x *exchange) send(s relay.Step, line *replica.Line) (relay.Step, *replica.Line, bool) {
+	if s.Within <= 0 {
+		// Its time ended while it was on its way here.
+		return x.way.Came(relay.Outcome{Kind: relay.NotRun, Unreached: true})
+	}
+	x.mayWrite(s.Within)
 	n := x.Names
 	q := replica.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Attempt: x.ask.Attempt, Within: s.Within, HasBody: x.r.ContentLength != 0 || x.r.Method == http.MethodPost,
 		Header: passable(x.r.Header, n.Attempt, n.Key, n.Tenant, n.Target, n.Deadline, n.Urgency, "Expect"), Body: append(append([][]byte(nil), s.Before...), x.body)}
@@ -317,6 +375,7 @@
 	o.Kind, o.Failed = relay.Whole, r.StatusCode >= 300
 	step, line, ok := x.way.Came(o)
 	if ok && step.Kind == relay.StepPass {
+		x.mayWrite(answerTime)
 		x.head(r)
 		size := int64(len(body))
 		if x.r.Method == http.MethodHead {
@@ -333,7 +392,6 @@
 // relay carries a stream, event by event. What of an event did not come whole is
 // not passed on.
 func (x *exchange) relay(r *replica.Response, s relay.Step, o relay.Outcome) relay.Outcome {
-	controller := http.NewResponseController(x.w)
 	reader := bufio.NewReaderSize(r.Body, 4096)
 	var e event
 	at := 0
@@ -343,7 +401,7 @@
 		return o
 	}
 	dispatch := func() bool {
-		if !x.write(r, e.raw, controller) {
+		if !x.write(r, e.raw) {
 			o.Gone = true
 			return false
 		}
@@ -411,7 +469,7 @@
 	return len(line) == 0
 }
 
-func (x *exchange) write(r *replica.Response, event []byte, controller *http.ResponseController) bool {
+func (x *exchange) write(r *replica.Response, event []byte) bool {
 	if !x.started {
 		x.head(r)
 		x.w.WriteHeader(r.StatusCode)
@@ -420,5 +478,5 @@
 	if _, err := x.w.Write(event); err != nil {
 		return false
 	}
-	return controller.Flush() == nil
+	return x.controller.Flush() == nil
 }
--- a/peer/front/handler_test.go
+++ b/peer/front/handler_test.go
@@ -703,7 +703,7 @@
 		if text != "" {
 			r.Header.Set(replica.OwnNames.Deadline, text)
 		}
-		if a, fault := h.read(r, nil); fault != "" || !check(a.Left) {
+		if a, fault := h.read(r); fault != "" || !check(a.Left) {
 			t.Errorf("%q: %v %s", text, a.Left, fault)
 		}
 	}
@@ -876,7 +876,7 @@
 				r.Header.Set(name, value)
 			}
 		}
-		a, fault := h.read(r, nil)
+		a, fault := h.read(r)
 		if fault != "" {
 			return
 		}
--- a/peer/front/held_test.go
+++ b/peer/front/held_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"saffronfall/peer/clock"
 	"saffronfall/peer/relay"
+	"saffronfall/peer/replica"
 )
 
 // TestRequestersHoldNothingForLong: a requester that stops reading or sending
@@ -85,3 +87,64 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// TestIntakeIsShared: bodies of all requests under way share their room. What finds
+// none is refused as not run, with a time to come back, and the room comes back with
+// the requests that end.
+func TestIntakeIsShared(t *testing.T) {
+	release := make(chan struct{})
+	r := newReplica(t, func(c net.Conn, h heard) {
+		<-release
+		io.WriteString(c, strings.Replace(byLength, "a1", h.request.Header.Get("Saffronfall-Attempt"), 1))
+	})
+	owner := &scripted{t: t, steps: []relay.Step{send, pass}, asked: make(chan relay.Ask, 16), outcomes: make(chan relay.Outcome, 16), lines: []*replica.Line{replica.NewLine(r.address, 4, time.Second)}}
+	rejected := make(chan relay.Ended, 16)
+	server := httptest.NewServer(Handler(Options{Owner: owner, Names: replica.OwnNames, Most: 1 << 20, Closing: make(chan struct{}), IntakeSize: 3 * bodyStep, Rejected: func(e relay.Ended) { rejected <- e }}))
+	t.Cleanup(server.Close)
+	n := &node{scripted: owner, server: server}
+	say := func(attempt string, size int) *client {
+		q := n.dial(t)
+		q.say(fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, size, strings.Repeat("b", size)))
+		return q
+	}
+	first := say("first", 2*bodyStep-1)
+	<-r.heard
+	refused := say("second", 2*bodyStep-1).read("POST")
+	if refused.StatusCode != 503 || refused.Header.Get("Retry-After") == "" || !refused.Close {
+		t.Errorf("beyond the room: %d, come back after %q, closes %v", refused.StatusCode, refused.Header.Get("Retry-After"), refused.Close)
+	}
+	if e := <-rejected; e.Cause != relay.CauseIntakeFull || e.Attempt != "second" {
+		t.Errorf("told of %+v", e)
+	}
+	close(release)
+	if got := first.read("POST"); got.StatusCode != 200 {
+		t.Errorf("the first is answered %d", got.StatusCode)
+	}
+	first.Close()
+	third := say("third", 2*bodyStep-1)
+	if got := third.read("POST"); got.StatusCode != 200 {
+		t.Errorf("after the first has ended: %d", got.StatusCode)
+	}
+}
+
+// TestNothingIsSentAfterItsTime: a sending whose time ended before it was taken up, as
+// when the process was stopped in between, reaches no replica.
+func TestNothingIsSentAfterItsTime(t *testing.T) {
+	r := answering(t, byLength)
+	late := send
+	late.Within = -time.Second
+	n := newNode(t, []relay.Step{late, {Kind: relay.StepRefuse, Status: 503}}, r)
+	q := n.dial(t)
+	q.say(request)
+	if got := q.read("POST"); got.StatusCode != 503 {
+		t.Errorf("answered %d", got.StatusCode)
+	}
+	if o := <-n.outcomes; o.Kind != relay.NotRun || !o.Unreached {
+		t.Errorf("%+v", o)
+	}
+	select {
+	case <-r.heard:
+		t.Error("it was sent")
+	default:
+	}
+}
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -31,9 +31,15 @@
 	Budget, Most int64
 	Prompt       []Piece
 	Left         time.Duration
-	HeadBytes    int64
-	BodyBytes    int64
 	Input        []byte
+	Arrival
+}
+
+// Arrival is how a request came: the sizes of its parts, and when its head came, on
+// the clock of the machine.
+type Arrival struct {
+	HeadBytes, BodyBytes int64
+	Came                 time.Duration
 }
 
 // Kinds of steps.
--- a/rehearsalkit/relaysim/way.go
+++ b/rehearsalkit/relaysim/way.go
@@ -58,7 +58,7 @@
 			n.ways[at.ticket] = at
 			left := request.Deadline - (w.now - request.At)
 			a := relay.Ask{Host: host, Path: request.Path, Key: request.Key, HasKey: request.Key != "", Attempt: request.Attempt, Program: request.Program, Previous: request.Previous,
-				Budget: request.Budget, Most: request.Most, Left: left, HeadBytes: 300, BodyBytes: int64(len(request.Input)), Input: []byte(request.Input)}
+				Budget: request.Budget, Most: request.Most, Left: left, Arrival: relay.Arrival{HeadBytes: 300, BodyBytes: int64(len(request.Input))}, Input: []byte(request.Input)}
 			if left <= 0 {
 				a.Left = -1
 			}
--- a/rehearsalkit/soak/record.go
+++ b/rehearsalkit/soak/record.go
@@ -30,12 +30,17 @@
 	// Repeats says that the attempt's id is used more than once.
 	Repeats bool
 
-	Began, Ended time.Duration
+	Began time.Duration
+	end
+}
+
+// end is what became of a request.
+type end struct {
+	Ended time.Duration
 	// Status is the answer's; zero: none came. Whole says that it came whole.
 	Status int
 	Whole  bool
 	Answer string
-	Cause  string
 }
 
 // run is one request that a replica ran.
--- a/saffronfall/main_test.go
+++ b/saffronfall/main_test.go
@@ -33,9 +33,9 @@
 	if err := syscall.Mkfifo(path, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	operators := freeAddress(t)
+	operators := ownAddress(7001)
 	settings, err := json.Marshal(map[string]any{"id": "n", "seeds": []string{}, "fleet_secret": "a secret of some length", "folder": filepath.Join(folder, "data"),
-		"peer_listen": freeAddress(t), "operator_listen": operators})
+		"peer_listen": ownAddress(7000), "operator_listen": operators})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,6 +69,12 @@
 	}
 	pipe.Close()
 	until(t, "the process listens", func() bool {
+		select {
+		case err := <-ended:
+			text, _ := os.ReadFile(logPath)
+			t.Fatalf("ended: %v\n%s", err, text)
+		default:
+		}
 		c, err := net.Dial("tcp", operators)
 		if err == nil {
 			c.Close()
@@ -91,7 +97,8 @@
 	select {
 	case err := <-ended:
 		if err != nil {
-			t.Fatal(err)
+			text, _ := os.ReadFile(logPath)
+			t.Fatalf("%v\n%s", err, text)
 		}
 	case <-time.After(10 * time.Second):
 		command.Process.Kill()
@@ -113,12 +120,8 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return fmt.Sprint(listener.Addr())
+// ownAddress is an address that no other test uses: the loopback network has a number
+// for each process, and ports below those that the system hands out.
+func ownAddress(port int) string {
+	return fmt.Sprintf("127.7.%d.%d:%d", os.Getpid()>>8&0xff, os.Getpid()&0xff, port)
 }
--- a/saffronfall/relayprocess/observe_test.go
+++ b/saffronfall/relayprocess/observe_test.go
@@ -54,3 +54,16 @@
 		t.Fatalf("%d routes have figures", len(o.routes))
 	}
 }
+
+// TestTimeOnTheWayCounts: what reading a body and waiting for the owner took is no
+// longer left of a request's time.
+func TestTimeOnTheWayCounts(t *testing.T) {
+	came := 10 * time.Second
+	for _, c := range []struct{ left, passed, want time.Duration }{
+		{0, time.Second, 0}, {-1, time.Second, -1}, {4 * time.Second, time.Second, 3 * time.Second}, {time.Second, time.Second, -1}, {time.Second, 2 * time.Second, -1},
+	} {
+		if got := left(relay.Ask{Left: c.left, Arrival: relay.Arrival{Came: came}}, came+c.passed); got != c.want {
+			t.Errorf("%v left, %v passed: %v, want %v", c.left, c.passed, got, c.want)
+		}
+	}
+}
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -28,6 +28,28 @@
 type told struct {
 	step relay.Step
 	line *replica.Line
+	at   time.Duration
+}
+
+// taken is a step as its request's goroutine takes it up: some of its time may have
+// passed since the owner made it.
+func (t told) taken() (relay.Step, *replica.Line, bool) {
+	if t.step.Kind == relay.StepSend {
+		t.step.Within -= clock.Now() - t.at
+	}
+	return t.step, t.line, true
+}
+
+// left is how much of its time a request still has when the owner takes it: reading
+// its body and waiting for the owner took some.
+func left(a relay.Ask, now time.Duration) time.Duration {
+	if a.Left <= 0 {
+		return a.Left
+	}
+	if rest := a.Left - (now - a.Came); rest > 0 {
+		return rest
+	}
+	return -1
 }
 
 type came struct {
@@ -93,7 +115,8 @@
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "node", Look: s.snapshot, Set: s.observer.set}, log)
-	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing})
+	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing,
+		BodyTime: time.Duration(p.BodyMS) * time.Millisecond, IntakeSize: p.IntakeBytes, Rejected: s.rejected})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
 	serve(&group, server, front.Serve, "requester address")
 	if p.ReadyListen != "" {
@@ -161,6 +184,7 @@
 			s.next++
 			w.ticket = s.next
 			s.waiting[w.ticket] = w
+			w.ask.Left = left(w.ask, clock.Now())
 			s.take(s.machine.Arrive(s.now(), w.ticket, w.ask))
 		case c := <-s.came:
 			s.take(s.machine.Came(s.now(), c.ticket, c.outcome))
@@ -214,7 +238,7 @@
 		if !ok {
 			continue
 		}
-		t := told{step: r.Step}
+		t := told{step: r.Step, at: clock.Now()}
 		if r.Step.Kind == relay.StepSend {
 			t.line = s.lineTo(r.Step)
 		} else {
@@ -258,21 +282,21 @@
 func (w *way) wait() (relay.Step, *replica.Line, bool) {
 	select {
 	case t := <-w.answers:
-		return t.step, t.line, true
+		return t.taken()
 	case <-w.process.life.Done():
 		return relay.Step{}, nil, false
 	case <-w.ctx.Done():
 	}
 	select {
 	case t := <-w.answers:
-		return t.step, t.line, true
+		return t.taken()
 	case w.process.gone <- w.ticketOf():
 	case <-w.process.life.Done():
 		return relay.Step{}, nil, false
 	}
 	select {
 	case t := <-w.answers:
-		return t.step, t.line, true
+		return t.taken()
 	case <-w.process.life.Done():
 		return relay.Step{}, nil, false
 	}
@@ -293,6 +317,14 @@
 	}
 }
 
+// rejected takes a request that did not arrive whole.
+func (s *process) rejected(e relay.Ended) {
+	select {
+	case s.calls <- func(now time.Duration) { s.observer.ended(now, e) }:
+	case <-s.life.Done():
+	}
+}
+
 // Came tells what became of a sending and waits for the next step.
 func (w *way) Came(o relay.Outcome) (relay.Step, *replica.Line, bool) {
 	select {
