Test that fails: a replica that leaves is chosen again once its desk is silent

A replica told one desk that it leaves; both desks ended within a second; the second one's next life told of the replica from its disk as though it stayed.

--- /dev/null
+++ b/peer/relay/choice_test.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"saffronfall/peer/desk"
+)
+
+// TestLeavingOutlivesItsDesk: a replica said at one desk that it leaves. The desk
+// falls silent, and another one, which heard of the replica before that and hears a
+// late word of it, tells of it as though it stayed. It is not chosen again.
+func TestLeavingOutlivesItsDesk(t *testing.T) {
+	for name, last := range map[string]func(l *desk.Listed){
+		"leaving": func(l *desk.Listed) { l.Replica.Leaving, l.Replica.Call = true, 2 },
+		"gone":    func(l *desk.Listed) { l.Gone, l.Final = true, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t)
+			g.hear("d1:1", replicas("app", "a1"), 1, table(1, nil))
+			g.hear("d2:1", replicas("app", "a1"), 1, nil)
+			word := replicas("app", "a1")
+			last(&word[0])
+			g.hear("d1:1", word, 1, nil)
+			for range 10 {
+				g.pass(lostBeats * g.m.params.Beat / 5)
+				g.hear("d2:1", replicas("app", "a1"), 1, nil)
+			}
+			w := g.arrive(ask("/again/x", func(a *Ask) { a.Left = 200 * time.Millisecond }))
+			if s := g.last(w); s.Kind == StepSend {
+				t.Fatalf("sent to %s, which said that it leaves", s.Replica.ID)
+			}
+		})
+	}
+}
