Nodes remember who leaves apart from the desk that told of it

Cause: whether a replica leaves was looked up in the lists of the desks that speak; with its desk the knowledge went, and an older or late word at another desk brought the replica back. Class: knowledge that only grows is kept by its source and forgotten with it.

Ruled out: an id that comes back (every life of a replica has a new one; desks keep 'leaving' for an id as well).

--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -65,10 +65,10 @@
 }
 
 // gather joins the boards into one list of replicas. The newest word of a
-// replica counts; that it is leaving or gone counts whoever says it.
+// replica counts; that it leaves or has left counts whoever said it, and for good:
+// it is no word of the desk that told of it, which may fall silent or be forgotten.
 func (m *Machine) gather(now time.Duration) {
 	best := map[string]desk.Listed{}
-	leaving, final := map[string]bool{}, map[string]bool{}
 	live := false
 	for _, b := range m.boards {
 		live = live || now < b.heard+lostBeats*m.params.Beat
@@ -78,13 +78,12 @@
 		if live && now > b.heard+lostBeats*m.params.Beat {
 			continue
 		}
+		m.rememberDeparted(now, b)
 		for id, p := range b.list {
 			if p.until > 0 && now >= p.until {
 				delete(b.list, id)
 				continue
 			}
-			leaving[id] = leaving[id] || p.Replica.Leaving
-			final[id] = final[id] || p.Final
 			old, ok := best[id]
 			// That one desk has not heard of it for long is no word against another
 			// that has.
@@ -97,7 +96,7 @@
 	known := map[string]bool{}
 	for _, id := range ordered.Keys(best) {
 		l := best[id]
-		if l.Gone || final[id] || leaving[id] {
+		if l.Gone || m.left.has(id) {
 			continue
 		}
 		s := m.standings[id]
@@ -117,6 +116,15 @@
 	m.gatherAt = now + m.params.Beat/2
 }
 
+// rememberDeparted notes who has left, for as long as a desk that speaks tells so.
+func (m *Machine) rememberDeparted(now time.Duration, b *board) {
+	for id, p := range b.list {
+		if p.Replica.Leaving || p.Final {
+			m.left.add(now, id)
+		}
+	}
+}
+
 // lostBeats is after how many beats a silent desk's word is old.
 const lostBeats = 4
 
--- a/peer/relay/choice_test.go
+++ b/peer/relay/choice_test.go
@@ -33,3 +33,24 @@
 		})
 	}
 }
+
+// TestLeavingIsRememberedWhileItIsTold: a replica may take long to leave.
+func TestLeavingIsRememberedWhileItIsTold(t *testing.T) {
+	g := newRig(t)
+	word := replicas("app", "a1")
+	word[0].Replica.Leaving = true
+	g.hear("d1:1", word, 1, table(1, nil))
+	for range 3 * departedBeats {
+		g.pass(g.m.params.Beat)
+		g.hear("d1:1", nil, 1, nil)
+	}
+	if s := g.last(g.arrive(ask("/again/x", func(a *Ask) { a.Left = 200 * time.Millisecond }))); s.Kind == StepSend {
+		t.Fatalf("sent to %s, which leaves", s.Replica.ID)
+	}
+	// Once nobody tells of it any more, it is forgotten.
+	delete(g.m.boards["d1:1"].list, "a1")
+	g.pass((departedBeats + 1) * g.m.params.Beat)
+	if len(g.m.left) != 0 {
+		t.Fatalf("remembers %v", g.m.left)
+	}
+}
