Desks tell each other who leaves

Change: a desk's word to other desks holds the replicas that leave or have left, by versions, so each is told once; a desk writes down and passes on what it learns so.

Test: TestDesksTellEachOtherWhoLeaves (failed before: the other desk is told []).

--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -42,8 +42,8 @@
 	list        map[string]*listed
 	subscribers map[string]*subscriber
 	desks       map[string]time.Duration
-	// deskLives are the lives of desks that this one has heard of.
-	deskLives       map[string]string
+	// otherDesks is what this desk has heard of the others, by address.
+	otherDesks      map[string]deskHeard
 	topology        core.Topology
 	topologyVersion uint64
 	foundingCores   map[string]core.Core
@@ -68,7 +68,7 @@
 // New makes a desk.
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
-		deskLives: map[string]string{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
+		otherDesks: map[string]deskHeard{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
 		foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
@@ -139,7 +139,8 @@
 			}
 		}
 		for _, to := range targets {
-			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: m.deskLives[to]})
+			other := m.otherDesks[to]
+			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: other.life, Version: other.version})
 		}
 	}
 	if now >= m.pullAt {
@@ -177,7 +178,7 @@
 	for address, heard := range m.desks {
 		if address != m.address && now > heard+10*lost*m.params.Beat {
 			delete(m.desks, address)
-			delete(m.deskLives, address)
+			delete(m.otherDesks, address)
 		}
 	}
 }
--- a/peer/desk/machine_test.go
+++ b/peer/desk/machine_test.go
@@ -239,3 +239,54 @@
 		}
 	}
 }
+
+// TestDesksTellEachOtherWhoLeaves: what one desk acknowledged outlives it. Each word
+// is told once, and again only to a desk that lost it.
+func TestDesksTellEachOtherWhoLeaves(t *testing.T) {
+	for name, leave := range map[string]func(m *Machine) Output{
+		"leaving": func(m *Machine) Output { return m.Beat(time.Second, replica(2, true)) },
+		"gone":    func(m *Machine) Output { return m.Leave(time.Second, "r1") },
+	} {
+		first, second := newDesk(nil), newDesk(func(o *Options) { o.ID, o.Address, o.Life = "d2", "d2:1", "l2" })
+		follow := func(now time.Duration) Output {
+			first.followAt, second.followAt = now, now
+			for _, f := range sentTo[Follow](second.Tick(now), "d1:1") {
+				return first.Receive(now, "d2:1", f)
+			}
+			t.Fatalf("%s: the second desk does not follow the first", name)
+			return Output{}
+		}
+		// The second desk has heard of the replica, and a node follows it.
+		second.Beat(0, replica(1, false))
+		second.Receive(0, "n1:1", Follow{Node: "n1"})
+		first.Beat(0, replica(1, false))
+		for _, b := range sentTo[Bulletin](follow(0), "d2:1") {
+			if len(b.List) != 0 {
+				t.Fatalf("%s: a desk is told of replicas that stay: %+v", name, b.List)
+			}
+			second.Receive(0, "d1:1", b)
+		}
+		told := sentTo[Bulletin](leave(first), "d2:1")
+		if len(told) != 1 || len(told[0].List) != 1 {
+			t.Fatalf("%s: the other desk is told %+v", name, told)
+		}
+		o := second.Receive(time.Second, "d1:1", told[0])
+		if len(o.Changes) != 1 {
+			t.Errorf("%s: the other desk writes down %+v", name, o.Changes)
+		}
+		passed := sentTo[Bulletin](o, "n1:1")
+		if len(passed) != 1 || len(passed[0].List) != 1 || !passed[0].List[0].Replica.Leaving && !passed[0].List[0].Final {
+			t.Errorf("%s: the other desk's node is told %+v", name, passed)
+		}
+		// A late word of the replica brings it back nowhere.
+		second.Beat(2*time.Second, replica(1, false))
+		if l := second.list["r1"]; !l.Replica.Leaving && !l.Final {
+			t.Errorf("%s: the other desk has %+v after a late word", name, l.Listed)
+		}
+		for _, b := range sentTo[Bulletin](follow(3*time.Second), "d2:1") {
+			if len(b.List) != 0 {
+				t.Errorf("%s: told again: %+v", name, b.List)
+			}
+		}
+	}
+}
--- a/peer/desk/replicas.go
+++ b/peer/desk/replicas.go
@@ -55,6 +55,28 @@
 	return *m.out
 }
 
+// departed reports whether a replica said that it leaves, or that it has left. It
+// never comes back under its id.
+func (l *listed) departed() bool { return l.Replica.Leaving || l.Final }
+
+// depart notes that another desk heard that a replica leaves, or has left.
+func (m *Machine) depart(now time.Duration, l Listed) {
+	old, known := m.list[l.Replica.ID]
+	switch {
+	case !l.Replica.Leaving && !l.Final, known && old.Final, known && old.Replica.Leaving && !l.Final:
+		return
+	case !known:
+		old = &listed{Listed: l}
+		m.list[l.Replica.ID] = old
+	}
+	old.heard = now
+	old.Replica.Leaving = old.Replica.Leaving || l.Replica.Leaving
+	if l.Final {
+		old.Gone, old.Final = true, true
+	}
+	m.change(now, old)
+}
+
 func (m *Machine) change(now time.Duration, l *listed) {
 	m.Counters.Changes++
 	m.version++
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -41,11 +41,9 @@
 	if f.life != m.life {
 		b.Since = 0
 	}
-	if !f.desk {
-		for _, id := range ordered.Keys(m.list) {
-			if l := m.list[id]; l.Version > b.Since {
-				b.List = append(b.List, l.Listed)
-			}
+	for _, id := range ordered.Keys(m.list) {
+		if l := m.list[id]; l.Version > b.Since && (!f.desk || l.departed()) {
+			b.List = append(b.List, l.Listed)
 		}
 	}
 	if f.table < m.table.number() {
@@ -100,6 +98,28 @@
 	m.tell(now, from, f, true)
 }
 
+// deskHeard is up to where this desk has heard another one's life.
+type deskHeard struct {
+	life    string
+	version uint64
+}
+
+// learnDeparted takes who leaves or has left from another desk: what a desk has
+// acknowledged must outlive it.
+func (m *Machine) learnDeparted(now time.Duration, from string, b Bulletin) {
+	other := m.otherDesks[from]
+	if other.life != b.Life {
+		other = deskHeard{life: b.Life}
+	}
+	if b.Since <= other.version {
+		for _, l := range b.List {
+			m.depart(now, l)
+		}
+		other.version = max(other.version, b.Version)
+	}
+	m.otherDesks[from] = other
+}
+
 func (m *Machine) learnDesk(now time.Duration, address string) {
 	if _, ok := m.desks[address]; !ok {
 		m.topologyVersion++
@@ -109,7 +129,7 @@
 
 func (m *Machine) onBulletin(now time.Duration, from string, b Bulletin) {
 	m.learnDesk(now, from)
-	m.deskLives[from] = b.Life
+	m.learnDeparted(now, from, b)
 	if b.Topology != nil {
 		m.adopt(now, *b.Topology)
 	}
