A core's disk belongs to a writer that shares nothing with its owner

Cause: the goroutine that writes read the settings of the process, which the owner replaces when it adopts new ones. Class: state of one owner read by another goroutine. The drain of the relaying node was the same and was mended with the reload; the other shells were read for it: none. Beside it: the writer's word to an owner that has ended, and a drain's question to one, could block the end of the process; both give up with the process's life now.

Change: saffronfall/coreprocess/writer.go has what the writer needs and no more.

--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -101,7 +101,8 @@
 	life, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return s.own(ctx, life) }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
-	group.Add(func() error { return s.write(life, folder, image) }, func(error) { cancel() })
+	writes := writer{folder: folder, image: image, batches: s.toDisk, done: s.onDisk, pause: p.Core().Part.OwnerTerm}
+	group.Add(func() error { return writes.run(life) }, func(error) { cancel() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "core", Look: s.snapshot}, log)
 	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second}
 	group.Add(func() error {
@@ -295,55 +296,6 @@
 	s.changes = nil
 }
 
-// write is the goroutine that owns the disk. It keeps its own image of what is
-// stored, so that a slot can be written without asking the machine.
-func (s *process) write(life context.Context, folder *disk.Folder, image core.Stored) error {
-	defer folder.Close()
-	slotSize := int64(1 << 20)
-	for {
-		select {
-		case b := <-s.toDisk:
-			began := clock.Now()
-			err := s.appendWhenRoom(life, folder, message.Marshal(b.changes))
-			for _, c := range b.changes {
-				image.Apply(c)
-			}
-			if err == nil && folder.Size() > 4*slotSize {
-				state := message.Marshal(image)
-				slotSize = max(1<<20, int64(len(state)))
-				if err = folder.Replace(state); errors.Is(err, disk.ErrFull) {
-					// The log goes on as it is until there is room for a new slot.
-					err = nil
-				}
-			}
-			s.onDisk <- written{upto: b.upto, took: clock.Now() - began, err: err}
-		case <-life.Done():
-			return nil
-		}
-	}
-}
-
-// appendWhenRoom appends to the log, and while the disk is full tries again after
-// a pause. The machine sees a disk that hangs meanwhile: it hands its leaderships
-// on, stands for none, and nothing that rests on the batch is acknowledged.
-func (s *process) appendWhenRoom(life context.Context, folder *disk.Folder, frame []byte) error {
-	err := folder.Append(frame)
-	if errors.Is(err, disk.ErrFull) {
-		s.onDisk <- written{full: true, err: err}
-	}
-	pause := time.NewTicker(s.params.Core().Part.OwnerTerm)
-	defer pause.Stop()
-	for errors.Is(err, disk.ErrFull) {
-		select {
-		case <-pause.C:
-			err = folder.Append(frame)
-		case <-life.Done():
-			return err
-		}
-	}
-	return err
-}
-
 // Call runs a step on the owner's goroutine and waits for its answer.
 func (s *process) Call(ctx context.Context, step func(m *core.Machine, now time.Duration, ticket uint64) core.Output) (any, error) {
 	waiting := make(chan any, 1)
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -155,12 +155,14 @@
 // connections here and what runs has ended.
 func (s *process) drain(server *http.Server) {
 	s.log.Info("relay leaves")
-	left := make(chan params.Params, 1)
-	s.calls <- func(time.Duration) {
+	var p params.Params
+	if s.look(s.life, func(time.Duration) {
 		s.machine.Leave()
-		left <- s.params
+		p = s.params
+	}) != nil {
+		// The owner has ended, and all requests with it.
+		return
 	}
-	p := <-left
 	close(s.closing)
 	wait := time.NewTimer(time.Duration(p.NotReadyMS) * time.Millisecond)
 	<-wait.C
