Log levels that a reload sets are safe to read

Cause: a reload set the verbosity of the logging library (stdr), a plain variable that all goroutines read.

Change: the product's own command logs by slog, as the platform's does, with a level that may be set while others read it; stdr is gone. Lines are key=value text now.

--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -5,7 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"os/signal"
 	"strings"
@@ -15,7 +15,6 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
-	"github.com/go-logr/stdr"
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
@@ -43,15 +42,20 @@
 	if err != nil {
 		return err
 	}
-	stdr.SetVerbosity(int(p.Verbosity))
-	logger := stdr.New(log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
+	// The level is read by all goroutines that log while a reload may set it.
+	var level slog.LevelVar
+	level.Set(levelOf(p))
+	logger := logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &level}))
 	adopt := make(chan params.Params, 1)
 	follower := reload.Follower{Read: func() ([]byte, error) { return os.ReadFile(r.Settings) }, Adopt: adopt, Log: logger,
-		Taken: func(p params.Params) { stdr.SetVerbosity(int(p.Verbosity)) }}
+		Taken: func(p params.Params) { level.Set(levelOf(p)) }}
 	go follower.Run(ctx, reloads, p)
 	return run(ctx, p, adopt, logger)
 }
 
+// levelOf is the level from which on a process logs: more verbose is lower.
+func levelOf(p params.Params) slog.Level { return slog.LevelInfo - slog.Level(p.Verbosity) }
+
 type deskCommand struct{ role }
 
 func (c *deskCommand) Run() error {
