--- a/saffronfall/coreprocess/writer.go
+++ b/saffronfall/coreprocess/writer.go
@@ -79,4 +79,3 @@
 	}
 	return err
 }
-
