--- a/peer/relay/choice_test.go
+++ b/peer/relay/choice_test.go
@@ -54,3 +54,39 @@
 		t.Fatalf("remembers %v", g.m.left)
 	}
 }
+
+// TestNodeForgetsDesksThatAreGone: desks are replaced at new addresses. One that has
+// been silent for long while another speaks is no longer asked, unless it is a seed;
+// while none speaks, none is forgotten.
+func TestNodeForgetsDesksThatAreGone(t *testing.T) {
+	g := newRig(t)
+	g.hear("d1:1", replicas("app", "a1"), 1, table(1, nil))
+	g.hear("d2:1", nil, 1, nil)
+	asked := func(address string) bool {
+		for _, s := range g.m.Tick(g.now + g.m.params.Follow).Sends {
+			if _, follows := s.Body.(desk.Follow); follows && s.To == address {
+				return true
+			}
+		}
+		return false
+	}
+	g.pass(2 * departedBeats * g.m.params.Beat)
+	if !asked("d2:1") {
+		t.Fatal("forgotten while no desk speaks")
+	}
+	for range 2 * departedBeats {
+		g.pass(g.m.params.Beat)
+		g.hear("d1:1", nil, 1, nil)
+	}
+	if asked("d2:1") || g.m.boards["d2:1"] != nil {
+		t.Fatal("a desk that is gone is still asked")
+	}
+	g.hear("d3:1", nil, 1, nil)
+	for range 2 * departedBeats {
+		g.pass(g.m.params.Beat)
+		g.hear("d3:1", nil, 1, nil)
+	}
+	if !asked("d1:1") {
+		t.Fatal("a seed is no longer asked")
+	}
+}
--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -32,6 +32,8 @@
 	Largest int
 	// Patience is how long a dial, a write or a proof may take.
 	Patience time.Duration
+	// Idle is after how long a stream that nothing was sent on ends; zero: a minute.
+	Idle time.Duration
 }
 
 // Incoming is a message that came, with the address that its sender told.
--- a/rehearsalkit/soak/fleet.go
+++ b/rehearsalkit/soak/fleet.go
@@ -198,6 +198,16 @@
 	Runs int
 }
 
+// neverUp reports a fleet that did not come up, with what its processes logged.
+func (f *Fleet) neverUp(cause error) Report {
+	for _, p := range f.processes {
+		p.check()
+		p.readLog()
+	}
+	all := f.copied()
+	return Report{Seed: f.Seed, Breaches: append(all.Found, breach(RuleServed, "the fleet did not come up: %v", cause))}
+}
+
 // Run runs one seed.
 func Run(parent context.Context, o Options) (Report, error) {
 	ctx, cancel := context.WithCancel(parent)
@@ -208,7 +218,7 @@
 	}
 	defer f.stop()
 	if err := f.up(ctx); err != nil {
-		return Report{}, errors.Wrapf(err, "seed %d: %s", o.Seed, tail(f.of(roleDesk)[0].logPath()))
+		return f.neverUp(err), nil
 	}
 	base := f.levels(ctx)
 	living, ended := f.populate(ctx)
