Streams and desks that are gone are forgotten

Cause: nothing that was learnt of a machine by its address was ever forgotten: streams (a goroutine, a buffer of 4096 places), and at nodes the desks that are asked twice a second. Class: state that grows with the machines that have ever been, not with those that are. Looked for elsewhere: desks forget desks and nodes after 40 beats; replicas' connections at nodes end after a minute (a line whose replica moved was dropped without being closed: closed now); known cores stay in topologies as retired, a few hundred bytes each: left open.

One that is only told of is no sign that desks speak (TestDeskThatNeverSpokeHidesNothing, seen to fail with the plain check).

--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -11,8 +11,14 @@
 type board struct {
 	life    string
 	version uint64
-	heard   time.Duration
-	list    map[string]posted
+	// heard is when the desk was last heard of, or first told of by another one.
+	heard time.Duration
+	list  map[string]posted
+}
+
+// speaks reports whether a desk was heard of lately.
+func (b *board) speaks(now, beat time.Duration) bool {
+	return b.life != "" && now < b.heard+lostBeats*beat
 }
 
 type posted struct {
@@ -71,7 +77,7 @@
 	best := map[string]desk.Listed{}
 	live := false
 	for _, b := range m.boards {
-		live = live || now < b.heard+lostBeats*m.params.Beat
+		live = live || b.speaks(now, m.params.Beat)
 	}
 	for _, address := range ordered.Keys(m.boards) {
 		b := m.boards[address]
--- a/peer/relay/choice_test.go
+++ b/peer/relay/choice_test.go
@@ -90,3 +90,14 @@
 		t.Fatal("a seed is no longer asked")
 	}
 }
+
+// TestDeskThatNeverSpokeHidesNothing: a desk that is only told of is no sign that
+// desks speak; what the silent one told still counts.
+func TestDeskThatNeverSpokeHidesNothing(t *testing.T) {
+	g := newRig(t)
+	g.hear("d1:1", replicas("app", "a1"), 1, table(1, nil))
+	g.pass((lostBeats - 1) * g.m.params.Beat)
+	g.m.desks = append(g.m.desks, "d9:1")
+	g.pass(2 * g.m.params.Beat)
+	g.want(g.arrive(ask("/once/x", nil)), StepSend, 0)
+}
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -184,6 +184,32 @@
 	}
 }
 
+// forgetDesks forgets desks that have been silent for long while another one speaks.
+// They are replaced at new addresses; one that comes back is told of by the others,
+// and seeds are asked in any case.
+func (m *Machine) forgetDesks(now time.Duration) {
+	speaks := false
+	for _, b := range m.boards {
+		speaks = speaks || b.speaks(now, m.params.Beat)
+	}
+	if !speaks {
+		return
+	}
+	m.desks = slices.DeleteFunc(m.desks, func(address string) bool {
+		b := m.boards[address]
+		if b == nil {
+			// Told of by another desk, and not heard of yet.
+			b = &board{list: map[string]posted{}, heard: now}
+			m.boards[address] = b
+		}
+		if now <= b.heard+departedBeats*m.params.Beat {
+			return false
+		}
+		delete(m.boards, address)
+		return true
+	})
+}
+
 func (m *Machine) adopt(t core.Topology) {
 	if len(m.topology.Owners) == 0 || m.topology.Fleet == "" {
 		m.topology = core.Topology{Fleet: t.Fleet, Cores: map[string]core.Core{}, Owners: slices.Clone(t.Owners), Groups: slices.Clone(t.Groups)}
@@ -213,6 +239,7 @@
 	m.tickTouch(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Follow
+		m.forgetDesks(now)
 		targets := append([]string(nil), m.desks...)
 		for _, seed := range m.seeds {
 			if !slices.Contains(targets, seed) {
--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -60,19 +60,32 @@
 
 	params   Params
 	listener net.Listener
-	outward  map[string]chan []byte
+	outward  map[string]*outward
+	forgetAt time.Duration
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
 
+// outward is a stream to one member, as its sender sees it.
+type outward struct {
+	messages chan []byte
+	usedAt   time.Duration
+}
+
+// defaultIdle is after how long a stream that nothing was sent on ends.
+const defaultIdle = time.Minute
+
 // Listen begins to take streams.
 func Listen(p Params) (*Streams, error) {
+	if p.Idle <= 0 {
+		p.Idle = defaultIdle
+	}
 	listener, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Streams{In: make(chan Incoming, p.Buffer), Counts: make(chan Counters, 64), params: p, listener: listener, outward: map[string]chan []byte{}, ctx: ctx, cancel: cancel}, nil
+	return &Streams{In: make(chan Incoming, p.Buffer), Counts: make(chan Counters, 64), params: p, listener: listener, outward: map[string]*outward{}, ctx: ctx, cancel: cancel}, nil
 }
 
 // Run accepts streams until Close.
@@ -105,33 +118,55 @@
 // Send packs a message and hands it to the stream of a member. A full buffer
 // drops it: every message may be lost, and none is waited for.
 func (s *Streams) Send(to string, body any) bool {
+	now := clock.Now()
+	s.forget(now)
 	out := s.outward[to]
 	if out == nil {
-		out = make(chan []byte, s.params.Buffer)
+		out = &outward{messages: make(chan []byte, s.params.Buffer)}
 		s.outward[to] = out
-		go s.carry(to, out)
+		go s.carry(to, out.messages)
 	}
+	out.usedAt = now
 	raw := message.Pack(body)
 	if len(raw) > s.params.Largest {
 		return false
 	}
 	select {
-	case out <- raw:
+	case out.messages <- raw:
 		return true
 	default:
 		return false
 	}
 }
 
+// forget ends the streams to members that nothing was said to for long: machines are
+// replaced, mostly at new addresses.
+func (s *Streams) forget(now time.Duration) {
+	if now < s.forgetAt {
+		return
+	}
+	s.forgetAt = now + s.params.Idle/2
+	for address, out := range s.outward {
+		if now > out.usedAt+s.params.Idle {
+			close(out.messages)
+			delete(s.outward, address)
+		}
+	}
+}
+
 func (s *Streams) carry(to string, out chan []byte) {
 	var c net.Conn
 	var frames []byte
 	dialled := -s.params.Patience
 	for {
 		var raw []byte
+		open := false
 		select {
-		case raw = <-out:
+		case raw, open = <-out:
 		case <-s.ctx.Done():
+		}
+		if !open {
+			// The process ends, or nothing is said to this member any more.
 			if c != nil {
 				c.Close()
 			}
@@ -150,7 +185,11 @@
 		frames = append(binary.LittleEndian.AppendUint32(frames[:0], uint32(len(raw))), raw...)
 		for more := true; more && len(frames) < batch; {
 			select {
-			case raw = <-out:
+			case raw, open = <-out:
+				if !open {
+					more = false
+					break
+				}
 				frames = append(binary.LittleEndian.AppendUint32(frames, uint32(len(raw))), raw...)
 			default:
 				more = false
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -252,7 +252,11 @@
 
 func (s *process) lineTo(step relay.Step) *replica.Line {
 	l := s.lines[step.Replica.ID]
-	if l == nil || l.address != step.Replica.Address {
+	if l != nil && l.address != step.Replica.Address {
+		l.Close()
+		l = nil
+	}
+	if l == nil {
 		l = &line{Line: replica.NewLine(step.Replica.Address, 32, time.Duration(s.params.DialMS)*time.Millisecond), address: step.Replica.Address}
 		s.lines[step.Replica.ID] = l
 	}
