--- a/peer/clock/clock.go
+++ b/peer/clock/clock.go
@@ -20,3 +20,7 @@
 // Deadline is a moment for the libraries that read and write, which want one on
 // their own clock. Nothing else goes by it.
 func Deadline(within time.Duration) time.Time { return time.Now().Add(within) }
+
+// TimeOfDay is the wall clock, for people who read logs. Nothing is decided by it: it
+// may be set, and may differ from one machine to another.
+func TimeOfDay() time.Time { return time.Now().UTC() }
--- a/saffronfall/relayprocess/observe.go
+++ b/saffronfall/relayprocess/observe.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"saffronfall/peer/clock"
 	"saffronfall/peer/relay"
 )
 
@@ -83,7 +84,7 @@
 	if !e.Failed() {
 		return
 	}
-	f := failure{Time: time.Now().UTC(), Cause: e.Cause, Status: e.Status, Attempt: e.Attempt, Program: e.Program, Route: e.Route, Tenant: o.digest(e.Tenant), Replica: e.Replica,
+	f := failure{Time: clock.TimeOfDay(), Cause: e.Cause, Status: e.Status, Attempt: e.Attempt, Program: e.Program, Route: e.Route, Tenant: o.digest(e.Tenant), Replica: e.Replica,
 		Sendings: e.Sendings, Ran: e.Ran, Table: e.Table, WaitedMS: e.Waited.Milliseconds(), TookMS: e.Took.Milliseconds(), CoresSilentMS: e.CoresSilent.Milliseconds(), Life: o.life}
 	o.keep(f)
 	o.write(now, f)
