--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -372,7 +372,7 @@
 		o.Kind = relay.Broken
 		return x.way.Came(o)
 	}
-	o.Kind, o.Failed = relay.Whole, r.StatusCode >= 300
+	o.Kind, o.Failed, o.Status = relay.Whole, r.StatusCode >= 300, r.StatusCode
 	step, line, ok := x.way.Came(o)
 	if ok && step.Kind == relay.StepPass {
 		x.mayWrite(answerTime)
--- a/peer/front/handler_test.go
+++ b/peer/front/handler_test.go
@@ -779,7 +779,7 @@
 		t.Error(got.StatusCode)
 	}
 	want := []relay.Outcome{{Kind: relay.NotRun, Unreached: true, Cold: true}, {Kind: relay.NotRun, Cold: true, Load: &relay.Load{Running: 8, Waiting: 2, Slots: 8}},
-		{Kind: relay.Whole, Cold: true, Load: &relay.Load{Running: 3, Slots: 8}}}
+		{Kind: relay.Whole, Status: 200, Cold: true, Load: &relay.Load{Running: 3, Slots: 8}}}
 	for i := range want {
 		if got := <-n.outcomes; !reflect.DeepEqual(got, want[i]) {
 			t.Errorf("%+v, want %+v", got, want[i])
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -107,8 +107,9 @@
 	Events int64
 	// Output is what a kept turn put out.
 	Output []byte
-	// Failed: the answer is a failure, which keeps nothing.
+	// Failed: the answer is a failure, which keeps nothing. Status is the replica's.
 	Failed bool
+	Status int
 	Load   *Load
 	// Gone: the requester has gone away.
 	Gone bool
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -285,7 +285,7 @@
 func (m *Machine) whole(now time.Duration, w *way, o Outcome) {
 	switch {
 	case o.Failed:
-		m.end(now, w, CauseReplicaError, Step{Kind: StepPass})
+		m.end(now, w, CauseReplicaError, Step{Kind: StepPass, Status: o.Status})
 		return
 	case !w.route.Kept || w.route.Mode != route.Stream:
 		m.end(now, w, CauseServed, Step{Kind: StepPass})
