--- a/rehearsalkit/soak/fleet.go
+++ b/rehearsalkit/soak/fleet.go
@@ -224,7 +224,7 @@
 	living, ended := f.populate(ctx)
 	pause(ctx, o.Calm)
 	f.upheave(ctx)
-	pause(ctx, o.Settle)
+	f.settle(ctx)
 	f.lastLook(ctx)
 	living()
 	<-ended
--- a/rehearsalkit/soak/trouble.go
+++ b/rehearsalkit/soak/trouble.go
@@ -269,6 +269,26 @@
 	}
 }
 
+// settle lets requesters live on after the troubles. Once nothing of them is left, one
+// replica of each service leaves in good order: in calm times nothing may reach it
+// beyond the bound.
+func (f *Fleet) settle(ctx context.Context) {
+	pause(ctx, contactTime+time.Second)
+	done := make(chan struct{})
+	leaving := []*place{f.replicas.places[0], f.replicas.places[len(f.replicas.places)-1]}
+	for i, p := range leaving {
+		go func() {
+			p.leave(ctx, i == 0)
+			p.begin(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range leaving {
+		<-done
+	}
+	pause(ctx, f.Settle)
+}
+
 // bring brings one trouble about and notes it.
 func (f *Fleet) bring(ctx context.Context, u upheaval, random *rand.Rand) {
 	t := trouble{Kind: u.name, From: f.now()}
