--- a/peer/core/caller_test.go
+++ b/peer/core/caller_test.go
@@ -38,3 +38,36 @@
 		t.Errorf("%d of 40 own returns were taken", wrong)
 	}
 }
+
+// TestUnansweredCommandsBackOff: what stays without an answer for long is asked for
+// less and less often, so that a partition without a majority is not buried under
+// settlements that are kept for minutes. What waits for a request is asked for as
+// often as ever, and all of it at once when somebody is said to lead the partition.
+func TestUnansweredCommandsBackOff(t *testing.T) {
+	var sent []Command
+	c := caller(1, &sent)
+	const commands, within = 50, 10 * time.Minute
+	for range commands {
+		c.Call(0, ReadEntries{Part: 1}, within, func(time.Duration, Outcome) {})
+	}
+	now := time.Duration(0)
+	pass := func(d time.Duration) int {
+		before := len(sent)
+		for end := now + d; now < end; {
+			now += 50 * time.Millisecond
+			c.Tick(now)
+		}
+		return len(sent) - before
+	}
+	if early := pass(2 * time.Second); early < commands*15 {
+		t.Errorf("%d tries in the first two seconds", early)
+	}
+	pass(time.Minute)
+	if late := pass(time.Minute); late > commands*40 {
+		t.Errorf("%d tries of %d commands in the third minute", late, commands)
+	}
+	c.Hint(1, "leader")
+	if first := pass(100 * time.Millisecond); first < commands {
+		t.Errorf("%d of %d commands are tried at once at the new leader", first, commands)
+	}
+}
