Commands that nobody answers back off

Cause: the caller of commands tried every one again at one pace until its time ended; settlements of turns are kept for ten minutes. Class: retries without a back-off, whose number grows with an outage.

Ruled out: commands that a request waits for end with half of its time (2 s on the platform), so nothing before 20 tries was changed; draws of rates are one command a partition and tenant, and end with the draw's term.

Change: after 20 tries each waits a retry period longer, up to 32 (4 s); what waits long for a partition is tried at once when another leader is told of or the first answer comes.

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -23,9 +23,12 @@
 	Send   func(to string, body any)
 	Anyone func() []string
 	// Others are members that may pass a command on when cores stay silent.
-	Others  func() []string
-	Parts   func() int
-	hints   map[int]string
+	Others func() []string
+	Parts  func() int
+	hints  map[int]string
+	// leaders are who was last known to lead each partition. One that left a command
+	// without an answer for long is not known to.
+	leaders map[int]string
 	calls   slab.Slab[*call]
 	pending map[slab.Ticket]*call
 	salt    uint64
@@ -70,6 +73,15 @@
 	c.try(now, k)
 }
 
+const (
+	// steadyTries is how often a command is tried at the pace of Retry: for longer
+	// than a request waits for it, and than a partition needs for another leader.
+	// After that, each try waits one Retry longer than the one before.
+	steadyTries = 20
+	// slowestRetries is how many retry periods lie between two tries at the most.
+	slowestRetries = 32
+)
+
 func (c *Caller) try(now time.Duration, k *call) {
 	to := c.hints[k.part]
 	if to == "" {
@@ -90,7 +102,7 @@
 	if !c.unanswered {
 		c.asked, c.unanswered = now, true
 	}
-	k.again = now + c.Retry
+	k.again = now + c.Retry*time.Duration(min(max(k.tries-steadyTries, 1), slowestRetries))
 	c.Send(to, Command{ID: c.Mark(k.ticket), Part: k.part, Raw: k.raw})
 }
 
@@ -100,6 +112,24 @@
 		c.pending, c.hints = map[slab.Ticket]*call{}, map[int]string{}
 	}
 	c.hints[number] = address
+	c.wake(number, address)
+}
+
+// wake has what waited long for a partition tried at once, where it is known for the
+// first time that somebody leads it, or that somebody else does.
+func (c *Caller) wake(number int, leader string) {
+	if c.leaders == nil {
+		c.leaders = map[int]string{}
+	}
+	if c.leaders[number] == leader {
+		return
+	}
+	c.leaders[number] = leader
+	for _, k := range c.pending {
+		if k.part == number && k.tries > steadyTries {
+			k.again = 0
+		}
+	}
 }
 
 // Mark turns a ticket into an id that no other life of this process gives out,
@@ -131,6 +161,9 @@
 			continue
 		}
 		delete(c.hints, k.part)
+		if k.tries == steadyTries {
+			delete(c.leaders, k.part)
+		}
 		c.try(now, k)
 	}
 }
@@ -166,6 +199,7 @@
 		}
 		c.hints[k.part] = from
 		c.end(now, k, Outcome{Answer: answer, Sent: true})
+		c.wake(k.part, from)
 	}
 }
 
--- a/peer/core/caller_test.go
+++ b/peer/core/caller_test.go
@@ -70,4 +70,17 @@
 	if first := pass(100 * time.Millisecond); first < commands {
 		t.Errorf("%d of %d commands are tried at once at the new leader", first, commands)
 	}
+	// The same word again wakes nothing, the first answer does, once.
+	c.Hint(1, "leader")
+	if again := pass(100 * time.Millisecond); again > 0 {
+		t.Errorf("%d tries by a word that is not new", again)
+	}
+	c.Receive(now, "other", CommandReturn{ID: sent[len(sent)-1].ID, Part: 1, Raw: message.Pack(Done{OK: true})})
+	if woken := pass(100 * time.Millisecond); woken < commands-1 {
+		t.Errorf("%d of %d commands are tried at once after an answer", woken, commands-1)
+	}
+	c.Receive(now, "other", CommandReturn{ID: sent[len(sent)-1].ID, Part: 1, Raw: message.Pack(Done{OK: true})})
+	if again := pass(100 * time.Millisecond); again > 0 {
+		t.Errorf("%d tries by a second answer", again)
+	}
 }
