A node's connections and its operators' calls are bounded

Cause: the class 'held at the pace of somebody outside' looked for elsewhere: connections were bounded by descriptors alone, so one client that opens 4,000 took from the node those that it needs towards replicas and cores; bodies of calls at desks and cores had no bound in time.

Ruled out: a ready-made limiting listener (its connections hide the half-close by which the server lets an early answer reach a client that still sends).

Test: TestConnectionsAreBounded. Fails before by not compiling: there was no bound to set.

--- a/peer/front/listener.go
+++ b/peer/front/listener.go
@@ -16,43 +16,74 @@
 // takes the chunks and forgets the length, and would go on with the connection;
 // whatever the length covered would then run as a request of its own. RFC 9112,
 // section 6.1, wants the connection to end with the answer.
-func Serve(server *http.Server) error {
+//
+// It takes no more connections at a time than most: descriptors that requesters hold,
+// the node lacks towards replicas and cores. Others wait in the listener's queue.
+func Serve(server *http.Server, most int) error {
 	listener, err := net.Listen("tcp", server.Addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	return ServeOn(server, listener)
+	return ServeOn(server, listener, most)
 }
 
 // ServeOn is Serve on a listener that is there already.
-func ServeOn(server *http.Server, listener net.Listener) error {
+func ServeOn(server *http.Server, listener net.Listener, most int) error {
 	server.ConnContext = withConnection
-	return server.Serve(watchedListener{listener})
+	return server.Serve(&watchedListener{Listener: listener, places: make(chan struct{}, most), closed: make(chan struct{})})
 }
 
-// watchedListener accepts connections whose heads are watched.
-type watchedListener struct{ net.Listener }
+// watchedListener accepts connections whose heads are watched, and which are counted.
+type watchedListener struct {
+	net.Listener
+	// places has one entry for each open connection.
+	places  chan struct{}
+	closed  chan struct{}
+	closing atomic.Bool
+}
 
-// Accept waits for the next connection.
-func (l watchedListener) Accept() (net.Conn, error) {
+// Accept waits for a place and the next connection.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	plain, ok := c.(*net.TCPConn)
+	if err == nil && ok {
+		return &connection{TCPConn: plain, places: l.places}, nil
 	}
-	if plain, ok := c.(*net.TCPConn); ok {
-		return &connection{TCPConn: plain}, nil
+	<-l.places
+	return c, err
+}
+
+// Close ends the listener, also while it waits for a place.
+func (l *watchedListener) Close() error {
+	if l.closing.CompareAndSwap(false, true) {
+		close(l.closed)
 	}
-	return c, nil
+	return l.Listener.Close()
 }
 
 // connection is a requester's connection.
 type connection struct {
 	*net.TCPConn
-	watch headWatch
+	places <-chan struct{}
+	closed atomic.Bool
+	watch  headWatch
 	// ambiguous: a head told its body's length in two ways.
 	ambiguous atomic.Bool
 }
 
+// Close closes the connection and gives its place back.
+func (c *connection) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		<-c.places
+	}
+	return c.TCPConn.Close()
+}
+
 // Read reads what the requester sends.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
--- a/peer/front/listener_test.go
+++ b/peer/front/listener_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -22,7 +23,7 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: Handler(Options{Owner: owner, Names: replica.OwnNames, Most: 1 << 20, Closing: make(chan struct{})}), ReadHeaderTimeout: time.Second}
-	go ServeOn(server, listener)
+	go ServeOn(server, listener, 100)
 	t.Cleanup(func() { server.Close() })
 	n.server.Listener = listener
 	return n
@@ -109,3 +110,58 @@
 		}
 	}
 }
+
+// TestConnectionsAreBounded: a requester that opens connections and uses none takes no
+// more of a node's descriptors than is set aside for requesters. Others wait until one
+// is closed.
+func TestConnectionsAreBounded(t *testing.T) {
+	const most = 4
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	states := make(chan http.ConnState, 256)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}), ConnState: func(_ net.Conn, s http.ConnState) { states <- s }}
+	ended := make(chan struct{})
+	go func() {
+		ServeOn(server, listener, most)
+		close(ended)
+	}()
+	defer func() {
+		server.Close()
+		<-ended
+	}()
+	var idle []net.Conn
+	for range 3 * most {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		idle = append(idle, c)
+	}
+	for range most {
+		if s := <-states; s != http.StateNew {
+			t.Fatalf("state %v", s)
+		}
+	}
+	select {
+	case s := <-states:
+		t.Fatalf("one more connection is taken: %v", s)
+	case <-time.After(100 * time.Millisecond):
+	}
+	for _, c := range idle[:most] {
+		c.Close()
+	}
+	last := idle[len(idle)-1]
+	last.SetDeadline(time.Now().Add(10 * time.Second))
+	for _, c := range idle[most : len(idle)-1] {
+		c.Close()
+	}
+	if _, err := last.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.ReadResponse(bufio.NewReader(last), nil); err != nil {
+		t.Fatalf("who waited is not served: %v", err)
+	}
+}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -104,7 +104,7 @@
 	writes := writer{folder: folder, image: image, batches: s.toDisk, done: s.onDisk, pause: p.Core().Part.OwnerTerm}
 	group.Add(func() error { return writes.run(life) }, func(error) { cancel() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "core", Look: s.snapshot}, log)
-	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Addr: p.OperatorListen, Handler: operator.Handler(s, p.Operators, s.drain), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: callTime, IdleTimeout: callTime}
 	group.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "operator address")
@@ -114,6 +114,9 @@
 	return group.Run()
 }
 
+// callTime bounds how long an operator's call may take to send.
+const callTime = time.Minute
+
 func load(path string, log logr.Logger) (*disk.Folder, core.Stored, error) {
 	folder, found, err := disk.Open(path)
 	if errors.Is(err, disk.ErrLost) {
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -120,6 +120,10 @@
 	}
 }
 
+// callTime bounds how long a call may take to send and to read, beside the time that
+// the cores have for it.
+const callTime = time.Minute
+
 // Run runs the role until the context ends. The surface makes the handler of
 // what replicas and operators call.
 func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger, surface func(calls desk.Calls) http.Handler) error {
@@ -145,7 +149,7 @@
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "desk", Look: s.snapshot}, log)
-	server := &http.Server{Addr: p.OperatorListen, Handler: surface(s), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	server := &http.Server{Addr: p.OperatorListen, Handler: surface(s), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: callTime, WriteTimeout: callTime, IdleTimeout: time.Minute}
 	ended := make(chan struct{})
 	group.Add(func() error {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -27,6 +27,7 @@
 // Front are the settings of a node towards requesters and replicas.
 type Front struct {
 	DialMS      int64  `json:"dial_ms"`
+	Connections int64  `json:"connections"`
 	BodyMS      int64  `json:"body_ms"`
 	IntakeBytes int64  `json:"intake_bytes"`
 	ReadyListen string `json:"ready_listen"`
@@ -59,6 +60,7 @@
 		configuration.Row{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, About: "kept turns that a node remembers, to save asking the cores"},
 		configuration.Row{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, About: "how long a program's books are kept after its last turn began"},
 		configuration.Row{Path: "dial_ms", Type: "int", Default: 300, Min: 10, Max: 60000, About: "how long a connection to a replica may take to come up"},
+		configuration.Row{Path: "connections", Type: "int", Default: 16384, Min: 1, Max: 1e6, About: "connections of requesters at a time; keep it below what the process has of descriptors. More wait"},
 		configuration.Row{Path: "body_ms", Type: "int", Default: 30000, Min: 10, Max: 3600000, About: "how long a requester may take to send a body, besides the deadline that it names"},
 		configuration.Row{Path: "intake_bytes", Type: "int", Default: 64 << 20, Min: 1 << 16, Max: 1 << 40, About: "memory that the bodies of all requests under way may take; beyond it requests are refused"},
 		configuration.Row{Path: "order_ms", Type: "int", Default: 3000, Min: 100, Max: 600000, About: "how long a desk tries to carry an operator's call out"},
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -118,7 +118,7 @@
 	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing,
 		BodyTime: time.Duration(p.BodyMS) * time.Millisecond, IntakeSize: p.IntakeBytes, Rejected: s.rejected})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
-	serve(&group, server, front.Serve, "requester address")
+	serve(&group, server, func(server *http.Server) error { return front.Serve(server, int(p.Connections)) }, "requester address")
 	if p.ReadyListen != "" {
 		serve(&group, &http.Server{Addr: p.ReadyListen, Handler: http.HandlerFunc(s.tellReady), ReadHeaderTimeout: 5 * time.Second}, (*http.Server).ListenAndServe, "readiness address")
 	}
