--- a/peer/core/identity_test.go
+++ b/peer/core/identity_test.go
@@ -40,8 +40,10 @@
 func turnsUnderOneID(t *testing.T) {
 	a := newAlone(t)
 	command := KeepTurn{Tenant: "t", Attempt: "x", Before: []string{"w"}, Input: []byte("in"), Output: []byte("out"), Keep: time.Minute}
-	if !a.run(command).(Done).OK || !a.run(command).(Done).OK {
-		t.Fatal("a turn, or its repetition, was not kept")
+	for range 2 {
+		if !a.run(command).(Done).OK {
+			t.Fatal("a turn, or its repetition, was not kept")
+		}
 	}
 	for name, change := range map[string]func(c *KeepTurn){
 		"input":  func(c *KeepTurn) { c.Input = []byte("other") },
--- a/rehearsalkit/soak/record.go
+++ b/rehearsalkit/soak/record.go
@@ -153,12 +153,3 @@
 	sort.Slice(all.Runs, func(i, k int) bool { return all.Runs[i].At < all.Runs[k].At })
 	return all
 }
-
-// runsOf lists what ran, by attempt.
-func (r *record) runsOf() map[string][]run {
-	runs := map[string][]run{}
-	for _, one := range r.Runs {
-		runs[one.Attempt] = append(runs[one.Attempt], one)
-	}
-	return runs
-}
--- a/rehearsalkit/soak/replica.go
+++ b/rehearsalkit/soak/replica.go
@@ -344,6 +344,8 @@
 		io.WriteString(c, text)
 	}
 	switch how {
+	case mannerSwallows:
+		// Nothing is said, and the connection ends.
 	case mannerResets:
 		if t, ok := c.(*net.TCPConn); ok {
 			t.SetLinger(0)
