Answers are checked against their requests where they are passed on

The invariant answer_matches was named and not looked at; it stands where an answer's head is written to the requester, besides the comparison on the connection to the replica.

--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -21,6 +21,7 @@
 	"saffronfall/peer/clock"
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
+	"saffronfall/rule/invariant"
 )
 
 // Owner is the node's machine as this side needs it.
@@ -52,6 +53,8 @@
 	// Rejected, where it is set, is told of requests that did not arrive whole, on
 	// the goroutine that found it.
 	Rejected func(e relay.Ended)
+	// Violated takes violated invariants; without it they panic.
+	Violated invariant.Report
 }
 
 // Handler serves requesters.
@@ -348,6 +351,9 @@
 }
 
 func (x *exchange) head(r *replica.Response) {
+	if id := r.Header.Get(x.Names.Attempt); id != "" && id != x.ask.Attempt {
+		x.Violated.Violated(invariant.AnswerMatches, "the answer to %s is passed on to %s", id, x.ask.Attempt)
+	}
 	header := x.w.Header()
 	for name, values := range passable(r.Header) {
 		header[name] = values
--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -39,7 +39,7 @@
 		From: "before.Leaving != r.Leaving || ", To: ""},
 	{What: "a drain is acknowledged before it is told", File: "peer/desk/replicas.go", Seeds: 1, Elsewhere: "TestNewsIsToldAtOnce; nodes ask again within the bound, so the soak sees nothing",
 		From: "	m.tellAll(now)\n", To: ""},
-	{What: "nodes forget who leaves with the desk that told of it", File: "peer/relay/choice.go", Seeds: 6,
+	{What: "nodes forget who leaves with the desk that told of it", File: "peer/relay/choice.go", Seeds: 6, Elsewhere: "TestLeavingOutlivesItsDesk; since desks tell each other who leaves, the soak no longer sees it",
 		From: "if l.Gone || m.left.has(id) {", To: "if l.Gone || l.Replica.Leaving || l.Final {"},
 	{What: "a quota's block is granted anew after a takeover", File: "rule/rate/ledger.go", Seeds: 4,
 		From: "pool: r.Open, poolEnd", To: "pool: 0, poolEnd"},
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -116,7 +116,7 @@
 	group.Add(streams.Run, func(error) { streams.Close() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "node", Look: s.snapshot, Set: s.observer.set}, log)
 	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing,
-		BodyTime: time.Duration(p.BodyMS) * time.Millisecond, IntakeSize: p.IntakeBytes, Rejected: s.rejected})
+		BodyTime: time.Duration(p.BodyMS) * time.Millisecond, IntakeSize: p.IntakeBytes, Rejected: s.rejected, Violated: s.violated})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
 	serve(&group, server, func(server *http.Server) error { return front.Serve(server, int(p.Connections)) }, "requester address")
 	if p.ReadyListen != "" {
@@ -323,6 +323,14 @@
 	}
 }
 
+// violated takes a violated invariant from a request's goroutine.
+func (s *process) violated(v invariant.Violation) {
+	select {
+	case s.calls <- func(time.Duration) { s.violations.Report(v) }:
+	case <-s.life.Done():
+	}
+}
+
 // rejected takes a request that did not arrive whole.
 func (s *process) rejected(e relay.Ended) {
 	select {
