--- a/rehearsalkit/soak/replica.go
+++ b/rehearsalkit/soak/replica.go
@@ -219,6 +219,8 @@
 	mannerHalf
 	// mannerSurplus sends bytes after its whole answer.
 	mannerSurplus
+	// mannerSurplusLater sends another answer where the next request's is due.
+	mannerSurplusLater
 	// mannerSilent never answers.
 	mannerSilent
 	// mannerNonsense sends bytes that are no answer.
@@ -354,8 +356,14 @@
 		cut := rand.IntN(len(one.Gave))
 		say(head + length + one.Gave[:cut])
 	case mannerSurplus:
-		say(head + length + one.Gave + "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: other\r\nSaffronfall-Seal: s\r\nContent-Length: 7\r\n\r\nsurplus")
+		say(head + length + one.Gave + surplusAnswer)
 		r.linger(c, buffer.Reader, 300*time.Millisecond)
+	case mannerSurplusLater:
+		say(head + length + one.Gave)
+		if r.linger(c, buffer.Reader, time.Second) {
+			say(surplusAnswer)
+			r.linger(c, buffer.Reader, 300*time.Millisecond)
+		}
 	case mannerSilent:
 		r.linger(c, buffer.Reader, 10*time.Second)
 	case mannerNonsense:
@@ -363,10 +371,15 @@
 	}
 }
 
-// linger keeps a connection until its other end closes it, or for a time.
-func (r *replica) linger(c net.Conn, reader *bufio.Reader, within time.Duration) {
+// surplusAnswer is an answer that belongs to no request.
+const surplusAnswer = "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: other\r\nSaffronfall-Seal: s\r\nContent-Length: 7\r\n\r\nsurplus"
+
+// linger keeps a connection until its other end closes it, or for a time. It reports
+// whether more was said on it.
+func (r *replica) linger(c net.Conn, reader *bufio.Reader, within time.Duration) bool {
 	stop := context.AfterFunc(r.ctx, func() { c.Close() })
 	defer stop()
 	c.SetReadDeadline(time.Now().Add(within))
-	reader.ReadByte()
+	_, err := reader.ReadByte()
+	return err == nil
 }
