--- a/rehearsalkit/soak/judge.go
+++ b/rehearsalkit/soak/judge.go
@@ -228,14 +228,15 @@
 	}
 	for _, one := range r.Runs {
 		at, ok := left[one.Replica]
-		if ok && one.At > at+drainBound && r.calm(at-contactTime, one.At) {
+		if ok && one.At > at+drainBound && r.calm(at, one.At) {
 			list = append(list, breach(RuleLeaving, "%s ran at %s by %s at %v; a desk had acknowledged at %v that it leaves", one.Attempt, one.Replica, nodes[name(one.Tenant, one.Attempt)], one.At, at))
 		}
 	}
 	return list
 }
 
-// calm reports whether no process and no link was in trouble in a time.
+// calm reports whether no process and no link was in trouble in a time, nor for
+// contactTime before it.
 func (r *record) calm(from, to time.Duration) bool {
 	for _, t := range r.Troubles {
 		if !strings.HasPrefix(t.Kind, "replica") && t.From < to && from < t.To+contactTime {
