Named items of a configuration can be amended

Cause: POST /v1/configuration/amend was answered 404, so every later configuration of Kalahari Basket's lacked its acknowledgement. Change: rule/route has amendments (set and remove by name, checked whole after joining); a desk joins one to the table that the cores say is in force and has the outcome agreed like a whole table, so numbering, races, repeats and durability are those of whole tables. One whose base is no longer in force is looked up (FindOrder): taken before, or a lost race. Product: PATCH /v1/table?base=N, with preview=true for what would change.

--- a/peer/core/orders.go
+++ b/peer/core/orders.go
@@ -84,6 +84,16 @@
 	return TableAgreed{OK: true, Number: c.Number}
 }
 
+// findOrder tells whether an order was accepted, and which table is in force.
+func findOrder(tx *part.Tx, c FindOrder) TableAgreed {
+	current, _ := read[AgreedTable](tx, TableKey)
+	order := orderID{kind: tableOrder, base: c.Base, number: c.Number, digest: c.Digest}
+	if wasAccepted(tx, order, current.past()) {
+		return TableAgreed{OK: true, Number: c.Number}
+	}
+	return TableAgreed{Number: current.Number}
+}
+
 // past are the orders in the list that a former version kept.
 func (t AgreedTable) past() (orders []orderID) {
 	for _, one := range t.Past {
--- a/peer/core/relay.go
+++ b/peer/core/relay.go
@@ -98,6 +98,13 @@
 		OK     bool   `msgpack:"o"`
 		Number uint64 `msgpack:"n"`
 	}
+	// FindOrder asks whether an order that made a routing table was accepted. The
+	// answer is as to AgreeTable, and nothing changes.
+	FindOrder struct {
+		Base   uint64 `msgpack:"b"`
+		Number uint64 `msgpack:"n"`
+		Digest string `msgpack:"d"`
+	}
 	// ReadTable reads the routing table in force.
 	ReadTable struct{}
 	// AgreedTable answers it, and is the durable state. Past is what a former
@@ -130,7 +137,7 @@
 
 func init() {
 	message.Register(ReserveTurn{}, TurnReserved{}, SettleTurn{}, KeepTurn{}, ReadTurn{}, KeptTurn{}, ProlongTurn{}, DrawRates{}, RatesDrawn{},
-		AgreeTable{}, TableAgreed{}, ReadTable{}, AgreedTable{})
+		AgreeTable{}, TableAgreed{}, FindOrder{}, ReadTable{}, AgreedTable{})
 }
 
 // TableKey is the entry of the routing table in force.
@@ -289,6 +296,8 @@
 		return r.drawRates(tx, c)
 	case AgreeTable:
 		return r.agreeTable(tx, c)
+	case FindOrder:
+		return findOrder(tx, c)
 	case ReadTable:
 		t, _ := read[AgreedTable](tx, TableKey)
 		return t
--- /dev/null
+++ b/peer/desk/amend.go
@@ -0,0 +1,106 @@
+package desk
+
+import (
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/route"
+)
+
+// Amendment is an order that changes named items of the table in force. It is joined to
+// that table at the desk and agreed whole, so that it is as atomic, as durable and as
+// well known again as a whole table.
+type Amendment struct {
+	// Base is the number of the table that it builds on, Number the next one's.
+	Base, Number uint64
+	// Digest tells this order from all others on its base.
+	Digest string
+	// Join makes the next table's text from the current one's, which is empty where
+	// there is none yet.
+	Join func(current []byte) ([]byte, configuration.Faults)
+	// PreviewOnly asks what would change; nothing does.
+	PreviewOnly bool
+}
+
+// Amend joins an amendment to the table in force and has the outcome agreed by the
+// cores. The cores are asked for that table, since an amendment of an older copy could
+// only lose its race.
+func (m *Machine) Amend(now time.Duration, ticket uint64, a Amendment) Output {
+	m.out = &Output{}
+	until := now + m.params.Within
+	m.await(now, ticket, Handed{Unsure: true})
+	m.caller.Call(now, core.ReadTable{}, until, func(now time.Duration, o core.Outcome) {
+		current, ok := o.Answer.(core.AgreedTable)
+		if _, waiting := m.pending[ticket]; !waiting {
+			return
+		}
+		switch {
+		case !ok:
+			m.settle(ticket, Handed{Unsure: true})
+		case current.Number != a.Base:
+			m.findAmendment(now, ticket, a, until)
+		default:
+			m.joinAmendment(now, ticket, a, current, until)
+		}
+	})
+	return *m.out
+}
+
+// findAmendment answers an amendment whose base is not in force: either it was taken
+// before, or another order was.
+func (m *Machine) findAmendment(now time.Duration, ticket uint64, a Amendment, until time.Duration) {
+	m.caller.Call(now, core.FindOrder{Base: a.Base, Number: a.Number, Digest: a.Digest}, until, func(_ time.Duration, o core.Outcome) {
+		found, ok := o.Answer.(core.TableAgreed)
+		switch {
+		case !ok:
+			m.settle(ticket, Handed{Unsure: true})
+		case found.OK:
+			m.settle(ticket, Handed{OK: true, Number: found.Number})
+		default:
+			m.settle(ticket, Handed{Race: true, Number: found.Number})
+		}
+	})
+}
+
+// joinAmendment checks what comes of an amendment, and has it agreed.
+func (m *Machine) joinAmendment(now time.Duration, ticket uint64, a Amendment, current core.AgreedTable, until time.Duration) {
+	text, faults := a.Join(current.Text)
+	var next *route.Table
+	if faults == nil {
+		next, faults = route.Parse(text)
+	}
+	switch {
+	case faults != nil:
+		m.Counters.Refused++
+		m.settle(ticket, Handed{Number: current.Number, Faults: faults})
+	case a.PreviewOnly:
+		m.settle(ticket, Handed{Number: current.Number, Preview: previewOf(current.Text, next)})
+	default:
+		m.agree(now, ticket, core.AgreeTable{Base: a.Base, Number: next.Number, Text: text, Digest: a.Digest}, next, until)
+	}
+}
+
+func previewOf(text []byte, next *route.Table) *route.Preview {
+	current, faults := route.Parse(text)
+	if faults != nil {
+		current = &route.Table{}
+	}
+	preview := route.PreviewOf(current, next)
+	return &preview
+}
+
+// JoinTable is how an amendment in the product's own words is joined.
+func JoinTable(a route.Amendment) func(current []byte) ([]byte, configuration.Faults) {
+	return func(text []byte) ([]byte, configuration.Faults) {
+		current, faults := route.Parse(text)
+		if faults != nil {
+			return nil, configuration.Faults{{Path: "$", Value: "no table is in force", Allowed: "an amendment of a table that is in force"}}
+		}
+		next, faults := a.Join(current)
+		if faults != nil {
+			return nil, faults
+		}
+		return next.Plain(), nil
+	}
+}
--- a/peer/desk/handler.go
+++ b/peer/desk/handler.go
@@ -11,6 +11,7 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/operator"
+	"saffronfall/rule/route"
 )
 
 // Calls are what replicas and operators can ask of a desk.
@@ -18,6 +19,7 @@
 	Beat(ctx context.Context, r Replica) error
 	Leave(ctx context.Context, id string) error
 	Apply(ctx context.Context, base uint64, text []byte, digest string) (Handed, error)
+	Amend(ctx context.Context, a Amendment) (Handed, error)
 	Read(ctx context.Context) (core.AgreedTable, error)
 	Retire(ctx context.Context, id string) (Emptied, error)
 	Retired(ctx context.Context, id string) (Emptied, error)
@@ -30,6 +32,37 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// AmendmentDigest tells an amendment from others, and from whole tables.
+func AmendmentDigest(text []byte) string {
+	return Digest(append([]byte("amendment\n"), text...))
+}
+
+// readOrder reads an operator's order and what it builds on. It answers the call where
+// that fails.
+func readOrder(w http.ResponseWriter, r *http.Request, most int64, what string) (base uint64, text []byte, ok bool) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	text, more := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil || more != nil {
+		operator.Write(w, 400, operator.Fault{Code: "malformed", Reason: "base must be the number of the table in force, and the body a whole " + what, Ran: "no"})
+		return 0, nil, false
+	}
+	return base, text, true
+}
+
+// tellHanded answers an operator's order.
+func tellHanded(w http.ResponseWriter, h Handed, err error) {
+	switch {
+	case err != nil || h.Unsure:
+		operator.Write(w, 503, operator.Fault{Code: "unsure", Reason: "hand the same order over again to find out", Ran: "maybe"})
+	case h.Faults != nil:
+		operator.Write(w, 400, h)
+	case h.Race:
+		operator.Write(w, 409, h)
+	default:
+		operator.Write(w, 200, h)
+	}
+}
+
 // Surface is the product's own handler of a desk's calls.
 func Surface(operators, replicas string, most int64) func(calls Calls) http.Handler {
 	return func(calls Calls) http.Handler {
@@ -38,23 +71,25 @@
 		mux.Handle("/v1/replicas/", operator.Guard(replicas, announcements(calls)))
 		mux.Handle("/", operator.Guard(operators, guarded))
 		guarded.HandleFunc("PUT /v1/table", func(w http.ResponseWriter, r *http.Request) {
-			base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
-			text, more := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-			if err != nil || more != nil {
-				operator.Write(w, 400, operator.Fault{Code: "malformed", Reason: "base must be the number of the table in force, and the body a whole table", Ran: "no"})
+			base, text, ok := readOrder(w, r, most, "table")
+			if !ok {
 				return
 			}
 			h, err := calls.Apply(r.Context(), base, text, Digest(text))
-			switch {
-			case err != nil || h.Unsure:
-				operator.Write(w, 503, operator.Fault{Code: "unsure", Reason: "hand the same table over again to find out", Ran: "maybe"})
-			case h.Faults != nil:
-				operator.Write(w, 400, h)
-			case h.Race:
-				operator.Write(w, 409, h)
-			default:
-				operator.Write(w, 200, h)
+			tellHanded(w, h, err)
+		})
+		guarded.HandleFunc("PATCH /v1/table", func(w http.ResponseWriter, r *http.Request) {
+			base, text, ok := readOrder(w, r, most, "amendment")
+			if !ok {
+				return
+			}
+			a, faults := route.ParseAmendment(text)
+			if faults != nil {
+				operator.Write(w, 400, Handed{Faults: faults})
+				return
 			}
+			h, err := calls.Amend(r.Context(), Amendment{Base: base, Number: a.Number, Digest: AmendmentDigest(text), Join: JoinTable(a), PreviewOnly: r.URL.Query().Get("preview") == "true"})
+			tellHanded(w, h, err)
 		})
 		guarded.HandleFunc("GET /v1/table", func(w http.ResponseWriter, r *http.Request) {
 			t, err := calls.Read(r.Context())
--- a/peer/desk/table.go
+++ b/peer/desk/table.go
@@ -71,6 +71,8 @@
 	Race   bool                 `json:"race_lost"`
 	Number uint64               `json:"number"`
 	Faults configuration.Faults `json:"faults,omitempty"`
+	// Preview is what an amendment would change, where only that was asked.
+	Preview *route.Preview `json:"preview,omitempty"`
 }
 
 // Apply checks a table and has it agreed by the cores.
@@ -82,24 +84,28 @@
 		m.answer(ticket, Handed{Faults: faults})
 		return *m.out
 	}
-	c := core.AgreeTable{Base: base, Number: parsed.Number, Text: text, Digest: digest}
 	m.await(now, ticket, Handed{Unsure: true})
-	m.caller.Call(now, c, now+m.params.Within, func(now time.Duration, o core.Outcome) {
+	m.agree(now, ticket, core.AgreeTable{Base: base, Number: parsed.Number, Text: text, Digest: digest}, parsed, now+m.params.Within)
+	return *m.out
+}
+
+// agree has a checked table agreed by the cores, and answers the call that brought it.
+func (m *Machine) agree(now time.Duration, ticket uint64, c core.AgreeTable, parsed *route.Table, until time.Duration) {
+	m.caller.Call(now, c, until, func(now time.Duration, o core.Outcome) {
 		agreed, ok := o.Answer.(core.TableAgreed)
 		switch {
 		case !ok:
 			m.settle(ticket, Handed{Unsure: true})
 		case agreed.OK:
 			m.Counters.Applied++
-			m.install(now, parsed, digest)
+			m.install(now, parsed, c.Digest)
 			m.settle(ticket, Handed{OK: true, Number: agreed.Number})
-		case parsed.Number <= agreed.Number && base == agreed.Number:
+		case parsed.Number <= agreed.Number && c.Base == agreed.Number:
 			m.settle(ticket, Handed{Number: agreed.Number, Faults: configuration.Faults{{Path: "number", Value: parsed.Number, Allowed: "above the one in force"}}})
 		default:
 			m.settle(ticket, Handed{Race: true, Number: agreed.Number})
 		}
 	})
-	return *m.out
 }
 
 // Read reads the table in force from the cores: what they answer is the newest.
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -282,6 +282,13 @@
 	})
 }
 
+// Amend hands over an amendment of the routing table in force.
+func (s *process) Amend(ctx context.Context, a desk.Amendment) (desk.Handed, error) {
+	return call[desk.Handed](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return m.Amend(now, ticket, a)
+	})
+}
+
 // Read reads the routing table in force.
 func (s *process) Read(ctx context.Context) (core.AgreedTable, error) {
 	return call[core.AgreedTable](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output { return m.Read(now, ticket) })
