Amendments in the simulator's orders, in the soak and among processes

Half of the orders of longcut, orders and secondloss are amendments, with rivals on the same base and repeats at other desks; the soak hands over amendments, some with their answers lost, some that would leave a route without its service; the platform's fleet test amends, repeats, races and reads back.

--- a/peer/core/orders_test.go
+++ b/peer/core/orders_test.go
@@ -26,6 +26,15 @@
 		}
 	}
 	for number := uint64(1); number <= orders; number += 7 {
+		find := FindOrder{Base: number - 1, Number: number, Digest: order(0, number).Digest}
+		if got := a.run(find).(TableAgreed); !got.OK || got.Number != number {
+			t.Fatalf("order %d is not found: %+v", number, got)
+		}
+		for _, other := range []FindOrder{{Base: number, Number: number, Digest: find.Digest}, {Base: number - 1, Number: number, Digest: "another"}, {Base: orders, Number: orders + 1, Digest: "none"}} {
+			if got := a.run(other).(TableAgreed); got.OK || got.Number != orders {
+				t.Fatalf("order %+v is found: %+v", other, got)
+			}
+		}
 		if got := a.run(order(number-1, number)).(TableAgreed); !got.OK || got.Number != number {
 			t.Fatalf("order %d came again: %+v", number, got)
 		}
--- /dev/null
+++ b/peer/desk/amend_test.go
@@ -0,0 +1,110 @@
+package desk
+
+import (
+	"testing"
+	"time"
+
+	"saffronfall/peer/core"
+	"saffronfall/rule/configuration"
+	"saffronfall/rule/message"
+	"saffronfall/rule/route"
+)
+
+// scriptedCores answer a desk's commands by a function; nil is silence.
+type scriptedCores struct {
+	desk     *Machine
+	answer   func(command any) any
+	commands []any
+}
+
+// carry answers commands until no more come, and returns what the desk answered.
+func (s *scriptedCores) carry(t *testing.T, now time.Duration, o Output) []Answer {
+	t.Helper()
+	answers := o.Answers
+	for _, c := range sentTo[core.Command](o, "c:1") {
+		command, err := message.Open(c.Raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.commands = append(s.commands, command)
+		if body := s.answer(command); body != nil {
+			next := s.desk.Receive(now, "c:1", core.CommandReturn{ID: c.ID, Part: c.Part, Raw: message.Pack(body)})
+			answers = append(answers, s.carry(t, now, next)...)
+		}
+	}
+	return answers
+}
+
+func addService(base, number uint64) Amendment {
+	a := route.Amendment{Number: number, Set: route.SetItems{Services: []route.Service{{Name: "new", Connections: 1, TokensPerEvent: 1}}}}
+	return Amendment{Base: base, Number: number, Digest: "d", Join: JoinTable(a)}
+}
+
+// TestAmend: an amendment is joined to the table that the cores say is in force and
+// agreed whole; what came before it decides what one on another base is answered.
+func TestAmend(t *testing.T) {
+	read := core.AgreedTable{Number: 4, Text: table(4), Digest: "four"}
+	for _, c := range []struct {
+		name      string
+		amendment Amendment
+		agreed    any
+		found     any
+		want      Handed
+		// commands are how many went to the cores.
+		commands int
+	}{
+		{name: "taken", amendment: addService(4, 5), agreed: core.TableAgreed{OK: true, Number: 5}, want: Handed{OK: true, Number: 5}, commands: 2},
+		{name: "race lost while joining", amendment: addService(4, 5), agreed: core.TableAgreed{Number: 6}, want: Handed{Race: true, Number: 6}, commands: 2},
+		{name: "taken before", amendment: addService(3, 4), found: core.TableAgreed{OK: true, Number: 4}, want: Handed{OK: true, Number: 4}, commands: 2},
+		{name: "race lost before", amendment: addService(3, 5), found: core.TableAgreed{Number: 4}, want: Handed{Race: true, Number: 4}, commands: 2},
+		{name: "on a base that is not there yet", amendment: addService(9, 10), found: core.TableAgreed{Number: 4}, want: Handed{Race: true, Number: 4}, commands: 2},
+		{name: "not above", amendment: addService(4, 4), want: Handed{Number: 4, Faults: configuration.Faults{{}}}, commands: 1},
+		{name: "no answer", amendment: addService(4, 5), want: Handed{Unsure: true}, commands: 2},
+	} {
+		m := newDesk(nil)
+		founded(m)
+		cores := &scriptedCores{desk: m, answer: func(command any) any {
+			switch command.(type) {
+			case core.ReadTable:
+				return read
+			case core.FindOrder:
+				return c.found
+			}
+			return c.agreed
+		}}
+		answers := cores.carry(t, time.Millisecond, m.Amend(time.Millisecond, 7, c.amendment))
+		if len(answers) == 0 {
+			answers = m.Tick(5 * time.Second).Answers
+		}
+		if len(answers) != 1 || answers[0].Ticket != 7 {
+			t.Fatalf("%s: answers %+v", c.name, answers)
+		}
+		got := answers[0].Body.(Handed)
+		if got.OK != c.want.OK || got.Race != c.want.Race || got.Unsure != c.want.Unsure || got.Number != c.want.Number || (got.Faults == nil) != (c.want.Faults == nil) {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+		if len(cores.commands) != c.commands {
+			t.Errorf("%s: commands %+v", c.name, cores.commands)
+		}
+		if c.name == "taken" && m.Number() != 5 {
+			t.Errorf("the desk knows table %d", m.Number())
+		}
+	}
+}
+
+// TestPreviewChangesNothing: what an amendment would change is told, and not agreed.
+func TestPreviewChangesNothing(t *testing.T) {
+	m := newDesk(nil)
+	founded(m)
+	cores := &scriptedCores{desk: m, answer: func(any) any { return core.AgreedTable{Number: 4, Text: table(4), Digest: "four"} }}
+	a := addService(4, 5)
+	a.PreviewOnly = true
+	answers := cores.carry(t, time.Millisecond, m.Amend(time.Millisecond, 7, a))
+	if len(answers) != 1 || len(cores.commands) != 1 {
+		t.Fatalf("answers %+v, commands %+v", answers, cores.commands)
+	}
+	got := answers[0].Body.(Handed)
+	if got.OK || got.Preview == nil || len(got.Preview.Services.Added) != 1 || got.Preview.Services.Added[0] != "new" {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/rehearsalkit/relaysim/longcut.go
+++ b/rehearsalkit/relaysim/longcut.go
@@ -84,7 +84,7 @@
 func (l *longcut) load() {
 	w := l.world
 	for range 2 {
-		o := &orderer{book: l.book, rivals: 0.4, over: func() bool { return l.over }, pause: func() time.Duration { return w.between(500*time.Millisecond, 1500*time.Millisecond) }}
+		o := &orderer{book: l.book, rivals: 0.4, amends: 0.5, over: func() bool { return l.over }, pause: func() time.Duration { return w.between(500*time.Millisecond, 1500*time.Millisecond) }}
 		w.after(w.between(0, time.Second), o.run)
 	}
 	for _, s := range w.stores {
--- a/rehearsalkit/relaysim/orders.go
+++ b/rehearsalkit/relaysim/orders.go
@@ -5,6 +5,7 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
+	"saffronfall/rule/route"
 )
 
 // order is one table as an operator hands it over, again and again where need
@@ -12,6 +13,8 @@
 type order struct {
 	*Table
 	refusedAt time.Duration
+	// amendment is how the order is worded, where it is no whole table.
+	amendment *route.Amendment
 	// ackedAs is how many orders had been acknowledged when this one was.
 	ackedAs int
 }
@@ -52,6 +55,32 @@
 	return &orderBook{world: w, findings: f, patience: patience, later: laterTable{}}
 }
 
+// amend words an order as an amendment of the table that it builds on.
+func (o *order) amend(base []byte) {
+	current, faults := route.Parse(base)
+	next, more := route.Parse(o.Text)
+	if faults != nil || more != nil {
+		return
+	}
+	d := route.Compare(current, "", next, "")
+	a := &route.Amendment{Number: o.Number, Set: route.SetItems{Routes: d.Routes, Services: d.Services, Tenants: d.Tenants},
+		Remove: route.RemovedNames{Services: d.RemovedServices, Tenants: d.RemovedTenants}}
+	for _, removed := range d.RemovedRoutes {
+		a.Remove.Routes = append(a.Remove.Routes, removed.Prefix)
+	}
+	if joined, faults := a.Join(current); faults == nil {
+		o.amendment, o.Text = a, joined.Plain()
+	}
+}
+
+// hand hands an order over at a desk.
+func (o *order) hand(d Desk, now time.Duration, ticket uint64) desk.Output {
+	if o.amendment == nil {
+		return d.Apply(now, ticket, o.Base, o.Text, desk.Digest(o.Text))
+	}
+	return d.Amend(now, ticket, desk.Amendment{Base: o.Base, Number: o.Number, Digest: desk.AmendmentDigest(o.Text), Join: desk.JoinTable(*o.amendment)})
+}
+
 // begin notes a call that has just reached a desk.
 func (b *orderBook) begin(kind string, at *process) *deskCall {
 	c := &deskCall{kind: kind, desk: at, life: at.life, at: b.world.now, ended: -1}
@@ -102,7 +131,7 @@
 		b.world.Record.Tables = append(b.world.Record.Tables, o.Table)
 	}
 	step := func(d Desk, now time.Duration, ticket uint64) desk.Output {
-		return d.Apply(now, ticket, o.Base, o.Text, desk.Digest(o.Text))
+		return o.hand(d, now, ticket)
 	}
 	clear := func(body any) bool { h, ok := body.(desk.Handed); return ok && !h.Unsure }
 	b.call(kind, at, step, clear, func(body any) {
@@ -199,6 +228,8 @@
 	// rivals is how often another order on the same base is sent at the same time;
 	// half of them have the same number too.
 	rivals float64
+	// amends is which part of the orders are amendments.
+	amends float64
 	over   func() bool
 }
 
@@ -214,6 +245,10 @@
 			return
 		}
 		one := &order{Table: w.table(t.Number, t.Number+1+uint64(w.random.IntN(3)), 0)}
+		if w.chance(r.amends) {
+			w.Counts["amendments handed over"]++
+			one.amend(t.Text)
+		}
 		until := w.now + 20*time.Second
 		b.settle(one, until, next)
 		if w.chance(r.rivals) {
@@ -222,6 +257,9 @@
 				number = t.Number + 1 + uint64(w.random.IntN(3))
 			}
 			rival := &order{Table: w.table(t.Number, number, 0)}
+			if w.chance(r.amends) {
+				rival.amend(t.Text)
+			}
 			w.after(w.between(0, 20*time.Millisecond), func() { b.settle(rival, until, func() {}) })
 		}
 	})
--- a/rehearsalkit/relaysim/orderstorm.go
+++ b/rehearsalkit/relaysim/orderstorm.go
@@ -59,7 +59,7 @@
 		w.loses = func(body any) bool { _, ok := body.(core.CommandReturn); return ok && w.chance(returnsLost) }
 	}
 	for range stormOperators {
-		o := &orderer{book: b, rivals: 0.8, over: func() bool { return s.over }, pause: func() time.Duration { return w.between(20*time.Millisecond, 200*time.Millisecond) }}
+		o := &orderer{book: b, rivals: 0.8, amends: 0.5, over: func() bool { return s.over }, pause: func() time.Duration { return w.between(20*time.Millisecond, 200*time.Millisecond) }}
 		w.after(w.between(0, time.Second), o.run)
 	}
 	w.after(time.Second, s.resendAny)
--- a/rehearsalkit/relaysim/secondloss.go
+++ b/rehearsalkit/relaysim/secondloss.go
@@ -163,7 +163,7 @@
 	w.run(lossStarting)
 	r.turns = newTurnBook(w, r.findings)
 	r.turns.keep(15 * time.Millisecond)
-	o := &orderer{book: r.book, over: func() bool { return r.turns.over }, pause: func() time.Duration { return 200 * time.Millisecond }}
+	o := &orderer{book: r.book, amends: 0.5, over: func() bool { return r.turns.over }, pause: func() time.Duration { return 200 * time.Millisecond }}
 	o.run()
 	w.Pass(time.Second)
 	r.begin()
--- a/rehearsalkit/relaysim/world.go
+++ b/rehearsalkit/relaysim/world.go
@@ -32,6 +32,7 @@
 	Receive(now time.Duration, from string, body any) desk.Output
 	Tick(now time.Duration) desk.Output
 	Apply(now time.Duration, ticket uint64, base uint64, text []byte, digest string) desk.Output
+	Amend(now time.Duration, ticket uint64, a desk.Amendment) desk.Output
 	Read(now time.Duration, ticket uint64) desk.Output
 	Retire(now time.Duration, ticket uint64, id string) desk.Output
 	Retired(now time.Duration, ticket uint64, id string) desk.Output
--- a/rehearsalkit/soak/operator.go
+++ b/rehearsalkit/soak/operator.go
@@ -24,19 +24,28 @@
 	number uint64
 }
 
+// one is a route of the soak's tables.
+func one(kind, mode, service string, tries int64) route.Route {
+	return route.Route{Name: kind, Host: host, Prefix: "/" + kind + "/", Mode: mode, TimeoutMS: float64(routeTimeout.Milliseconds()), Tries: tries, KeepSeconds: 60,
+		Targets: []route.Target{{Service: service, Weight: 1}}}
+}
+
+func markName(number uint64) string { return fmt.Sprint("mark-", number) }
+
+// markRoute is the route that only the table of a number has.
+func markRoute(number uint64) route.Route {
+	return one(markName(number), route.Repeatable, serviceApp, 2)
+}
+
 // text is the table of a number. Each has a route of its own.
 func text(number uint64) []byte {
 	tenant := func(name string, rate, burst float64) route.Tenant {
 		return route.Tenant{Name: name, Keys: []string{configuration.Sum(keyOf(name))}, Rate: rate, Burst: burst}
 	}
-	to := func(service string) []route.Target { return []route.Target{{Service: service, Weight: 1}} }
-	one := func(kind, mode, service string, tries int64) route.Route {
-		return route.Route{Name: kind, Host: host, Prefix: "/" + kind + "/", Mode: mode, TimeoutMS: float64(routeTimeout.Milliseconds()), Tries: tries, Targets: to(service)}
-	}
 	chat, kept := one(kindChat, route.Stream, serviceModel, 2), one(kindKept, route.Stream, serviceModel, 2)
 	chat.Resumable, kept.Kept, kept.KeepSeconds = true, true, keepTime.Seconds()
 	t := route.Table{Number: number, Keyed: true, Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
-		Routes:   []route.Route{one(kindAlert, route.Repeatable, serviceApp, 2), one(kindOnce, route.Once, serviceApp, 3), chat, kept, one(fmt.Sprint("mark-", number), route.Repeatable, serviceApp, 2)},
+		Routes:   []route.Route{one(kindAlert, route.Repeatable, serviceApp, 2), one(kindOnce, route.Once, serviceApp, 3), chat, kept, markRoute(number)},
 		Services: []route.Service{{Name: serviceModel, Connections: 100, TokensPerEvent: tokensPerEvent, Slots: 8}, {Name: serviceApp, Connections: 100, TokensPerEvent: 1, Slots: 8}},
 		Tenants:  []route.Tenant{tenant(tenantFirst, 0, 0), tenant(tenantSecond, 0, 0), tenant(tenantLimited, limitedRate, limitedBurst)}}
 	raw, err := json.Marshal(t)
@@ -52,9 +61,24 @@
 }
 
 func (t *tables) handText(ctx context.Context, desk *process, o order, body []byte) int {
+	return t.send(ctx, http.MethodPut, desk, o, body)
+}
+
+// amend hands over only what differs between the tables of two numbers.
+func (t *tables) amend(ctx context.Context, desk *process, base, number uint64) int {
+	a := route.Amendment{Number: number, Set: route.SetItems{Routes: []route.Route{markRoute(number)}}, Remove: route.RemovedNames{Routes: []string{markName(base)}}}
+	body, err := json.Marshal(a)
+	if err != nil {
+		panic(err)
+	}
+	return t.send(ctx, http.MethodPatch, desk, order{Base: base, Number: number, Valid: true}, body)
+}
+
+// send sends an order and notes how it was answered.
+func (t *tables) send(ctx context.Context, method string, desk *process, o order, body []byte) int {
 	f := t.fleet
 	o.Began = f.now()
-	o.Status, _ = t.call(ctx, http.MethodPut, desk, "/v1/table?base="+strconv.FormatUint(o.Base, 10), body)
+	o.Status, _ = t.call(ctx, method, desk, "/v1/table?base="+strconv.FormatUint(o.Base, 10), body)
 	o.Ended = f.now()
 	f.note(func(r *record) { r.Orders = append(r.Orders, o) })
 	if o.Status == http.StatusOK {
@@ -117,7 +141,7 @@
 		pause(ctx, time.Duration(300+rand.IntN(900))*time.Millisecond)
 		desk, other := desks[rand.IntN(len(desks))], desks[rand.IntN(len(desks))]
 		next := t.number + 1 + uint64(rand.IntN(3))
-		switch rand.IntN(6) {
+		switch rand.IntN(9) {
 		case 0:
 			t.race(ctx, desk, other, next)
 		case 1:
@@ -131,6 +155,18 @@
 			t.hand(ctx, other, base, next)
 		case 3:
 			t.read(ctx, desk)
+		case 4:
+			t.send(ctx, http.MethodPatch, desk, order{Base: t.known, Number: next}, fmt.Appendf(nil, `{"number":%d,"remove":{"services":[%q]}}`, next, serviceModel))
+		case 5:
+			lost, cancel := context.WithTimeout(ctx, time.Duration(rand.IntN(20))*time.Millisecond)
+			base := t.known
+			t.amend(lost, desk, base, next)
+			cancel()
+			t.amend(ctx, other, base, next)
+		case 6:
+			if t.amend(ctx, desk, t.known, next) == http.StatusConflict {
+				t.read(ctx, other)
+			}
 		default:
 			if t.hand(ctx, desk, t.known, next) == http.StatusConflict {
 				t.read(ctx, other)
