--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -206,8 +206,9 @@
 
 type applyCommand struct {
 	calling
-	File    string `arg:"" type:"path" help:"Description (JSON)."`
-	BasedOn int64  `help:"Version that the description is based on; -1: the one now in force." default:"-1"`
+	amendOptions
+	File    string `arg:"" type:"path" help:"Description, or amendment (JSON)."`
+	BasedOn int64  `help:"Version that the description or amendment is based on; -1: the one now in force." default:"-1"`
 }
 
 func (c *applyCommand) hand(planOnly bool) (int, []byte, core.Taking, error) {
@@ -234,6 +235,12 @@
 }
 
 func (c *applyCommand) Run() error {
+	if c.Amend {
+		return c.runAmend(os.Stdout)
+	}
+	if c.Preview {
+		return errors.New("--preview goes with --amend; plan previews a description")
+	}
 	status, raw, taking, err := c.hand(false)
 	if err != nil {
 		return err
@@ -381,7 +388,7 @@
 	Relay    relayCommand    `cmd:"" help:"Run a node that relays requests by the routing table."`
 	Found    foundCommand    `cmd:"" help:"Found a fleet, once."`
 	Check    checkCommand    `cmd:"" help:"Check a description or settings."`
-	Apply    applyCommand    `cmd:"" help:"Hand over a whole description: checked, rehearsed, measured, agreed, taken."`
+	Apply    applyCommand    `cmd:"" help:"Hand over a whole description (checked, rehearsed, measured, agreed, taken), or an amendment of a routing table."`
 	Plan     planCommand     `cmd:"" help:"Show what a description would move and whom it would refuse; change nothing."`
 	Drain    drainCommand    `cmd:"" help:"Make a node or core leave in good order, as SIGTERM does."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet."`
