Placement as a package: shared load, conversations' homes, failure rates

Hypothesis: each of 79 nodes sees an eightieth of the load, so replicas run hot by chance (busiest at 1.46 to 1.77 times the mean) and stay so, most of all after restarts, when all that nodes knew is gone. Change: rule/placement (pure, each mechanism behind a checked setting). Nodes tell desks each share_load_ms what they have at replicas and how requests ended; desks add up and tell all nodes. A few drawn replicas are compared (two choices), with the conversation's home by rendezvous hashing and those that kept its parts; reading a prompt counts once for each request that runs beside; failures by a rate that fades in a beat, for once-only requests against half of their time. What surely did not run is sent on beyond the route's number, after three replicas only to one with room.

--- /dev/null
+++ b/peer/desk/loads.go
@@ -0,0 +1,161 @@
+package desk
+
+import (
+	"math"
+	"time"
+
+	"saffronfall/rule/message"
+	"saffronfall/rule/ordered"
+	"saffronfall/rule/placement"
+)
+
+// Messages by which nodes share what they know of replicas' load. Replicas are named by
+// their places in the desk's list, sorted by id without those that are gone, so both
+// sides must have the list of the same version; otherwise a message says nothing. A lost
+// one is made up for by the next.
+type (
+	// LoadReport is a node's word to a desk: what it has at replicas now, and how
+	// requests ended there since its last word.
+	LoadReport struct {
+		Life    string        `msgpack:"l"`
+		Version uint64        `msgpack:"v"`
+		List    []ReplicaLoad `msgpack:"r"`
+	}
+	// ReplicaLoad is what one node has at one replica.
+	ReplicaLoad struct {
+		Place       uint16 `msgpack:"p"`
+		Outstanding uint16 `msgpack:"o"`
+		Served      uint16 `msgpack:"s"`
+		Failed      uint16 `msgpack:"f"`
+	}
+	// Loads is a desk's word to a node: for each place, what all other nodes have there
+	// and how often requests fail there, in parts of 255.
+	Loads struct {
+		Life        string `msgpack:"l"`
+		Version     uint64 `msgpack:"v"`
+		Outstanding []byte `msgpack:"o"`
+		Failing     []byte `msgpack:"f"`
+	}
+)
+
+func init() { message.Register(LoadReport{}, Loads{}) }
+
+// loads is what a desk knows of replicas' load.
+type loads struct {
+	// places are the ids of the list of a version, in order.
+	places        []string
+	placesVersion uint64
+	nodes         map[string]nodeLoad
+	rates         map[string]*placement.FailureRate
+	tellAt        time.Duration
+	// news is set when a node has said something since the last telling.
+	news bool
+}
+
+// nodeLoad is a node's last word.
+type nodeLoad struct {
+	at          time.Duration
+	outstanding map[string]uint16
+}
+
+// loadMemory is for how many telling periods a node's word holds: a node that has
+// something under way repeats itself well within.
+const loadMemory = 10
+
+// Places lists the ids by which loads name replicas: those of a list that are not gone.
+func Places[L any](list map[string]L, gone func(L) bool) []string {
+	var places []string
+	for _, id := range ordered.Keys(list) {
+		if !gone(list[id]) {
+			places = append(places, id)
+		}
+	}
+	return places
+}
+
+func (m *Machine) placesNow() []string {
+	if m.loads.placesVersion != m.version || m.loads.places == nil {
+		m.loads.places = Places(m.list, func(l *listed) bool { return l.Gone })
+		m.loads.placesVersion = m.version
+	}
+	return m.loads.places
+}
+
+func (m *Machine) onLoadReport(now time.Duration, from string, b LoadReport) {
+	if b.Life != m.life || b.Version != m.version {
+		return
+	}
+	places := m.placesNow()
+	word := nodeLoad{at: now, outstanding: map[string]uint16{}}
+	for _, one := range b.List {
+		if int(one.Place) >= len(places) {
+			return
+		}
+		id := places[one.Place]
+		word.outstanding[id] = one.Outstanding
+		if one.Served > 0 || one.Failed > 0 {
+			m.rateOf(id).Add(now, m.params.Beat, int64(one.Served), int64(one.Failed))
+		}
+	}
+	m.loads.nodes[from] = word
+	m.loads.news = true
+}
+
+func (m *Machine) rateOf(id string) *placement.FailureRate {
+	r := m.loads.rates[id]
+	if r == nil {
+		r = &placement.FailureRate{}
+		m.loads.rates[id] = r
+	}
+	return r
+}
+
+// tellLoads tells nodes of replicas' load, if anything was said since the last time.
+func (m *Machine) tellLoads(now time.Duration) {
+	if m.params.LoadPeriod <= 0 || now < m.loads.tellAt || !m.loads.news {
+		return
+	}
+	m.loads.tellAt, m.loads.news = now+m.params.LoadPeriod, false
+	for address, word := range m.loads.nodes {
+		if now > word.at+loadMemory*m.params.LoadPeriod {
+			delete(m.loads.nodes, address)
+		}
+	}
+	places := m.placesNow()
+	total, failing := m.totals(now, places)
+	for _, address := range ordered.Keys(m.subscribers) {
+		f := m.subscribers[address]
+		if f.desk || !m.listens(now, f) {
+			continue
+		}
+		own := m.loads.nodes[address].outstanding
+		others := make([]byte, len(places))
+		for i, id := range places {
+			others[i] = byte(min(total[i]-int(own[id]), math.MaxUint8))
+		}
+		m.send(address, Loads{Life: m.life, Version: m.version, Outstanding: others, Failing: failing})
+	}
+}
+
+// totals adds up what all nodes have at each place, and how often requests fail there.
+func (m *Machine) totals(now time.Duration, places []string) (outstanding []int, failing []byte) {
+	outstanding, failing = make([]int, len(places)), make([]byte, len(places))
+	for i, id := range places {
+		for _, word := range m.loads.nodes {
+			outstanding[i] += int(word.outstanding[id])
+		}
+		if r := m.loads.rates[id]; r != nil {
+			failing[i] = byte(r.At(now, m.params.Beat) * math.MaxUint8)
+		}
+	}
+	return outstanding, failing
+}
+
+// forgetRates forgets replicas that are no longer listed.
+func (m *Machine) forgetRates() {
+	for id := range m.loads.rates {
+		if _, known := m.list[id]; !known {
+			delete(m.loads.rates, id)
+		}
+	}
+}
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -6,6 +6,7 @@
 	"saffronfall/peer/core"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
+	"saffronfall/rule/placement"
 )
 
 // Options make a machine.
@@ -59,6 +60,7 @@
 	foundAt         time.Duration
 	founding        *core.Founding
 	reach
+	loads    loads
 	tickedAt time.Duration
 	// saved are the addresses that were written down last, as of savedMark.
 	saved     Peers
@@ -69,7 +71,7 @@
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
 		otherDesks: map[string]deskHeard{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
-		foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
+		loads: loads{nodes: map[string]nodeLoad{}, rates: map[string]*placement.FailureRate{}}, foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
 		m.version++
@@ -106,6 +108,8 @@
 		m.onFollow(now, from, b)
 	case Bulletin:
 		m.onBulletin(now, from, b)
+	case LoadReport:
+		m.onLoadReport(now, from, b)
 	case core.Present:
 		m.onPresent(now, from, b)
 	case core.Topology:
@@ -130,6 +134,7 @@
 	m.caller.Tick(now)
 	m.giveUpCalls(now)
 	m.listenForEcho(now)
+	m.tellLoads(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Core.Pull*2
 		targets := ordered.Keys(m.desks)
@@ -150,6 +155,7 @@
 	if now >= m.sweepAt {
 		m.sweepAt = now + m.params.Beat/4
 		m.sweep(now)
+		m.forgetRates()
 	}
 	m.found(now)
 	m.savePeers()
--- a/peer/desk/types.go
+++ b/peer/desk/types.go
@@ -86,6 +86,8 @@
 	// PartsPerCore is how many parts a fleet gets for each core that it is
 	// founded with, besides the configuration's.
 	PartsPerCore int
+	// LoadPeriod is how often nodes are told of replicas' load; zero: never.
+	LoadPeriod time.Duration
 	// Within is how long an operator's call may take.
 	Within time.Duration
 }
--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -22,6 +22,7 @@
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
 	"saffronfall/rule/invariant"
+	"saffronfall/rule/placement"
 )
 
 // Owner is the node's machine as this side needs it.
@@ -238,7 +239,7 @@
 			}
 			hash := fnv.New64a()
 			io.WriteString(hash, id)
-			a.Prompt = append(a.Prompt, relay.Piece{ID: hash.Sum64(), Tokens: count})
+			a.Prompt = append(a.Prompt, placement.Part{ID: hash.Sum64(), Tokens: count})
 		}
 	}
 	return a, ""
--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -5,6 +5,7 @@
 
 	"saffronfall/peer/desk"
 	"saffronfall/rule/ordered"
+	"saffronfall/rule/placement"
 )
 
 // board is what one desk has told of replicas.
@@ -14,6 +15,11 @@
 	// heard is when the desk was last heard of, or first told of by another one.
 	heard time.Duration
 	list  map[string]posted
+	// placesOf are the list's replicas as loads name them, as of a version.
+	placesOf      []string
+	placesVersion uint64
+	// toldLoad: this node's last word of load there was that it has something.
+	toldLoad bool
 }
 
 // speaks reports whether a desk was heard of lately.
@@ -27,23 +33,16 @@
 	until time.Duration
 }
 
-// standing is what this node knows of one replica by its own sendings.
-type standing struct {
-	replica     desk.Replica
-	outstanding int64
-	load        Load
-	loadAt      time.Duration
-	// since counts what this node sent since the load was told.
-	since    int64
-	failures int
-	until    time.Duration
-	kept     map[uint64]keptPiece
-	tokens   int64
+// replicaRecord is one replica: as it announced itself, and as it is known by sendings.
+type replicaRecord struct {
+	listed   desk.Replica
+	estimate *placement.Replica
 }
 
-type keptPiece struct {
-	tokens int64
-	at     time.Duration
+// service is what a node knows of the replicas of a service.
+type service struct {
+	estimates []*placement.Replica
+	time      placement.ServiceTime
 }
 
 // departed are replicas that said that they leave, and when that was last heard of.
@@ -98,27 +97,7 @@
 			}
 		}
 	}
-	m.services = map[string][]*standing{}
-	known := map[string]bool{}
-	for _, id := range ordered.Keys(best) {
-		l := best[id]
-		if l.Gone || m.left.has(id) {
-			continue
-		}
-		s := m.standings[id]
-		if s == nil {
-			s = &standing{kept: map[uint64]keptPiece{}}
-			m.standings[id] = s
-		}
-		s.replica = l.Replica
-		known[id] = true
-		m.services[l.Replica.Service] = append(m.services[l.Replica.Service], s)
-	}
-	for id, s := range m.standings {
-		if !known[id] && s.outstanding == 0 {
-			delete(m.standings, id)
-		}
-	}
+	m.listReplicas(best)
 	m.gatherAt = now + m.params.Beat/2
 }
 
@@ -134,126 +113,114 @@
 // lostBeats is after how many beats a silent desk's word is old.
 const lostBeats = 4
 
-// running estimates how many requests a replica has now: what it said last and
-// what this node has sent since, or what this node alone has there.
-func (s *standing) running(now, stale time.Duration) int64 {
-	if s.loadAt == 0 || now > s.loadAt+stale {
-		return s.outstanding
+// listReplicas takes the replicas that can be chosen from now on, and forgets those that
+// nobody tells of any more and that have nothing of this node's.
+func (m *Machine) listReplicas(told map[string]desk.Listed) {
+	for _, s := range m.services {
+		s.estimates = s.estimates[:0]
 	}
-	return max(s.outstanding, s.load.Running+s.load.Waiting+s.since)
-}
-
-// choose picks the replica of a service where a request is likely done first:
-// how many run there, how much of the prompt is kept there, and its zone.
-func (m *Machine) choose(now time.Duration, w *way) *standing {
-	if now >= m.gatherAt {
-		m.gather(now)
-	}
-	var chosen *standing
-	var best float64
-	service, _ := w.table.Service(w.service)
-	most := int64(1 << 30)
-	if service != nil {
-		most = max(2, service.Connections/int64(max(m.nodes, 1)+1))
-	}
-	for _, s := range m.services[w.service] {
-		if w.tried[s.replica.ID] || s.outstanding >= most {
+	known := map[string]bool{}
+	for _, id := range ordered.Keys(told) {
+		l := told[id]
+		if l.Gone || m.left.has(id) {
 			continue
 		}
-		cost := m.cost(now, w, s) + m.random()*0.5
-		if chosen == nil || cost < best {
-			chosen, best = s, cost
+		known[id] = true
+		r := m.replicas[id]
+		if r == nil {
+			r = &replicaRecord{estimate: placement.NewReplica()}
+			m.replicas[id] = r
+		}
+		r.listed = l.Replica
+		r.estimate.ID, r.estimate.Zone, r.estimate.Slots, r.estimate.Warming = id, l.Replica.Zone, l.Replica.Slots, l.Replica.Cold > 0
+		s := m.serviceOf(l.Replica.Service)
+		s.estimates = append(s.estimates, r.estimate)
+	}
+	for id, r := range m.replicas {
+		if !known[id] && r.estimate.Outstanding == 0 {
+			delete(m.replicas, id)
 		}
 	}
-	return chosen
 }
 
-// suspicion is what one failure of late costs, in milliseconds. It is a cost and
-// no ejection: when the others are full, a suspect is tried.
-const suspicion = 60
+func (m *Machine) serviceOf(name string) *service {
+	s := m.services[name]
+	if s == nil {
+		s = &service{}
+		m.services[name] = s
+	}
+	return s
+}
 
-// cost is in milliseconds.
-func (m *Machine) cost(now time.Duration, w *way, s *standing) float64 {
-	running := s.running(now, m.params.Beat/4)
-	slots := max(1, s.replica.Slots)
-	cost := float64(running) * 20 / float64(slots)
-	if running >= slots {
-		cost += float64(running-slots+1) * 100 / float64(slots) * 2
+const (
+	// resendsAnyway is how many replicas may turn a request away before it goes only to
+	// those that have room as far as is known.
+	resendsAnyway = 3
+	// mostResends bounds how many replicas one request is offered to.
+	mostResends = 16
+)
+
+// choose picks the replica that a request is sent to next.
+func (m *Machine) choose(now time.Duration, w *way) *replicaRecord {
+	if now >= m.gatherAt {
+		m.gather(now)
 	}
-	switch {
-	case now < s.until:
-		cost += suspicion * float64(max(1, min(s.failures, 8)))
-	case s.failures > 0 && (s.outstanding > 0 || !w.route.Repeats()):
-		// One request that may run again finds out whether it is well.
-		cost += suspicion
+	s := m.serviceOf(w.service)
+	connections := int64(1 << 30)
+	if described, ok := w.table.Service(w.service); ok {
+		connections = max(2, described.Connections/int64(max(m.nodes, 1)+1))
 	}
-	if s.replica.Cold > 0 {
-		cost += 5
+	allowed := func(r *placement.Replica) bool {
+		return !w.tried[r.ID] && r.Outstanding < connections
 	}
-	if s.replica.Zone != m.zone {
-		cost += 5
+	request := placement.Request{Prompt: w.ask.Prompt, Repeats: w.route.Repeats(), Left: w.until - now, Service: s.time.Mean(), Again: w.unrun > 0}
+	chosen := m.policy.Choose(now, request, s.estimates, allowed)
+	if chosen == nil {
+		return nil
 	}
-	if len(w.ask.Prompt) > 0 {
-		var unread int64
-		kept := true
-		for _, p := range w.ask.Prompt {
-			if kept {
-				_, kept = s.kept[p.ID]
-			}
-			if !kept {
-				unread += p.Tokens
-			}
-		}
-		cost += float64(unread) / m.params.PromptRate
+	if w.unrun >= resendsAnyway && (w.unrun >= mostResends || !m.policy.HasRoom(now, chosen)) {
+		return nil
 	}
-	return cost
+	return m.replicas[chosen.ID]
 }
 
-// sent notes that a request goes to a replica, and what it will keep of it.
-func (m *Machine) sent(now time.Duration, w *way, s *standing) {
-	s.outstanding++
-	s.since++
-	var most int64 = 1 << 40
-	if service, ok := w.table.Service(w.service); ok && service.CacheTokens > 0 {
-		most = service.CacheTokens * 3 / 4
-	}
-	for _, p := range w.ask.Prompt {
-		if _, ok := s.kept[p.ID]; !ok {
-			s.tokens += p.Tokens
-		}
-		s.kept[p.ID] = keptPiece{tokens: p.Tokens, at: now}
-	}
-	for s.tokens > most && len(s.kept) > 1 {
-		var oldest uint64
-		at := now + 1
-		for id, used := range s.kept {
-			if used.at < at {
-				oldest, at = id, used.at
-			}
-		}
-		s.tokens -= s.kept[oldest].tokens
-		delete(s.kept, oldest)
+// sent notes that a request goes to a replica, and what that will keep of it.
+func (m *Machine) sent(now time.Duration, w *way, r *replicaRecord) {
+	room := int64(1 << 40)
+	if described, ok := w.table.Service(w.service); ok && described.CacheTokens > 0 {
+		room = described.CacheTokens * 3 / 4
 	}
+	w.sentAt, w.sentToRoom = now, m.policy.HasRoom(now, r.estimate)
+	r.estimate.Sent(now, w.ask.Prompt, room)
 }
 
 // came notes what became of a sending.
-func (m *Machine) came(now time.Duration, s *standing, o Outcome) {
-	s.outstanding--
-	if o.Load != nil {
-		s.load, s.loadAt, s.since = *o.Load, now, 0
-		if o.Load.Slots > 0 {
-			s.replica.Slots = o.Load.Slots
-		}
+func (m *Machine) came(now time.Duration, w *way, o Outcome) {
+	s := m.serviceOf(w.service)
+	result := resultOf(o)
+	if result == placement.Served && w.sentToRoom {
+		s.time.Add(now - w.sentAt)
 	}
+	w.at.estimate.Ended(now, result, o.Load, m.params.Beat, s.time.Mean())
+}
+
+// statusServerFault is the first status by which a replica says that the fault is its
+// own.
+const statusServerFault = 500
+
+// resultOf is what an outcome says of the replica.
+func resultOf(o Outcome) placement.Result {
 	switch {
 	case o.Moved:
-		s.until = now + m.params.Beat
-	case o.Kind == Broken && !o.Gone, o.Unreached:
-		s.failures++
-		s.until = now + m.params.Beat/4<<min(s.failures, 4)
+		return placement.Moved
+	case o.Unreached:
+		return placement.Failed
 	case o.Kind == NotRun:
-		s.until = now + m.params.Beat/40
-	default:
-		s.failures = 0
+		return placement.TurnedAway
+	case o.Kind == Broken && o.Gone:
+		return placement.Abandoned
+	case o.Kind == Broken, o.Failed && o.Status >= statusServerFault:
+		return placement.Failed
 	}
+	return placement.Served
 }
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -9,6 +9,7 @@
 	"saffronfall/peer/desk"
 	"saffronfall/rule/invariant"
 	"saffronfall/rule/ordered"
+	"saffronfall/rule/placement"
 	"saffronfall/rule/route"
 )
 
@@ -45,9 +46,11 @@
 	routing
 	audit
 
-	services  map[string][]*standing
-	standings map[string]*standing
-	gatherAt  time.Duration
+	services map[string]*service
+	replicas map[string]*replicaRecord
+	policy   *placement.Policy
+	gatherAt time.Duration
+	sharing
 	spending
 	cache   *cache
 	live    map[uint64]*way
@@ -83,7 +86,8 @@
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, zone: o.Zone, address: o.Address, seeds: o.Seeds, random: o.Random, started: o.Now,
 		following: following{boards: map[string]*board{}, left: departed{}}, routing: routing{tenants: map[string]*route.Tenant{}},
-		audit: audit{violated: o.Violated, byCause: map[Cause]int64{}, tickedAt: o.Now}, services: map[string][]*standing{}, standings: map[string]*standing{},
+		audit: audit{violated: o.Violated, byCause: map[Cause]int64{}, tickedAt: o.Now}, services: map[string]*service{}, replicas: map[string]*replicaRecord{},
+		policy:   &placement.Policy{Settings: o.Params.Placement, Zone: o.Zone, Random: o.Random},
 		spending: spending{paces: map[string]*pace{}}, cache: newCache(o.Params.Cache), live: map[uint64]*way{}}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
@@ -111,6 +115,8 @@
 	case desk.Bulletin:
 		m.Counters.Bulletins++
 		m.onBulletin(now, from, b)
+	case desk.Loads:
+		m.onLoads(now, from, b)
 	default:
 		m.Counters.BadMessages++
 	}
@@ -237,6 +243,7 @@
 	m.left.forget(now - departedBeats*m.params.Beat)
 	m.caller.Tick(now)
 	m.tickTouch(now)
+	m.tellLoads(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Follow
 		m.forgetDesks(now)
@@ -282,12 +289,12 @@
 func (m *Machine) Status(now time.Duration) map[string]int64 {
 	c := m.Counters
 	replicas := 0
-	for _, list := range m.services {
-		replicas += len(list)
+	for _, s := range m.services {
+		replicas += len(s.estimates)
 	}
 	status := map[string]int64{"requests": c.Requests, "sent": c.Sent, "whole": c.Whole, "broken": c.Broken, "not_run": c.NotRun, "resent": c.Resent, "resumed": c.Resumed,
 		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages, "bad_differences": c.BadDifferences,
-		"new_connections": c.NewConnections, "settles": c.Settles,
+		"new_connections": c.NewConnections, "settles": c.Settles, "loads_heard": c.LoadsHeard,
 		"live": int64(len(m.live)), "replicas": int64(replicas), "table": int64(m.Number()), "tenants_held": int64(len(m.paces)), "cache_bytes": m.cache.bytes, "commands_waiting": int64(m.caller.Waiting()), "command_tries": m.caller.Tries}
 	for cause, count := range m.byCause {
 		status["ended_"+string(cause)] = count
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -14,6 +14,7 @@
 	"saffronfall/rule/message"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
+	"saffronfall/rule/placement"
 	"saffronfall/rule/rate"
 	"saffronfall/rule/route"
 )
@@ -42,7 +43,7 @@
 	g := &rig{t: t, steps: map[uint64][]Step{}, books: map[string]*book.Book{}, kept: map[string]core.KeepTurn{}, ledgers: map[string]*rate.Ledger{}, until: map[uint64]time.Duration{}}
 	g.m = New(Options{ID: "n1", Life: "x", Zone: "a", Address: "n1:1", Seeds: []string{"d1:1"}, Random: random.Float64,
 		Params: Params{Core: core.Params{MemberTerm: time.Second, Retry: 100 * time.Millisecond, Pull: 100 * time.Millisecond}, Beat: time.Second, Follow: 500 * time.Millisecond,
-			Window: 5 * time.Second, PromptRate: 80, Buffer: 100, Cache: 1 << 20, BookKeep: time.Minute}})
+			Window: 5 * time.Second, Placement: placement.Settings{Prefixes: true, Zones: true, Failures: true, PromptRate: 80, Beat: time.Second}, Buffer: 100, Cache: 1 << 20, BookKeep: time.Minute}})
 	return g
 }
 
@@ -227,8 +228,8 @@
 	g.hear("d1:1", at(12, true), 1, nil)
 	found := false
 	g.m.gather(g.now)
-	for _, s := range g.m.services["app"] {
-		found = found || s.replica.ID == "r"
+	for _, s := range g.m.services["app"].estimates {
+		found = found || s.ID == "r"
 	}
 	if !found {
 		t.Fatal("a replica that announces itself at the second desk is hidden")
@@ -237,8 +238,8 @@
 	final[0].Final = true
 	g.hear("d1:1", final, 1, nil)
 	g.m.gather(g.now)
-	for _, s := range g.m.services["app"] {
-		if s.replica.ID == "r" {
+	for _, s := range g.m.services["app"].estimates {
+		if s.ID == "r" {
 			t.Fatal("a replica that left is still chosen")
 		}
 	}
--- a/peer/relay/outcomes_test.go
+++ b/peer/relay/outcomes_test.go
@@ -161,9 +161,9 @@
 			seen[id] = true
 		}
 	}
-	for id, s := range v.m.standings {
-		if s.outstanding != 0 {
-			v.t.Errorf("%s has %d places taken with nothing under way", id, s.outstanding)
+	for id, s := range v.m.replicas {
+		if n := s.estimate.Outstanding; n != 0 {
+			v.t.Errorf("%s has %d places taken with nothing under way", id, n)
 		}
 	}
 	if len(v.m.live) != 0 {
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -8,14 +8,9 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/desk"
+	"saffronfall/rule/placement"
 )
 
-// Piece is one part of a prompt, as a requester names it.
-type Piece struct {
-	ID     uint64
-	Tokens int64
-}
-
 // Ask is a request that arrived whole.
 type Ask struct {
 	Host, Path string
@@ -29,7 +24,7 @@
 	// Budget is what all turns of the program may put out, Most what this one
 	// may.
 	Budget, Most int64
-	Prompt       []Piece
+	Prompt       []placement.Part
 	Left         time.Duration
 	Input        []byte
 	Arrival
@@ -92,9 +87,7 @@
 )
 
 // Load is what a replica said of its own load.
-type Load struct {
-	Running, Waiting, Slots int64
-}
+type Load = placement.Report
 
 // Outcome is what became of one sending.
 type Outcome struct {
@@ -143,9 +136,14 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     int64
-	// PromptRate is how many tokens of a prompt a replica reads in a
-	// millisecond.
-	PromptRate float64
+	// Placement names the parts of the policy by which replicas are chosen.
+	Placement placement.Settings
+	// LoadPeriod is how often nodes tell desks what they have at replicas, and desks
+	// tell nodes; zero: never.
+	LoadPeriod time.Duration
+	// ResendUnrun sends what surely did not run to further replicas beyond the
+	// route's number.
+	ResendUnrun bool
 	// Buffer is how many requests may be under way.
 	Buffer int
 	// Cache is how many bytes of kept turns are held.
@@ -158,5 +156,5 @@
 type Counters struct {
 	Requests, Sent, Whole, Broken, NotRun, Resent, Resumed              int64
 	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages int64
-	NewConnections, BadDifferences, Settles                             int64
+	NewConnections, BadDifferences, Settles, LoadsHeard                 int64
 }
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -30,14 +30,22 @@
 	until    time.Duration
 	patience time.Duration
 	tried    map[string]bool
-	sendings int64
-	at       *standing
-	sentTo   string
-	waited   time.Duration
-	events   int64
-	begun    bool
-	ran      bool
-	ended    bool
+	// sendings counts the replicas that it was sent to; unrun those of them that surely
+	// did not run it.
+	sendings, unrun int64
+	// unreached counts those of unrun that no connection came up to, or whose address
+	// another replica had.
+	unreached int64
+	sentAt    time.Duration
+	// sentToRoom: the replica had room, as far as was known.
+	sentToRoom bool
+	at         *replicaRecord
+	sentTo     string
+	waited     time.Duration
+	events     int64
+	begun      bool
+	ran        bool
+	ended      bool
 	// underWay: a replica has it, and has not been heard of.
 	underWay bool
 
@@ -158,13 +166,26 @@
 	m.dispatch(now, w)
 }
 
+// triesOf is how many of the tries that its route allows a request has used. One that
+// surely did not run costs none where such are sent on; otherwise only one that reached
+// no replica costs none, for a few times.
+func (m *Machine) triesOf(w *way) int64 {
+	if m.params.ResendUnrun {
+		return w.sendings - w.unrun
+	}
+	if w.unreached > 4*w.route.Tries+4 {
+		return w.route.Tries
+	}
+	return w.sendings - w.unreached
+}
+
 // dispatch sends a request to the next replica, or ends it.
 func (m *Machine) dispatch(now time.Duration, w *way) {
 	switch {
 	case now >= w.until:
 		m.refuse(now, w, CauseDeadline)
 		return
-	case w.sendings >= w.route.Tries:
+	case m.triesOf(w) >= w.route.Tries:
 		m.refuse(now, w, CauseTriesSpent)
 		return
 	}
@@ -172,7 +193,7 @@
 		return
 	}
 	s := m.choose(now, w)
-	if s == nil && w.state == stateAdmitting && len(m.services[w.service]) == 0 && now < w.patience {
+	if s == nil && w.state == stateAdmitting && len(m.serviceOf(w.service).estimates) == 0 && now < w.patience {
 		// Nobody has said yet which replicas there are.
 		m.parked = append(m.parked, w)
 		return
@@ -181,16 +202,16 @@
 		m.refuse(now, w, CauseNoReplica)
 		return
 	}
-	w.tried[s.replica.ID] = true
+	w.tried[s.listed.ID] = true
 	w.sendings++
 	if w.sentTo == "" {
 		w.waited = now - w.arrived
 	}
-	w.at, w.sentTo, w.state, w.underWay = s, s.replica.ID, stateSent, true
+	w.at, w.sentTo, w.state, w.underWay = s, s.listed.ID, stateSent, true
 	m.checkSending(w)
 	m.sent(now, w, s)
 	m.Counters.Sent++
-	step := Step{Kind: StepSend, Replica: s.replica, Service: w.service, Tenant: m.tenantName(w), Urgency: w.route.Urgency, Kept: w.route.Kept && w.route.Mode == route.Stream,
+	step := Step{Kind: StepSend, Replica: s.listed, Service: w.service, Tenant: m.tenantName(w), Urgency: w.route.Urgency, Kept: w.route.Kept && w.route.Mode == route.Stream,
 		Stream: w.route.Mode == route.Stream, Resumable: w.route.Repeats() && w.route.Mode == route.Stream, Within: w.until - now}
 	if w.tenant != nil && w.tenant.Urgency != nil {
 		step.Urgency = *w.tenant.Urgency
@@ -218,7 +239,7 @@
 		}
 		return *m.out
 	}
-	m.came(now, w.at, o)
+	m.came(now, w, o)
 	w.underWay = false
 	w.events += o.Events
 	w.begun = w.begun || o.Begun
@@ -238,12 +259,9 @@
 		m.whole(now, w, o)
 	case NotRun:
 		m.Counters.NotRun++
+		w.unrun++
 		if o.Unreached || o.Moved {
-			// It was not sent to a replica that could have run it.
-			w.sendings--
-			if len(w.tried) > 4*int(w.route.Tries)+4 {
-				w.sendings = w.route.Tries
-			}
+			w.unreached++
 		}
 		m.Counters.Resent++
 		if w.begun {
@@ -261,7 +279,7 @@
 // broken goes on elsewhere where the request may run again, and else says that
 // it may have run.
 func (m *Machine) broken(now time.Duration, w *way) {
-	may := w.route.Repeats() && w.sendings < w.route.Tries && now < w.until
+	may := w.route.Repeats() && m.triesOf(w) < w.route.Tries && now < w.until
 	if w.begun && w.route.Mode != route.Stream {
 		may = false
 	}
@@ -395,7 +413,7 @@
 	switch {
 	case w.ran && !w.route.Repeats():
 		m.violated.Violated(invariant.RunsOnce, "attempt %s on route %s may have run and goes to %s", w.ask.Attempt, w.route.Name, w.sentTo)
-	case w.sendings > w.route.Tries:
+	case m.triesOf(w) > w.route.Tries:
 		m.violated.Violated(invariant.TriesWithinRoute, "attempt %s goes to replica %d; route %s allows %d", w.ask.Attempt, w.sendings, w.route.Name, w.route.Tries)
 	case w.pace != nil && !w.covered:
 		m.violated.Violated(invariant.PaidBeforeSent, "attempt %s of tenant %s goes to %s unpaid", w.ask.Attempt, w.tenant.Name, w.sentTo)
--- a/rehearsalkit/relaysim/params.go
+++ b/rehearsalkit/relaysim/params.go
@@ -7,6 +7,7 @@
 	"saffronfall/peer/desk"
 	"saffronfall/peer/relay"
 	"saffronfall/rule/part"
+	"saffronfall/rule/placement"
 )
 
 // Closing faults.
@@ -78,10 +79,10 @@
 }
 
 func (w *World) deskParams() desk.Params {
-	return desk.Params{Core: coreParams(), Beat: beatPeriod, Seats: max(3, w.Params.Seats), PartsPerCore: 2, Within: 3 * time.Second}
+	return desk.Params{Core: coreParams(), Beat: beatPeriod, Seats: max(3, w.Params.Seats), PartsPerCore: 2, LoadPeriod: beatPeriod / 12, Within: 3 * time.Second}
 }
 
 func (w *World) nodeParams() relay.Params {
-	return relay.Params{Core: coreParams(), Beat: beatPeriod, Follow: beatPeriod / 2, Window: window, Overshoot: w.Params.Overshoot, Slack: w.Params.Slack, PromptRate: 80,
+	return relay.Params{Core: coreParams(), Beat: beatPeriod, Follow: beatPeriod / 2, Window: window, Overshoot: w.Params.Overshoot, Slack: w.Params.Slack, Placement: placement.Settings{Compared: 2, Homes: true, Prefixes: true, Zones: true, Failures: true, PromptRate: 80, Beat: beatPeriod}, LoadPeriod: beatPeriod / 12, ResendUnrun: true,
 		Buffer: 2000, Cache: 1 << 20, BookKeep: 10 * time.Minute}
 }
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -1,9 +1,12 @@
 package params
 
 import (
+	"time"
+
 	"saffronfall/peer/desk"
 	"saffronfall/peer/relay"
 	"saffronfall/rule/configuration"
+	"saffronfall/rule/placement"
 )
 
 // Relay are the settings of desks and relaying nodes.
@@ -14,16 +17,28 @@
 	RateWindowMS  int64   `json:"rate_window_ms"`
 	RateOvershoot float64 `json:"rate_overshoot"`
 	RateSlack     int64   `json:"rate_slack"`
-	PromptRate    float64 `json:"prompt_tokens_per_ms"`
-	Requests      int64   `json:"requests"`
-	CacheBytes    int64   `json:"cache_bytes"`
-	BookKeepMS    int64   `json:"book_keep_ms"`
-	Founds        bool    `json:"founds"`
-	PartsPerCore  int64   `json:"parts_per_core"`
+	Choice
+	Requests     int64 `json:"requests"`
+	CacheBytes   int64 `json:"cache_bytes"`
+	BookKeepMS   int64 `json:"book_keep_ms"`
+	Founds       bool  `json:"founds"`
+	PartsPerCore int64 `json:"parts_per_core"`
 	Front
 	Telemetry
 }
 
+// Choice are the settings of how a node chooses replicas.
+type Choice struct {
+	PromptRate  float64 `json:"prompt_tokens_per_ms"`
+	Compared    int64   `json:"compared_replicas"`
+	Homes       bool    `json:"conversation_homes"`
+	Prefixes    bool    `json:"weigh_prefixes"`
+	Zones       bool    `json:"weigh_zones"`
+	Failures    bool    `json:"weigh_failures"`
+	LoadMS      int64   `json:"share_load_ms"`
+	ResendUnrun bool    `json:"resend_unrun"`
+}
+
 // Front are the settings of a node towards requesters and replicas.
 type Front struct {
 	DialMS      int64  `json:"dial_ms"`
@@ -56,6 +71,13 @@
 		configuration.Row{Path: "rate_overshoot", Type: "number", Default: 0.0, Min: 0, Max: 1, About: "by which part a window may pass its limit; half of it is used"},
 		configuration.Row{Path: "rate_slack", Type: "int", Default: 0, Min: 0, Max: 1e9, About: "by how many requests a window may pass its limit; half of them are used"},
 		configuration.Row{Path: "prompt_tokens_per_ms", Type: "number", Default: 80.0, Min: 0.01, Max: 1e6, About: "how fast a replica reads prompts, to weigh kept parts against load"},
+		configuration.Row{Path: "compared_replicas", Type: "int", Default: 2, Min: 0, Max: 1000, About: "how many replicas of the node's zone, and how many of others, are drawn and compared for a request; 0: all"},
+		configuration.Row{Path: "conversation_homes", Type: "bool", Default: true, About: "prefer the replicas at which all nodes expect a conversation's parts"},
+		configuration.Row{Path: "weigh_prefixes", Type: "bool", Default: true, About: "weigh the parts of a prompt that a replica has kept"},
+		configuration.Row{Path: "weigh_zones", Type: "bool", Default: true, About: "prefer replicas of the node's zone"},
+		configuration.Row{Path: "weigh_failures", Type: "bool", Default: true, About: "weigh how often a replica failed of late"},
+		configuration.Row{Path: "share_load_ms", Type: "int", Default: 100, Min: 0, Max: 60000, About: "how often nodes and desks tell each other what is under way at replicas; 0: never"},
+		configuration.Row{Path: "resend_unrun", Type: "bool", Default: true, About: "send what a replica surely did not run to further replicas beyond the route's number"},
 		configuration.Row{Path: "requests", Type: "int", Default: 2000, Min: 1, Max: 1e6, About: "requests under way at a node; more are refused at once"},
 		configuration.Row{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, About: "kept turns that a node remembers, to save asking the cores"},
 		configuration.Row{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, About: "how long a program's books are kept after its last turn began"},
@@ -76,11 +98,16 @@
 
 // Desk are a desk's bounds.
 func (p Params) Desk() desk.Params {
-	return desk.Params{Core: p.Core(), Beat: ms(p.BeatMS), Seats: int(p.GroupSeats), PartsPerCore: int(p.PartsPerCore), Within: ms(p.OrderMS)}
+	return desk.Params{Core: p.Core(), Beat: ms(p.BeatMS), Seats: int(p.GroupSeats), PartsPerCore: int(p.PartsPerCore), LoadPeriod: ms(p.LoadMS), Within: ms(p.OrderMS)}
+}
+
+// placement is the policy by which replicas are chosen.
+func (c Choice) placement(beat time.Duration) placement.Settings {
+	return placement.Settings{Compared: int(c.Compared), Homes: c.Homes, Prefixes: c.Prefixes, Zones: c.Zones, Failures: c.Failures, PromptRate: c.PromptRate, Beat: beat}
 }
 
 // RelayNode are a relaying node's bounds.
 func (p Params) RelayNode() relay.Params {
 	return relay.Params{Core: p.Core(), Beat: ms(p.BeatMS), Follow: ms(p.FollowMS), Window: ms(p.RateWindowMS), Overshoot: p.RateOvershoot, Slack: p.RateSlack,
-		PromptRate: p.PromptRate, Buffer: int(p.Requests), Cache: p.CacheBytes, BookKeep: ms(p.BookKeepMS)}
+		Placement: p.Choice.placement(ms(p.BeatMS)), LoadPeriod: ms(p.LoadMS), ResendUnrun: p.ResendUnrun, Buffer: int(p.Requests), Cache: p.CacheBytes, BookKeep: ms(p.BookKeepMS)}
 }
