Paces of replicas, and admission under overload

Hypotheses: a third of Kalahari Basket's replicas take 1.3 times as long, which every stream tells and nobody used; and under lasting overload places go to programs that are late already, which keeps the overload up. Changes: nodes tell desks how long events of streams take at each replica, desks tell all; a replica's slowness against a fast one scales its expected time, and slow ones are the homes of fewer conversations. rule/admission refuses, while more than 1.15 requests for each place are under way, late programs' turns first, then first turns of new programs, less urgent ones before others, with a time to come back; what has begun and can be in time is never refused by it.

--- a/peer/desk/loads.go
+++ b/peer/desk/loads.go
@@ -27,6 +27,9 @@
 		Outstanding uint16 `msgpack:"o"`
 		Served      uint16 `msgpack:"s"`
 		Failed      uint16 `msgpack:"f"`
+		// Busy is the time that Units of work took there.
+		Busy  time.Duration `msgpack:"b"`
+		Units uint16        `msgpack:"u"`
 	}
 	// Loads is a desk's word to a node: for each place, what all other nodes have there
 	// and how often requests fail there, in parts of 255.
@@ -35,9 +38,14 @@
 		Version     uint64 `msgpack:"v"`
 		Outstanding []byte `msgpack:"o"`
 		Failing     []byte `msgpack:"f"`
+		// Paces are the times that units of work take, in PaceUnits; zero: not known.
+		Paces []uint16 `msgpack:"a"`
 	}
 )
 
+// PaceUnit is the unit in which paces are told.
+const PaceUnit = 100 * time.Microsecond
+
 func init() { message.Register(LoadReport{}, Loads{}) }
 
 // loads is what a desk knows of replicas' load.
@@ -46,12 +54,18 @@
 	places        []string
 	placesVersion uint64
 	nodes         map[string]nodeLoad
-	rates         map[string]*placement.FailureRate
+	records       map[string]*replicaRecord
 	tellAt        time.Duration
 	// news is set when a node has said something since the last telling.
 	news bool
 }
 
+// replicaRecord is how a replica has done lately, for all nodes.
+type replicaRecord struct {
+	failures placement.FailureRate
+	pace     placement.Pace
+}
+
 // nodeLoad is a node's last word.
 type nodeLoad struct {
 	at          time.Duration
@@ -93,19 +107,21 @@
 		}
 		id := places[one.Place]
 		word.outstanding[id] = one.Outstanding
-		if one.Served > 0 || one.Failed > 0 {
-			m.rateOf(id).Add(now, m.params.Beat, int64(one.Served), int64(one.Failed))
+		if one.Served > 0 || one.Failed > 0 || one.Units > 0 {
+			record := m.recordOf(id)
+			record.failures.Add(now, m.params.Beat, int64(one.Served), int64(one.Failed))
+			record.pace.Add(now, m.params.Beat, one.Busy, int64(one.Units))
 		}
 	}
 	m.loads.nodes[from] = word
 	m.loads.news = true
 }
 
-func (m *Machine) rateOf(id string) *placement.FailureRate {
-	r := m.loads.rates[id]
+func (m *Machine) recordOf(id string) *replicaRecord {
+	r := m.loads.records[id]
 	if r == nil {
-		r = &placement.FailureRate{}
-		m.loads.rates[id] = r
+		r = &replicaRecord{}
+		m.loads.records[id] = r
 	}
 	return r
 }
@@ -122,7 +138,8 @@
 		}
 	}
 	places := m.placesNow()
-	total, failing := m.totals(now, places)
+	total := m.totals(places)
+	said := m.loadsOf(now, places)
 	for _, address := range ordered.Keys(m.subscribers) {
 		f := m.subscribers[address]
 		if f.desk || !m.listens(now, f) {
@@ -133,29 +150,39 @@
 		for i, id := range places {
 			others[i] = byte(min(total[i]-int(own[id]), math.MaxUint8))
 		}
-		m.send(address, Loads{Life: m.life, Version: m.version, Outstanding: others, Failing: failing})
+		said.Outstanding = others
+		m.send(address, said)
 	}
 }
 
-// totals adds up what all nodes have at each place, and how often requests fail there.
-func (m *Machine) totals(now time.Duration, places []string) (outstanding []int, failing []byte) {
-	outstanding, failing = make([]int, len(places)), make([]byte, len(places))
+// totals adds up what all nodes have at each place.
+func (m *Machine) totals(places []string) []int {
+	outstanding := make([]int, len(places))
 	for i, id := range places {
 		for _, word := range m.loads.nodes {
 			outstanding[i] += int(word.outstanding[id])
 		}
-		if r := m.loads.rates[id]; r != nil {
-			failing[i] = byte(r.At(now, m.params.Beat) * math.MaxUint8)
+	}
+	return outstanding
+}
+
+// loadsOf is what is told to all nodes alike: how replicas have done lately.
+func (m *Machine) loadsOf(now time.Duration, places []string) Loads {
+	said := Loads{Life: m.life, Version: m.version, Failing: make([]byte, len(places)), Paces: make([]uint16, len(places))}
+	for i, id := range places {
+		if r := m.loads.records[id]; r != nil {
+			said.Failing[i] = byte(r.failures.At(now, m.params.Beat) * math.MaxUint8)
+			said.Paces[i] = uint16(min(r.pace.At(now, m.params.Beat)/PaceUnit, math.MaxUint16))
 		}
 	}
-	return outstanding, failing
+	return said
 }
 
-// forgetRates forgets replicas that are no longer listed.
-func (m *Machine) forgetRates() {
-	for id := range m.loads.rates {
+// forgetRecords forgets replicas that are no longer listed.
+func (m *Machine) forgetRecords() {
+	for id := range m.loads.records {
 		if _, known := m.list[id]; !known {
-			delete(m.loads.rates, id)
+			delete(m.loads.records, id)
 		}
 	}
 }
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -6,7 +6,6 @@
 	"saffronfall/peer/core"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/part"
-	"saffronfall/rule/placement"
 )
 
 // Options make a machine.
@@ -71,7 +70,7 @@
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, address: o.Address, seeds: o.Seeds, founds: o.Founds, random: o.Random,
 		otherDesks: map[string]deskHeard{}, list: map[string]*listed{}, subscribers: map[string]*subscriber{}, reach: reach{pending: map[uint64]pendingCall{}}, desks: map[string]time.Duration{o.Address: o.Now},
-		loads: loads{nodes: map[string]nodeLoad{}, rates: map[string]*placement.FailureRate{}}, foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
+		loads: loads{nodes: map[string]nodeLoad{}, records: map[string]*replicaRecord{}}, foundingCores: map[string]core.Core{}, startedAt: o.Now, confirmed: -1}
 	m.topology.Cores = map[string]core.Core{}
 	for _, l := range o.Known {
 		m.version++
@@ -155,7 +154,7 @@
 	if now >= m.sweepAt {
 		m.sweepAt = now + m.params.Beat/4
 		m.sweep(now)
-		m.forgetRates()
+		m.forgetRecords()
 	}
 	m.found(now)
 	m.savePeers()
--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -210,6 +210,10 @@
 			a.Left = -1
 		}
 	}
+	if ms, err := strconv.ParseFloat(r.Header.Get(n.Horizon), 64); err == nil && !math.IsNaN(ms) {
+		// It only helps to decide what is served first.
+		a.Horizon, a.HasHorizon = time.Duration(min(max(ms, -longestMS), longestMS)*float64(time.Millisecond)), true
+	}
 	if text := r.Header.Get(n.Budget); text != "" {
 		budget, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || budget < 0 {
@@ -402,8 +406,12 @@
 	reader := bufio.NewReaderSize(r.Body, 4096)
 	var e event
 	at := 0
+	var first time.Duration
 	end := func(kind string, whole bool) relay.Outcome {
 		r.Done(whole)
+		if o.Events > 0 {
+			o.Streamed = clock.Now() - first
+		}
 		o.Kind = kind
 		return o
 	}
@@ -413,6 +421,9 @@
 			return false
 		}
 		if e.has {
+			if o.Events == 0 {
+				first = clock.Now()
+			}
 			o.Events++
 			o.Begun = true
 			if s.Kept {
--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"saffronfall/peer/desk"
+	"saffronfall/rule/admission"
 	"saffronfall/rule/ordered"
 	"saffronfall/rule/placement"
 )
@@ -43,6 +44,9 @@
 type service struct {
 	estimates []*placement.Replica
 	time      placement.ServiceTime
+	admission admission.Controller
+	// reference is the pace of its fast replicas.
+	reference time.Duration
 }
 
 // departed are replicas that said that they leave, and when that was last heard of.
@@ -173,7 +177,7 @@
 	allowed := func(r *placement.Replica) bool {
 		return !w.tried[r.ID] && r.Outstanding < connections
 	}
-	request := placement.Request{Prompt: w.ask.Prompt, Repeats: w.route.Repeats(), Left: w.until - now, Service: s.time.Mean(), Again: w.unrun > 0}
+	request := placement.Request{Prompt: w.ask.Prompt, Repeats: w.route.Repeats(), Left: w.until - now, Service: s.time.Mean(), Reference: s.reference, Again: w.unrun > 0}
 	chosen := m.policy.Choose(now, request, s.estimates, allowed)
 	if chosen == nil {
 		return nil
@@ -198,12 +202,24 @@
 func (m *Machine) came(now time.Duration, w *way, o Outcome) {
 	s := m.serviceOf(w.service)
 	result := resultOf(o)
-	if result == placement.Served && w.sentToRoom {
-		s.time.Add(now - w.sentAt)
+	if result == placement.Served {
+		m.learnPace(now, w, s, o)
 	}
 	w.at.estimate.Ended(now, result, o.Load, m.params.Beat, s.time.Mean())
 }
 
+// learnPace notes how fast a replica served a request. Only streams tell how fast a replica
+// is: how much work another request makes is not known.
+func (m *Machine) learnPace(now time.Duration, w *way, s *service, o Outcome) {
+	took, r := now-w.sentAt, w.at.estimate
+	if o.Events > 1 {
+		r.Worked(o.Streamed, o.Events-1)
+	}
+	if w.sentToRoom {
+		s.time.Add(time.Duration(float64(took) / r.Slowness(s.reference)))
+	}
+}
+
 // statusServerFault is the first status by which a replica says that the fault is its
 // own.
 const statusServerFault = 500
--- a/peer/relay/ended.go
+++ b/peer/relay/ended.go
@@ -20,6 +20,7 @@
 	CauseUnsureTable    Cause = "unsure_table"
 	CauseDeadline       Cause = "deadline"
 	CauseNodeFull       Cause = "node_full"
+	CauseOverload       Cause = "overload"
 	CauseRate           Cause = "rate"
 	CauseRateUnsure     Cause = "rate_unsure"
 	CauseBudget         Cause = "budget"
@@ -63,6 +64,7 @@
 	CauseUnsureTable:    {status: 503, check: "table", reason: "a newer table may know this", retries: 1},
 	CauseDeadline:       {status: 503, check: "deadline", reason: "the deadline has passed"},
 	CauseNodeFull:       {status: 503, check: "buffer", reason: "this node is full", retries: 1},
+	CauseOverload:       {status: 503, check: "overload", reason: "the service's replicas have more to do than they can", retries: 1},
 	CauseRate:           {status: 429, check: "tenant rate", reason: "the tenant's rate is used up"},
 	CauseRateUnsure:     {status: 503, check: "tenant rate", reason: "the cores did not answer", retries: 1},
 	CauseBudget:         {status: 402, check: "program budget", reason: "what is left of the program's budget cannot hold the turn"},
--- a/peer/relay/loads.go
+++ b/peer/relay/loads.go
@@ -13,6 +13,8 @@
 // Each desk adds up what all nodes have at the replicas that announce themselves there.
 type sharing struct {
 	shareAt time.Duration
+	// loadSeenAt is when services' admission last saw the load.
+	loadSeenAt time.Duration
 }
 
 // shareMemory is for how many periods a desk's word of load holds. Once desks are silent
@@ -60,7 +62,8 @@
 		if r.estimate.Outstanding == 0 && ended == (placement.Outcomes{}) {
 			continue
 		}
-		list = append(list, desk.ReplicaLoad{Place: uint16(place), Outstanding: small(r.estimate.Outstanding), Served: small(ended.Served), Failed: small(ended.Failed)})
+		list = append(list, desk.ReplicaLoad{Place: uint16(place), Outstanding: small(r.estimate.Outstanding), Served: small(ended.Served), Failed: small(ended.Failed),
+			Busy: ended.Busy, Units: small(ended.Units)})
 	}
 	return list
 }
@@ -74,7 +77,7 @@
 		return
 	}
 	places := b.places()
-	if len(l.Outstanding) != len(places) || len(l.Failing) != len(places) {
+	if len(l.Outstanding) != len(places) || len(l.Failing) != len(places) || len(l.Paces) != len(places) {
 		m.Counters.BadMessages++
 		return
 	}
@@ -83,6 +86,9 @@
 	for i, id := range places {
 		if r := m.replicas[id]; r != nil {
 			r.estimate.Share(int64(l.Outstanding[i]), float64(l.Failing[i])/math.MaxUint8, until)
+			if l.Paces[i] > 0 {
+				r.estimate.SetPace(time.Duration(l.Paces[i]) * desk.PaceUnit)
+			}
 		}
 	}
 }
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -244,6 +244,7 @@
 	m.caller.Tick(now)
 	m.tickTouch(now)
 	m.tellLoads(now)
+	m.observeLoad(now)
 	if now >= m.followAt {
 		m.followAt = now + m.params.Follow
 		m.forgetDesks(now)
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -26,7 +26,10 @@
 	Budget, Most int64
 	Prompt       []placement.Part
 	Left         time.Duration
-	Input        []byte
+	// Horizon is the time left until the program should be done, where it is told.
+	Horizon    time.Duration
+	HasHorizon bool
+	Input      []byte
 	Arrival
 }
 
@@ -98,6 +101,8 @@
 	// Begun: the requester has had a part of the answer.
 	Begun  bool
 	Events int64
+	// Streamed is how long it took from the first event to the end.
+	Streamed time.Duration
 	// Output is what a kept turn put out.
 	Output []byte
 	// Failed: the answer is a failure, which keeps nothing. Status is the replica's.
@@ -144,6 +149,9 @@
 	// ResendUnrun sends what surely did not run to further replicas beyond the
 	// route's number.
 	ResendUnrun bool
+	// ShedOverload refuses late and new programs' turns while replicas have more to do
+	// than they can.
+	ShedOverload bool
 	// Buffer is how many requests may be under way.
 	Buffer int
 	// Cache is how many bytes of kept turns are held.
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -128,13 +128,16 @@
 	}
 	w.until = now + left
 	w.patience = now + left/2
+	w.service = w.route.Pick(m.random())
+	if m.overloaded(now, w) {
+		return
+	}
 	m.rateOf(now, w)
 }
 
 // admitted goes on with a request that its tenant's rate allows: its budget is
 // reserved and its history read, both at once.
 func (m *Machine) admitted(now time.Duration, w *way) {
-	w.service = w.route.Pick(m.random())
 	if w.route.Mode == route.Stream {
 		m.Counters.Turns++
 		if w.ask.Program != "" && w.ask.Budget > 0 {
@@ -211,11 +214,8 @@
 	m.checkSending(w)
 	m.sent(now, w, s)
 	m.Counters.Sent++
-	step := Step{Kind: StepSend, Replica: s.listed, Service: w.service, Tenant: m.tenantName(w), Urgency: w.route.Urgency, Kept: w.route.Kept && w.route.Mode == route.Stream,
+	step := Step{Kind: StepSend, Replica: s.listed, Service: w.service, Tenant: m.tenantName(w), Urgency: w.urgency(), Kept: w.route.Kept && w.route.Mode == route.Stream,
 		Stream: w.route.Mode == route.Stream, Resumable: w.route.Repeats() && w.route.Mode == route.Stream, Within: w.until - now}
-	if w.tenant != nil && w.tenant.Urgency != nil {
-		step.Urgency = *w.tenant.Urgency
-	}
 	if w.former != nil {
 		step.Before = w.former.said()
 	}
--- a/rule/placement/home.go
+++ b/rule/placement/home.go
@@ -1,6 +1,9 @@
 package placement
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"math"
+)
 
 // homes are the replicas that every node would pick for a prompt if it knew nothing else:
 // the first ones by rendezvous hashing (Thaler and Ravishankar 1998) of what tells the
@@ -15,14 +18,14 @@
 // score orders replicas for one conversation.
 type score struct {
 	near bool
-	hash uint64
+	rank float64
 }
 
 func (s score) above(other score) bool {
 	if s.near != other.near {
 		return s.near
 	}
-	return s.hash > other.hash
+	return s.rank > other.rank
 }
 
 func (p *Policy) homesOf(request Request, replicas []*Replica, allowed func(*Replica) bool) (h homes) {
@@ -32,7 +35,7 @@
 	}
 	for _, r := range replicas {
 		if allowed(r) {
-			h.add(r, score{near: p.Settings.Zones && r.Zone == p.Zone, hash: mix(key ^ r.hash())})
+			h.add(r, score{near: p.Settings.Zones && r.Zone == p.Zone, rank: rank(mix(key^r.hash()), p.slowness(request, r))})
 		}
 	}
 	return h
@@ -48,6 +51,17 @@
 	}
 }
 
+// rank orders replicas by weighted rendezvous hashing: a slow one is the home of fewer
+// conversations. Slowness counts in steps, so that homes stay where they are while it is
+// measured anew.
+func rank(hash uint64, slowness float64) float64 {
+	const steps = 4
+	slowness = math.Round(slowness*steps) / steps
+	weight := 1 / (slowness * slowness * slowness * slowness)
+	where := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(where)
+}
+
 // conversation is what tells a prompt's conversation from others: its second part, as
 // the first one is shared by many.
 func conversation(prompt []Part) (uint64, bool) {
--- a/rule/placement/placement_test.go
+++ b/rule/placement/placement_test.go
@@ -13,7 +13,7 @@
 )
 
 func settings() Settings {
-	return Settings{Compared: 2, Homes: true, Prefixes: true, Zones: true, Failures: true, PromptRate: 80, Beat: beat}
+	return Settings{Compared: 2, Homes: true, Paces: true, Prefixes: true, Zones: true, Failures: true, PromptRate: 80, Beat: beat}
 }
 
 func replicas(count int) []*Replica {
--- a/rule/placement/policy.go
+++ b/rule/placement/policy.go
@@ -9,6 +9,8 @@
 	Compared int
 	// Homes prefers the replicas at which all nodes expect a conversation's parts.
 	Homes bool
+	// Paces weighs how fast replicas are.
+	Paces bool
 	// Prefixes weighs the parts of a prompt that a replica has kept, Zones the node's
 	// zone, Failures how often a replica fails.
 	Prefixes, Zones, Failures bool
@@ -27,6 +29,8 @@
 	Left    time.Duration
 	// Service is how long requests of its kind take at a replica.
 	Service time.Duration
+	// Reference is the pace that those of replicas are compared with.
+	Reference time.Duration
 	// Again: a replica has turned it away, so all others are compared.
 	Again bool
 }
@@ -110,12 +114,15 @@
 // besides.
 func (p *Policy) cost(now time.Duration, request Request, r *Replica, isHome bool) time.Duration {
 	running, slots := r.Running(now, p.Settings.Beat/4), r.slots()
-	cost := time.Duration(float64(request.Service) * sharing * float64(min(running, slots)) / float64(slots))
+	slowness := p.slowness(request, r)
+	service := time.Duration(float64(request.Service) * slowness)
+	cost := service - request.Service
+	cost += time.Duration(float64(service) * sharing * float64(min(running, slots)) / float64(slots))
 	if running >= slots {
-		cost += request.Service * time.Duration(running-slots+1) / time.Duration(slots)
+		cost += service * time.Duration(running-slots+1) / time.Duration(slots)
 	}
 	if now < r.fullUntil {
-		cost += request.Service
+		cost += service
 	}
 	if now < r.movedUntil {
 		cost += request.Left
@@ -130,7 +137,7 @@
 		cost += zoneCost
 	}
 	if p.Settings.Prefixes {
-		cost += p.readingCost(request, r, isHome, min(running, slots))
+		cost += time.Duration(float64(p.readingCost(request, r, isHome, min(running, slots))) * slowness)
 	}
 	if p.Settings.Failures {
 		cost += p.failureCost(now, request, r)
@@ -138,6 +145,14 @@
 	return cost
 }
 
+// slowness is how much longer a replica takes than a fast one.
+func (p *Policy) slowness(request Request, r *Replica) float64 {
+	if !p.Settings.Paces {
+		return 1
+	}
+	return r.Slowness(request.Reference)
+}
+
 // readingCost is the time in which a replica reads what it has not kept of a prompt. The
 // requests that run beside it wait for that too, so it counts once for each of them.
 func (p *Policy) readingCost(request Request, r *Replica, isHome bool, running int64) time.Duration {
--- a/rule/placement/replica.go
+++ b/rule/placement/replica.go
@@ -55,6 +55,9 @@
 	movedUntil, fullUntil time.Duration
 	kept                  keptParts
 	hashed                uint64
+	// pace is how long it takes for a unit of work, by what all nodes saw; zero: not
+	// known.
+	pace time.Duration
 	// usedAt is when a request last ended here: its connection may still be open.
 	usedAt time.Duration
 	used   bool
@@ -81,6 +84,9 @@
 // Outcomes count how sendings ended.
 type Outcomes struct {
 	Served, Failed int64
+	// Busy is the time that Units of work took.
+	Busy  time.Duration
+	Units int64
 }
 
 // NewReplica makes the record of a replica that nothing is known of yet.
@@ -139,6 +145,12 @@
 	r.shared = shared{others: others, failing: failing, until: until}
 }
 
+// Worked notes how long a replica took for units of work.
+func (r *Replica) Worked(busy time.Duration, units int64) {
+	r.toTell.Busy += busy
+	r.toTell.Units += units
+}
+
 // TakeOutcomes returns what ended here since it was last called.
 func (r *Replica) TakeOutcomes() Outcomes {
 	told := r.toTell
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -32,11 +32,13 @@
 	PromptRate  float64 `json:"prompt_tokens_per_ms"`
 	Compared    int64   `json:"compared_replicas"`
 	Homes       bool    `json:"conversation_homes"`
+	Paces       bool    `json:"weigh_paces"`
 	Prefixes    bool    `json:"weigh_prefixes"`
 	Zones       bool    `json:"weigh_zones"`
 	Failures    bool    `json:"weigh_failures"`
 	LoadMS      int64   `json:"share_load_ms"`
 	ResendUnrun bool    `json:"resend_unrun"`
+	Shed        bool    `json:"shed_overload"`
 }
 
 // Front are the settings of a node towards requesters and replicas.
@@ -73,11 +75,13 @@
 		configuration.Row{Path: "prompt_tokens_per_ms", Type: "number", Default: 80.0, Min: 0.01, Max: 1e6, About: "how fast a replica reads prompts, to weigh kept parts against load"},
 		configuration.Row{Path: "compared_replicas", Type: "int", Default: 2, Min: 0, Max: 1000, About: "how many replicas of the node's zone, and how many of others, are drawn and compared for a request; 0: all"},
 		configuration.Row{Path: "conversation_homes", Type: "bool", Default: true, About: "prefer the replicas at which all nodes expect a conversation's parts"},
+		configuration.Row{Path: "weigh_paces", Type: "bool", Default: true, About: "weigh how fast replicas are, as all nodes see it; needs share_load_ms"},
 		configuration.Row{Path: "weigh_prefixes", Type: "bool", Default: true, About: "weigh the parts of a prompt that a replica has kept"},
 		configuration.Row{Path: "weigh_zones", Type: "bool", Default: true, About: "prefer replicas of the node's zone"},
 		configuration.Row{Path: "weigh_failures", Type: "bool", Default: true, About: "weigh how often a replica failed of late"},
 		configuration.Row{Path: "share_load_ms", Type: "int", Default: 100, Min: 0, Max: 60000, About: "how often nodes and desks tell each other what is under way at replicas; 0: never"},
 		configuration.Row{Path: "resend_unrun", Type: "bool", Default: true, About: "send what a replica surely did not run to further replicas beyond the route's number"},
+		configuration.Row{Path: "shed_overload", Type: "bool", Default: true, About: "refuse turns of late and of new programs while replicas have more to do than they can; needs share_load_ms"},
 		configuration.Row{Path: "requests", Type: "int", Default: 2000, Min: 1, Max: 1e6, About: "requests under way at a node; more are refused at once"},
 		configuration.Row{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, About: "kept turns that a node remembers, to save asking the cores"},
 		configuration.Row{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, About: "how long a program's books are kept after its last turn began"},
@@ -103,11 +107,11 @@
 
 // placement is the policy by which replicas are chosen.
 func (c Choice) placement(beat time.Duration) placement.Settings {
-	return placement.Settings{Compared: int(c.Compared), Homes: c.Homes, Prefixes: c.Prefixes, Zones: c.Zones, Failures: c.Failures, PromptRate: c.PromptRate, Beat: beat}
+	return placement.Settings{Compared: int(c.Compared), Homes: c.Homes, Paces: c.Paces, Prefixes: c.Prefixes, Zones: c.Zones, Failures: c.Failures, PromptRate: c.PromptRate, Beat: beat}
 }
 
 // RelayNode are a relaying node's bounds.
 func (p Params) RelayNode() relay.Params {
 	return relay.Params{Core: p.Core(), Beat: ms(p.BeatMS), Follow: ms(p.FollowMS), Window: ms(p.RateWindowMS), Overshoot: p.RateOvershoot, Slack: p.RateSlack,
-		Placement: p.Choice.placement(ms(p.BeatMS)), LoadPeriod: ms(p.LoadMS), ResendUnrun: p.ResendUnrun, Buffer: int(p.Requests), Cache: p.CacheBytes, BookKeep: ms(p.BookKeepMS)}
+		Placement: p.Choice.placement(ms(p.BeatMS)), LoadPeriod: ms(p.LoadMS), ResendUnrun: p.ResendUnrun, ShedOverload: p.Shed, Buffer: int(p.Requests), Cache: p.CacheBytes, BookKeep: ms(p.BookKeepMS)}
 }
