Admission decides all of a program's requests alike, and counts free places

Cause: refusals by lot let programs in at a later try, when the time in which they could be done had passed; they then took the places of others. Change: a program is refused or let in by a hash of its name, at every node and try; the level falls by the part of the places that is free, slowly.

--- a/peer/relay/overload.go
+++ b/peer/relay/overload.go
@@ -20,7 +20,7 @@
 		s := m.services[name]
 		s.reference = placement.Reference(s.estimates)
 		if m.params.ShedOverload {
-			s.admission.Observe(now, m.policy.Waiting(now, s.reference, s.estimates))
+			s.admission.Observe(now, m.policy.Excess(now, s.reference, s.estimates))
 		}
 	}
 }
@@ -33,7 +33,7 @@
 	}
 	class := m.admissionClass(w)
 	control := &m.serviceOf(w.service).admission
-	if control.Admits(class, m.random()) {
+	if control.Admits(class, w.ask.Program) {
 		return false
 	}
 	m.refuseFor(now, w, CauseOverload, control.ComeBack())
--- a/rule/admission/admission.go
+++ b/rule/admission/admission.go
@@ -12,7 +12,10 @@
 // All nodes observe the same load, so their controllers agree without talking.
 package admission
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // Class is what a request is to the decision.
 type Class int
@@ -30,12 +33,12 @@
 )
 
 const (
-	// Target is by which part of its time a request may be delayed before anything is
-	// refused: programs can bear that much.
+	// Target is how many requests may wait for each place before anything is refused: that
+	// delays a request by as large a part of its time, which programs can bear.
 	Target = 0.15
 	// rise is how fast the controller's level rises, for each second in which requests
 	// are delayed by their whole time beyond the target; fall is how fast it falls.
-	rise, fall = 1.5, 8.0
+	rise, fall = 0.8, 2.0
 	// mostLevel bounds the level, so that it falls soon after a long overload.
 	mostLevel = 2.0
 	// longestStep bounds the time that one observation stands for.
@@ -48,12 +51,12 @@
 	at    time.Duration
 }
 
-// Observe takes by which part of their time requests are delayed now: how many wait for
-// each place that runs one.
-func (c *Controller) Observe(now time.Duration, delay float64) {
+// Observe takes how many requests wait for each place that runs one; below zero, it is the
+// part of the places that is free.
+func (c *Controller) Observe(now time.Duration, waiting float64) {
 	passed := min(now-c.at, longestStep).Seconds()
 	c.at = now
-	excess := delay - Target
+	excess := waiting - Target
 	if excess > 0 {
 		c.level += rise * excess * passed
 	} else {
@@ -88,7 +91,22 @@
 // shortestWait is the least time after which a refused request may come back.
 const shortestWait = 200 * time.Millisecond
 
-// Admits decides on one request by a random number from 0 up to 1.
-func (c *Controller) Admits(class Class, random float64) bool {
-	return random >= c.Refused(class)
+// Admits decides on a request of a program. All requests of one program are decided alike,
+// at every node and however often they come back, until the level changes: a program that
+// got in at its fifth try would have lost the time in which it could be done, and take the
+// place of one that has it.
+func (c *Controller) Admits(class Class, program string) bool {
+	return place(program) >= c.Refused(class)
+}
+
+// place is where a program stands among all, from 0 up to 1.
+func place(program string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(program))
+	x := h.Sum64()
+	// The low bits of this hash are spread better than the high ones.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
 }
