Rehearsals check their set-up; load is told to nodes with requests only

A missing program or folder ends with 2 and says what to build; soak's default is the program that README builds. Load: nodes without requests get no word; a node's word holds for four periods (ten kept the requests of 40 dead nodes counted for a second); half as many replicas of other zones are compared.

--- a/peer/desk/handler.go
+++ b/peer/desk/handler.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// amend takes an amendment in the product's own words.
+func amend(calls Calls, w http.ResponseWriter, r *http.Request, most int64) {
+	base, text, ok := readOrder(w, r, most, "amendment")
+	if !ok {
+		return
+	}
+	a, faults := route.ParseAmendment(text)
+	if faults != nil {
+		operator.Write(w, 400, Handed{Faults: faults})
+		return
+	}
+	isPreview := r.URL.Query().Get("preview") == "true"
+	h, err := calls.Amend(r.Context(), Amendment{Base: base, Number: a.Number, Digest: AmendmentDigest(text), Join: JoinTable(a), PreviewOnly: isPreview})
+	tellHanded(w, h, err)
+}
+
 // Surface is the product's own handler of a desk's calls.
 func Surface(operators, replicas string, most int64) func(calls Calls) http.Handler {
 	return func(calls Calls) http.Handler {
@@ -78,19 +94,7 @@
 			h, err := calls.Apply(r.Context(), base, text, Digest(text))
 			tellHanded(w, h, err)
 		})
-		guarded.HandleFunc("PATCH /v1/table", func(w http.ResponseWriter, r *http.Request) {
-			base, text, ok := readOrder(w, r, most, "amendment")
-			if !ok {
-				return
-			}
-			a, faults := route.ParseAmendment(text)
-			if faults != nil {
-				operator.Write(w, 400, Handed{Faults: faults})
-				return
-			}
-			h, err := calls.Amend(r.Context(), Amendment{Base: base, Number: a.Number, Digest: AmendmentDigest(text), Join: JoinTable(a), PreviewOnly: r.URL.Query().Get("preview") == "true"})
-			tellHanded(w, h, err)
-		})
+		guarded.HandleFunc("PATCH /v1/table", func(w http.ResponseWriter, r *http.Request) { amend(calls, w, r, most) })
 		guarded.HandleFunc("GET /v1/table", func(w http.ResponseWriter, r *http.Request) {
 			t, err := calls.Read(r.Context())
 			if err != nil || t.Number == 0 {
--- a/peer/desk/loads.go
+++ b/peer/desk/loads.go
@@ -74,7 +74,7 @@
 
 // loadMemory is for how many telling periods a node's word holds: a node that has
 // something under way repeats itself well within.
-const loadMemory = 10
+const loadMemory = 4
 
 // Places lists the ids by which loads name replicas: those of a list that are not gone.
 func Places[L any](list map[string]L, gone func(L) bool) []string {
@@ -126,7 +126,8 @@
 	return r
 }
 
-// tellLoads tells nodes of replicas' load, if anything was said since the last time.
+// tellLoads tells the nodes that have something at replicas of the load there, if anything
+// was said since the last time. A node without requests needs no word.
 func (m *Machine) tellLoads(now time.Duration) {
 	if m.params.LoadPeriod <= 0 || now < m.loads.tellAt || !m.loads.news {
 		return
@@ -140,11 +141,7 @@
 	places := m.placesNow()
 	total := m.totals(places)
 	said := m.loadsOf(now, places)
-	for _, address := range ordered.Keys(m.subscribers) {
-		f := m.subscribers[address]
-		if f.desk || !m.listens(now, f) {
-			continue
-		}
+	for _, address := range ordered.Keys(m.loads.nodes) {
 		own := m.loads.nodes[address].outstanding
 		others := make([]byte, len(places))
 		for i, id := range places {
--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -61,9 +61,8 @@
 	reach
 	loads    loads
 	tickedAt time.Duration
-	// saved are the addresses that were written down last, as of savedMark.
-	saved     Peers
-	savedMark uint64
+	// saved are the addresses that were written down last.
+	saved savedPeers
 }
 
 // New makes a desk.
--- a/peer/desk/peers.go
+++ b/peer/desk/peers.go
@@ -25,6 +25,13 @@
 	return known
 }
 
+// savedPeers are addresses as they were written down, and the version of the topology that
+// they are of.
+type savedPeers struct {
+	peers   Peers
+	version uint64
+}
+
 // recall takes over the addresses that an earlier life wrote down. They say where
 // to ask, and nothing of who leads or which table is in force.
 func (m *Machine) recall(known Peers) {
@@ -37,20 +44,20 @@
 			m.desks[address] = m.startedAt
 		}
 	}
-	m.saved = known
+	m.saved.peers = known
 	m.topologyVersion++
 }
 
 // savePeers writes the addresses down when they have changed.
 func (m *Machine) savePeers() {
-	if m.savedMark == m.topologyVersion || len(m.topology.Owners) == 0 {
+	if m.saved.version == m.topologyVersion || len(m.topology.Owners) == 0 {
 		return
 	}
-	m.savedMark = m.topologyVersion
+	m.saved.version = m.topologyVersion
 	known := m.Peers()
-	if reflect.DeepEqual(known, m.saved) {
+	if reflect.DeepEqual(known, m.saved.peers) {
 		return
 	}
-	m.saved = known
+	m.saved.peers = known
 	m.out.Peers = &known
 }
--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -8,9 +8,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,7 +20,6 @@
 	"saffronfall/peer/relay"
 	"saffronfall/peer/replica"
 	"saffronfall/rule/invariant"
-	"saffronfall/rule/placement"
 )
 
 // Owner is the node's machine as this side needs it.
@@ -177,78 +174,6 @@
 	x.refuse(s)
 }
 
-// longestMS is as long as any deadline, in milliseconds.
-const longestMS = 86400000
-
-// read reads a request's head.
-func (h *handler) read(r *http.Request) (relay.Ask, string) {
-	n := h.Names
-	a := relay.Ask{Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(n.Attempt), Program: r.Header.Get(n.Program), Session: r.Header.Get(n.Session),
-		Previous: r.Header.Get(n.Previous), Key: r.Header.Get(n.Key)}
-	_, a.HasKey = r.Header[http.CanonicalHeaderKey(n.Key)]
-	if i := strings.IndexByte(r.RequestURI, '?'); i >= 0 {
-		a.Path = r.RequestURI[:i]
-	} else if r.RequestURI != "" {
-		a.Path = r.RequestURI
-	}
-	if a.Attempt == "" {
-		return a, n.Attempt + " is missing"
-	}
-	a.HeadBytes = int64(len(r.Method) + len(r.RequestURI) + 12)
-	for name, values := range r.Header {
-		for _, value := range values {
-			a.HeadBytes += int64(len(name) + len(value) + 4)
-		}
-	}
-	if text := r.Header.Get(n.Deadline); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) {
-			return a, n.Deadline + " is not a number"
-		}
-		a.Left = time.Duration(min(max(ms, -1), longestMS) * float64(time.Millisecond))
-		if a.Left == 0 {
-			a.Left = -1
-		}
-	}
-	if ms, err := strconv.ParseFloat(r.Header.Get(n.Horizon), 64); err == nil && !math.IsNaN(ms) {
-		// It only helps to decide what is served first.
-		a.Horizon, a.HasHorizon = time.Duration(min(max(ms, -longestMS), longestMS)*float64(time.Millisecond)), true
-	}
-	if text := r.Header.Get(n.Budget); text != "" {
-		budget, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || budget < 0 {
-			return a, n.Budget + " is not a count"
-		}
-		// A spent budget is a budget.
-		a.Budget = max(budget, 1)
-	}
-	if text := r.Header.Get(n.Tokens); text != "" {
-		prompt, most, _ := strings.Cut(text, ",")
-		if read, err := strconv.ParseInt(strings.TrimSpace(prompt), 10, 64); err != nil || read < 0 {
-			return a, n.Tokens + " is not two counts"
-		}
-		count, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64)
-		if err != nil || count < 0 {
-			return a, n.Tokens + " is not two counts"
-		}
-		a.Most = count
-	}
-	if text := r.Header.Get(n.Prompt); text != "" {
-		for _, field := range strings.Split(text, ",") {
-			id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
-			count, err := strconv.ParseInt(tokens, 10, 64)
-			if err != nil || count < 0 {
-				// It only helps to choose.
-				continue
-			}
-			hash := fnv.New64a()
-			io.WriteString(hash, id)
-			a.Prompt = append(a.Prompt, placement.Part{ID: hash.Sum64(), Tokens: count})
-		}
-	}
-	return a, ""
-}
-
 // refuse writes an answer of the node's own.
 func (x *exchange) refuse(s relay.Step) {
 	x.mayWrite(answerTime)
--- /dev/null
+++ b/peer/front/head.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"hash/fnv"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"saffronfall/peer/relay"
+	"saffronfall/rule/placement"
+)
+
+// longestMS is as long as any deadline, in milliseconds.
+const longestMS = 86400000
+
+// read reads a request's head.
+func (h *handler) read(r *http.Request) (relay.Ask, string) {
+	n := h.Names
+	a := relay.Ask{Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(n.Attempt), Program: r.Header.Get(n.Program), Session: r.Header.Get(n.Session),
+		Previous: r.Header.Get(n.Previous), Key: r.Header.Get(n.Key)}
+	_, a.HasKey = r.Header[http.CanonicalHeaderKey(n.Key)]
+	if i := strings.IndexByte(r.RequestURI, '?'); i >= 0 {
+		a.Path = r.RequestURI[:i]
+	} else if r.RequestURI != "" {
+		a.Path = r.RequestURI
+	}
+	if a.Attempt == "" {
+		return a, n.Attempt + " is missing"
+	}
+	a.HeadBytes = int64(len(r.Method) + len(r.RequestURI) + 12)
+	for name, values := range r.Header {
+		for _, value := range values {
+			a.HeadBytes += int64(len(name) + len(value) + 4)
+		}
+	}
+	if text := r.Header.Get(n.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(ms) || math.IsInf(ms, 0) {
+			return a, n.Deadline + " is not a number"
+		}
+		a.Left = time.Duration(min(max(ms, -1), longestMS) * float64(time.Millisecond))
+		if a.Left == 0 {
+			a.Left = -1
+		}
+	}
+	a.Horizon = horizon(r.Header.Get(n.Horizon))
+	if text := r.Header.Get(n.Budget); text != "" {
+		budget, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || budget < 0 {
+			return a, n.Budget + " is not a count"
+		}
+		// A spent budget is a budget.
+		a.Budget = max(budget, 1)
+	}
+	if text := r.Header.Get(n.Tokens); text != "" {
+		prompt, most, _ := strings.Cut(text, ",")
+		if read, err := strconv.ParseInt(strings.TrimSpace(prompt), 10, 64); err != nil || read < 0 {
+			return a, n.Tokens + " is not two counts"
+		}
+		count, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64)
+		if err != nil || count < 0 {
+			return a, n.Tokens + " is not two counts"
+		}
+		a.Most = count
+	}
+	a.Prompt = promptParts(r.Header.Get(n.Prompt))
+	return a, ""
+}
+
+// promptParts reads the parts of a prompt. They only help to choose, so one that can't be
+// read is passed over.
+func promptParts(text string) (parts []placement.Part) {
+	if text == "" {
+		return nil
+	}
+	for _, field := range strings.Split(text, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
+		count, err := strconv.ParseInt(tokens, 10, 64)
+		if err != nil || count < 0 {
+			continue
+		}
+		hash := fnv.New64a()
+		io.WriteString(hash, id)
+		parts = append(parts, placement.Part{ID: hash.Sum64(), Tokens: count})
+	}
+	return parts
+}
+
+// horizon reads the time that a program has left. It only helps to decide what is served
+// first, so one that can't be read is none.
+func horizon(text string) relay.Horizon {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(ms) {
+		return relay.Horizon{}
+	}
+	return relay.Horizon{Left: time.Duration(min(max(ms, -longestMS), longestMS) * float64(time.Millisecond)), Known: true}
+}
--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -40,6 +40,15 @@
 	estimate *placement.Replica
 }
 
+// choosing is what a node knows of services and replicas, and how it chooses.
+type choosing struct {
+	services map[string]*service
+	replicas map[string]*replicaRecord
+	policy   *placement.Policy
+	// gatherAt is when desks' lists are joined next.
+	gatherAt time.Duration
+}
+
 // service is what a node knows of the replicas of a service.
 type service struct {
 	estimates []*placement.Replica
--- a/peer/relay/loads.go
+++ b/peer/relay/loads.go
@@ -15,6 +15,7 @@
 	shareAt time.Duration
 	// loadSeenAt is when services' admission last saw the load.
 	loadSeenAt time.Duration
+	loadsHeard int64
 }
 
 // shareMemory is for how many periods a desk's word of load holds. Once desks are silent
@@ -81,7 +82,7 @@
 		m.Counters.BadMessages++
 		return
 	}
-	m.Counters.LoadsHeard++
+	m.loadsHeard++
 	until := now + shareMemory*m.params.LoadPeriod
 	for i, id := range places {
 		if r := m.replicas[id]; r != nil {
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -46,10 +46,7 @@
 	routing
 	audit
 
-	services map[string]*service
-	replicas map[string]*replicaRecord
-	policy   *placement.Policy
-	gatherAt time.Duration
+	choosing
 	sharing
 	spending
 	cache   *cache
@@ -86,8 +83,8 @@
 func New(o Options) *Machine {
 	m := &Machine{params: o.Params, id: o.ID, life: o.Life, zone: o.Zone, address: o.Address, seeds: o.Seeds, random: o.Random, started: o.Now,
 		following: following{boards: map[string]*board{}, left: departed{}}, routing: routing{tenants: map[string]*route.Tenant{}},
-		audit: audit{violated: o.Violated, byCause: map[Cause]int64{}, tickedAt: o.Now}, services: map[string]*service{}, replicas: map[string]*replicaRecord{},
-		policy:   &placement.Policy{Settings: o.Params.Placement, Zone: o.Zone, Random: o.Random},
+		audit:    audit{violated: o.Violated, byCause: map[Cause]int64{}, tickedAt: o.Now},
+		choosing: choosing{services: map[string]*service{}, replicas: map[string]*replicaRecord{}, policy: &placement.Policy{Settings: o.Params.Placement, Zone: o.Zone, Random: o.Random}},
 		spending: spending{paces: map[string]*pace{}}, cache: newCache(o.Params.Cache), live: map[uint64]*way{}}
 	m.caller = &core.Caller{Retry: o.Params.Core.Retry, Random: o.Random,
 		Send:   func(to string, body any) { m.send(to, body) },
@@ -295,7 +292,7 @@
 	}
 	status := map[string]int64{"requests": c.Requests, "sent": c.Sent, "whole": c.Whole, "broken": c.Broken, "not_run": c.NotRun, "resent": c.Resent, "resumed": c.Resumed,
 		"turns": c.Turns, "cache_hits": c.CacheHits, "cache_misses": c.CacheMisses, "draws": c.Draws, "drawn": c.Drawn, "bulletins": c.Bulletins, "bad_messages": c.BadMessages, "bad_differences": c.BadDifferences,
-		"new_connections": c.NewConnections, "settles": c.Settles, "loads_heard": c.LoadsHeard,
+		"new_connections": c.NewConnections, "settles": c.Settles, "loads_heard": m.loadsHeard,
 		"live": int64(len(m.live)), "replicas": int64(replicas), "table": int64(m.Number()), "tenants_held": int64(len(m.paces)), "cache_bytes": m.cache.bytes, "commands_waiting": int64(m.caller.Waiting()), "command_tries": m.caller.Tries}
 	for cause, count := range m.byCause {
 		status["ended_"+string(cause)] = count
--- a/peer/relay/overload.go
+++ b/peer/relay/overload.go
@@ -51,7 +51,7 @@
 	switch {
 	case w.route.Mode != route.Stream || w.ask.Program == "":
 		return admission.Exempt
-	case w.ask.HasHorizon && w.ask.Horizon <= 0:
+	case w.ask.Horizon.Known && w.ask.Horizon.Left <= 0:
 		return admission.Late
 	case !known || w.ask.Previous != "" || len(w.ask.Prompt) > sharedParts:
 		return admission.Exempt
--- a/peer/relay/overload_test.go
+++ b/peer/relay/overload_test.go
@@ -41,7 +41,7 @@
 	return ask(path, func(a *Ask) {
 		a.Program, a.Budget, a.Most = "p", 1e6, 10
 		a.Prompt = []placement.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 300}}
-		a.Horizon, a.HasHorizon = time.Second, true
+		a.Horizon = Horizon{Left: time.Second, Known: true}
 		if change != nil {
 			change(a)
 		}
@@ -69,7 +69,7 @@
 		}
 		return n
 	}
-	late := programTurn("/chat/x", func(a *Ask) { a.Horizon = 0; a.Prompt = append(a.Prompt, placement.Part{ID: 3, Tokens: 9}) })
+	late := programTurn("/chat/x", func(a *Ask) { a.Horizon.Left = 0; a.Prompt = append(a.Prompt, placement.Part{ID: 3, Tokens: 9}) })
 	begun := programTurn("/chat/x", func(a *Ask) { a.Prompt = append(a.Prompt, placement.Part{ID: 3, Tokens: 9}) })
 	other := programTurn("/idle/x", nil)
 	if n := refused(late); n < 30 {
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -11,6 +11,12 @@
 	"saffronfall/rule/placement"
 )
 
+// Horizon is the time left until a program should be done, where that is told.
+type Horizon struct {
+	Left  time.Duration
+	Known bool
+}
+
 // Ask is a request that arrived whole.
 type Ask struct {
 	Host, Path string
@@ -26,10 +32,8 @@
 	Budget, Most int64
 	Prompt       []placement.Part
 	Left         time.Duration
-	// Horizon is the time left until the program should be done, where it is told.
-	Horizon    time.Duration
-	HasHorizon bool
-	Input      []byte
+	Horizon      Horizon
+	Input        []byte
 	Arrival
 }
 
@@ -164,5 +168,5 @@
 type Counters struct {
 	Requests, Sent, Whole, Broken, NotRun, Resent, Resumed              int64
 	Turns, CacheHits, CacheMisses, Draws, Drawn, Bulletins, BadMessages int64
-	NewConnections, BadDifferences, Settles, LoadsHeard                 int64
+	NewConnections, BadDifferences, Settles                             int64
 }
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -29,23 +29,14 @@
 	arrived  time.Duration
 	until    time.Duration
 	patience time.Duration
-	tried    map[string]bool
-	// sendings counts the replicas that it was sent to; unrun those of them that surely
-	// did not run it.
-	sendings, unrun int64
-	// unreached counts those of unrun that no connection came up to, or whose address
-	// another replica had.
-	unreached int64
-	sentAt    time.Duration
-	// sentToRoom: the replica had room, as far as was known.
-	sentToRoom bool
-	at         *replicaRecord
-	sentTo     string
-	waited     time.Duration
-	events     int64
-	begun      bool
-	ran        bool
-	ended      bool
+	attempts
+	at     *replicaRecord
+	sentTo string
+	waited time.Duration
+	events int64
+	begun  bool
+	ran    bool
+	ended  bool
 	// underWay: a replica has it, and has not been heard of.
 	underWay bool
 
@@ -60,6 +51,20 @@
 	overdue bool
 }
 
+// attempts are a request's sendings to replicas.
+type attempts struct {
+	tried map[string]bool
+	// sendings counts the replicas that it was sent to; unrun those of them that surely
+	// did not run it.
+	sendings, unrun int64
+	// unreached counts those of unrun that no connection came up to, or whose address
+	// another replica had.
+	unreached int64
+	sentAt    time.Duration
+	// sentToRoom: the replica had room, as far as was known.
+	sentToRoom bool
+}
+
 // booking is what a turn has in its program's books.
 type booking struct {
 	reserving bool
@@ -73,7 +78,7 @@
 func (m *Machine) Arrive(now time.Duration, ticket uint64, a Ask) Output {
 	m.out = &Output{}
 	m.Counters.Requests++
-	w := &way{ticket: ticket, ask: a, state: stateAdmitting, arrived: now, tried: map[string]bool{}}
+	w := &way{ticket: ticket, ask: a, state: stateAdmitting, arrived: now, attempts: attempts{tried: map[string]bool{}}}
 	m.live[ticket] = w
 	if m.table == nil {
 		// A node that has just come waits for its first table.
--- a/peer/replica/line.go
+++ b/peer/replica/line.go
@@ -21,13 +21,19 @@
 // Names are the headers that requesters, nodes and replicas speak with.
 type Names struct {
 	Attempt, Deadline, LastEvent, Target, Load, NotRun, Seal, Tenant, Key, Urgency string
-	Tokens, Prompt, Program, Session, Budget, Previous, Horizon                    string
+	ProgramNames
+}
+
+// ProgramNames are the headers of programs' turns and calls. Horizon is how many
+// milliseconds are left until the program should be done.
+type ProgramNames struct {
+	Tokens, Prompt, Program, Session, Budget, Previous, Horizon string
 }
 
 // OwnNames are the product's own.
 var OwnNames = Names{Attempt: "Saffronfall-Attempt", Deadline: "Saffronfall-Deadline-Ms", LastEvent: "Last-Event-Id", Target: "Saffronfall-Replica",
 	Load: "Saffronfall-Load", NotRun: "Saffronfall-Not-Run", Seal: "Saffronfall-Seal", Tenant: "Saffronfall-Tenant", Key: "Saffronfall-Key", Urgency: "Saffronfall-Urgency",
-	Tokens: "Saffronfall-Tokens", Prompt: "Saffronfall-Prompt", Program: "Saffronfall-Program", Session: "Saffronfall-Session", Budget: "Saffronfall-Budget", Previous: "Saffronfall-Previous", Horizon: "Saffronfall-Horizon-Ms"}
+	ProgramNames: ProgramNames{Tokens: "Saffronfall-Tokens", Prompt: "Saffronfall-Prompt", Program: "Saffronfall-Program", Session: "Saffronfall-Session", Budget: "Saffronfall-Budget", Previous: "Saffronfall-Previous", Horizon: "Saffronfall-Horizon-Ms"}}
 
 // Line keeps the idle connections to one replica. They are shared by all
 // requests of this node, one request on each at a time.
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -23,113 +22,12 @@
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rehearsalkit/modelcheck"
 	"saffronfall/rehearsalkit/relaysim"
+	"saffronfall/rehearsalkit/setup"
 	"saffronfall/rehearsalkit/simulator"
 	"saffronfall/rehearsalkit/soak"
 	"saffronfall/rule/ordered"
 )
 
-type fleetCommand struct {
-	Layout   string        `help:"Which fleet: small, aire or mahoe." default:"small"`
-	Binary   string        `help:"The saffronfall program." default:"bin/saffronfall" type:"path"`
-	Next     string        `help:"The program that scenario rollout brings; empty: the same." type:"path"`
-	Folder   string        `help:"Where settings, data and logs go; empty: a temporary folder."`
-	For      time.Duration `help:"How long requesters live." default:"15s"`
-	Scenario string        `help:"What fails: calm, kills, freeze, cut, replace, operators, disk, split, corecut, zone, crowd, drain, life, closing, stalls, readdress, rollout, all." default:"calm"`
-	Stay     bool          `help:"Keep the fleet up after the run, until interrupted."`
-	Work     bool          `help:"Measure what the cores do, idle and for each shot."`
-	Logs     bool          `help:"Print the processes' logs."`
-}
-
-func (c *fleetCommand) Run() error {
-	layout, ok := fleet.Layouts[c.Layout]
-	if !ok {
-		return errors.Newf("no layout %q", c.Layout)
-	}
-	folder := c.Folder
-	if folder == "" {
-		made, err := os.MkdirTemp("", "rehearsal-")
-		if err != nil {
-			return err
-		}
-		defer os.RemoveAll(made)
-		folder = made
-	}
-	binary, err := filepath.Abs(c.Binary)
-	if err != nil {
-		return err
-	}
-	layout.Binary, layout.Folder, layout.Next = binary, folder, c.Next
-	if c.Next == "" {
-		layout.Next = binary
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	f, err := fleet.New(ctx, layout)
-	if err != nil {
-		return err
-	}
-	defer f.Stop()
-	began := time.Now()
-	if err := f.Up(ctx); err != nil {
-		fmt.Println(f.Logs())
-		return err
-	}
-	fmt.Printf("fleet up after %v: %d cores, %d nodes\n", time.Since(began).Round(time.Millisecond), layout.Cores, layout.Nodes)
-	script, ok := fleet.Scenarios[c.Scenario]
-	if !ok {
-		return errors.Newf("no scenario %q", c.Scenario)
-	}
-	if c.Work {
-		idle := f.Idle(ctx, 5*time.Second)
-		fmt.Printf("  idle, all cores, a second: %d commands, %d writes, %d syncs, %d messages\n", idle.Commands, idle.Writes, idle.Syncs, idle.Messages)
-	}
-	before := f.Work(ctx)
-	done := make(chan struct{})
-	go func() {
-		script(ctx, f, c.For)
-		close(done)
-	}()
-	f.Drive(ctx, c.For)
-	<-done
-	after := f.Work(ctx)
-	record, breaches := f.Finish(ctx)
-	report(record)
-	if shots := float64(len(record.Shots)); c.Work && shots > 0 {
-		fmt.Printf("  for each shot, all cores: %.1f commands, %.1f writes, %.1f syncs, %.1f messages\n", float64(after.Commands-before.Commands)/shots,
-			float64(after.Writes-before.Writes)/shots, float64(after.Syncs-before.Syncs)/shots, float64(after.Messages-before.Messages)/shots)
-	}
-	if c.Logs {
-		fmt.Println(f.Logs())
-	}
-	if c.Stay {
-		fmt.Println("fleet stays up; interrupt to end")
-		select {}
-	}
-	for _, b := range breaches {
-		fmt.Println("BROKEN", b)
-	}
-	if len(breaches) > 0 {
-		return errors.Newf("%d breaches", len(breaches))
-	}
-	for _, sign := range []string{"DATA RACE", "panic:", "fatal error:"} {
-		if logs := f.Logs(); strings.Contains(logs, sign) {
-			fmt.Println(logs)
-			return errors.Newf("a process logged %q", sign)
-		}
-	}
-	served := 0
-	for _, a := range record.Asked {
-		if a.Kind == "turn" && a.Outcome == judge.Whole {
-			served++
-		}
-	}
-	if served == 0 {
-		return errors.New("no turn came whole; a run that serves nothing proves nothing")
-	}
-	fmt.Println("no rule was broken")
-	return nil
-}
-
 func report(r *judge.Record) {
 	counts := map[string]int{}
 	for _, a := range r.Asked {
@@ -432,6 +330,9 @@
 }
 
 func (c *breaksCommand) Run() error {
+	if err := setup.Sources(); err != nil {
+		return err
+	}
 	switch {
 	case c.Checker:
 		return c.runChecker()
@@ -491,6 +392,9 @@
 	parser := kong.Parse(&commands, kong.Name("rehearsalkit"), kong.Description("Rehearses saffronfall and judges it by what requesters and back ends saw."))
 	if err := parser.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "rehearsalkit:", err)
+		if setup.IsFault(err) {
+			os.Exit(setup.ExitCode)
+		}
 		os.Exit(1)
 	}
 }
--- a/rehearsalkit/soak/command.go
+++ b/rehearsalkit/soak/command.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"saffronfall/rehearsalkit/setup"
 )
 
 // Command runs seeds of the soak.
 type Command struct {
-	Binary   string        `help:"The saffronfall program; best built with the race detector." default:"bin/race/saffronfall" type:"path"`
+	Binary   string        `help:"The saffronfall program; best built with the race detector." default:"bin/saffronfall" type:"path"`
 	Folder   string        `help:"Where settings, data and logs of seeds with breaches are kept." default:"run/soak" type:"path"`
 	First    uint64        `help:"First seed." default:"1"`
 	Seeds    int           `help:"How many seeds." default:"1"`
@@ -36,6 +38,9 @@
 
 // Run runs the seeds and prints what broke.
 func (c *Command) Run() error {
+	if err := errors.CombineErrors(setup.Program(c.Binary), setup.Folder(c.Folder)); err != nil {
+		return err
+	}
 	// Whoever starts processes and may tell them to reload at any moment starts them
 	// with the signal ignored, as nothing can take it before a program has begun.
 	signal.Ignore(syscall.SIGHUP)
--- a/rule/placement/draw.go
+++ b/rule/placement/draw.go
@@ -19,7 +19,7 @@
 			d.of(r).left++
 		}
 	}
-	d.near.wanted, d.far.wanted = wanted, wanted
+	d.near.wanted, d.far.wanted = wanted, (wanted+1)/2
 	return d
 }
 
--- a/rule/placement/policy.go
+++ b/rule/placement/policy.go
@@ -4,8 +4,8 @@
 
 // Settings name the parts of the policy, so that each can be switched off.
 type Settings struct {
-	// Compared is how many replicas of each kind are drawn and compared: so many of the
-	// node's zone and so many of others. Zero compares all.
+	// Compared is how many replicas of the node's zone are drawn and compared, and half as
+	// many of others. Zero compares all.
 	Compared int
 	// Homes prefers the replicas at which all nodes expect a conversation's parts.
 	Homes bool
@@ -78,7 +78,7 @@
 	}
 	wanted := p.Settings.Compared
 	if request.Again || wanted == 0 {
-		wanted = len(replicas)
+		wanted = 2 * len(replicas)
 	}
 	homes := p.homesOf(request, replicas, allowed)
 	drawn := newDraw(p, wanted, replicas, allowed)
@@ -130,7 +130,7 @@
 	if r.Warming {
 		cost += warmingCost
 	}
-	if !r.used || now > r.usedAt+idleBeats*p.Settings.Beat {
+	if !r.lastUse.known || now > r.lastUse.at+idleBeats*p.Settings.Beat {
 		cost += connectionCost
 	}
 	if p.Settings.Zones && r.Zone != p.Zone {
--- a/rule/placement/replica.go
+++ b/rule/placement/replica.go
@@ -57,14 +57,18 @@
 	hashed                uint64
 	// pace is how long it takes for a unit of work, by what all nodes saw; zero: not
 	// known.
-	pace time.Duration
-	// usedAt is when a request last ended here: its connection may still be open.
-	usedAt time.Duration
-	used   bool
+	pace    time.Duration
+	lastUse lastUse
 	// toTell is what ended here since other nodes were told of it.
 	toTell Outcomes
 }
 
+// lastUse is when a request last ended at a replica: its connection may still be open.
+type lastUse struct {
+	at    time.Duration
+	known bool
+}
+
 // reported is a replica's last own word of its load.
 type reported struct {
 	load Report
@@ -107,7 +111,7 @@
 // of its requests takes.
 func (r *Replica) Ended(now time.Duration, result Result, load *Report, beat, service time.Duration) {
 	r.Outstanding--
-	r.usedAt, r.used = now, true
+	r.lastUse = lastUse{at: now, known: true}
 	if load != nil {
 		r.report = reported{load: *load, at: now, known: true}
 		if load.Slots > 0 {
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -73,7 +73,7 @@
 		configuration.Row{Path: "rate_overshoot", Type: "number", Default: 0.0, Min: 0, Max: 1, About: "by which part a window may pass its limit; half of it is used"},
 		configuration.Row{Path: "rate_slack", Type: "int", Default: 0, Min: 0, Max: 1e9, About: "by how many requests a window may pass its limit; half of them are used"},
 		configuration.Row{Path: "prompt_tokens_per_ms", Type: "number", Default: 80.0, Min: 0.01, Max: 1e6, About: "how fast a replica reads prompts, to weigh kept parts against load"},
-		configuration.Row{Path: "compared_replicas", Type: "int", Default: 2, Min: 0, Max: 1000, About: "how many replicas of the node's zone, and how many of others, are drawn and compared for a request; 0: all"},
+		configuration.Row{Path: "compared_replicas", Type: "int", Default: 2, Min: 0, Max: 1000, About: "how many replicas of the node's zone, and half as many of others, are drawn and compared for a request; 0: all"},
 		configuration.Row{Path: "conversation_homes", Type: "bool", Default: true, About: "prefer the replicas at which all nodes expect a conversation's parts"},
 		configuration.Row{Path: "weigh_paces", Type: "bool", Default: true, About: "weigh how fast replicas are, as all nodes see it; needs share_load_ms"},
 		configuration.Row{Path: "weigh_prefixes", Type: "bool", Default: true, About: "weigh the parts of a prompt that a replica has kept"},
