--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -25,6 +25,7 @@
 	"saffronfall/rehearsalkit/setup"
 	"saffronfall/rehearsalkit/simulator"
 	"saffronfall/rehearsalkit/soak"
+	"saffronfall/rehearsalkit/worth"
 	"saffronfall/rule/ordered"
 )
 
@@ -385,6 +386,7 @@
 	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of a partition's shipped state machine within bounds, or replay a trace."`
 	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
 	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	Worth      worth.Command      `cmd:"" help:"Tell where played days lost their worth, by their reports, or compare two builds' days in pairs."`
 	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random troubles, over seeds, and judge."`
 }
 
