--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -59,6 +59,14 @@
 		From: "	w.reservation = m.life + \"-\" + strconv.FormatUint(m.reservations, 36)\n", To: "	w.reservation = w.ask.Attempt + strconv.Itoa(0)\n"},
 	{What: "of two tables on one base both are taken", File: "peer/core/orders.go", Seeds: 3,
 		From: "if current.Number != c.Base || c.Number <= current.Number {", To: "if c.Number <= current.Number {"},
+	{What: "an amendment is joined to a table that it does not build on", File: "peer/desk/amend.go", Seeds: 1, Elsewhere: "TestAmend; the cores refuse it too, so the soak sees a lost race",
+		From: "case current.Number != a.Base:", To: "case false:"},
+	{What: "a replica that sheds draws all calls", File: "rule/placement/replica.go", Seeds: 1, Elsewhere: "TestShedderIsNoSink; the soak's replicas do not shed while they have room",
+		From: "	r.own.Add(now, beat, 0, 1)\n	r.toTell.Failed++\n}", To: "}"},
+	{What: "a replica's failures are never forgotten", File: "rule/placement/failure.go", Seeds: 1, Elsewhere: "TestFailingReplicaIsAvoidedAndForgiven",
+		From: "-max(passed, 0).Seconds() / memory.Seconds()", To: "0 * passed.Seconds()"},
+	{What: "an overload starves new programs", File: "rule/admission/admission.go", Seeds: 1, Elsewhere: "TestOrderOfRefusal; the soak does not overload its replicas",
+		From: "New:       {from: 0.1, to: 0.9, most: 0.85}", To: "New:       {from: 0.1, to: 0.9, most: 1}"},
 }
 
 // locate finds the break's place, which must be the only one, and breaks it.
