A request refused before its body came does not hold its connection

Cause: a malformed request (400) was answered before its body was read, and one whose body came late (408) had its reading bound lifted before it was answered. In both cases the server's own discarding of the body then had no bound, so a requester that stalls held a connection for as long as it liked. The second was found with the test of the first.

Change: the reading bound is lifted only when a body has come whole; a body that is not wanted ends its connection with the answer and is read for two seconds at most.

--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -98,6 +98,7 @@
 	ask, fault := h.read(r)
 	x.ask = ask
 	if fault != "" {
+		x.abandonBody()
 		x.reject(relay.CauseMalformed, relay.Step{Status: 400, Check: "request", Reason: fault})
 		return
 	}
@@ -141,16 +142,29 @@
 	}
 	x.mayWrite(within)
 	x.mayRead(within)
-	err := held.read(x.r, x.Most)
+	if err := held.read(x.r, x.Most); err != nil {
+		return err
+	}
 	// From here on, reading only serves to notice that the requester goes away.
 	x.mayRead(0)
-	return err
+	return nil
+}
+
+// abandonBody ends the connection of a request whose body is not wanted, with its
+// answer. The server still reads what is under way, so that the answer is not lost, and
+// for a bounded time.
+func (x *exchange) abandonBody() {
+	if x.r.ContentLength == 0 {
+		return
+	}
+	x.w.Header().Set("Connection", "close")
+	x.mayRead(min(x.BodyTime, discardTime))
 }
 
 // rejectBody ends a request whose body did not come as it should. What may still come
 // on its connection belongs to nothing.
 func (x *exchange) rejectBody(err error) {
-	x.w.Header().Set("Connection", "close")
+	x.abandonBody()
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		x.reject(relay.CauseBodyTooLarge, relay.Step{Status: 413, Check: "limits", Reason: err.Error()})
--- a/peer/front/held_test.go
+++ b/peer/front/held_test.go
@@ -22,6 +22,8 @@
 	t.Run("reads nothing of a stream", readsNothingOfAStream)
 	t.Run("sends half a body", sendsHalfABody)
 	t.Run("announces bodies that do not come", announcesBodies)
+	t.Run("is malformed and sends half a body", malformedHalfABody)
+	t.Run("sends half a body and goes on waiting", waitsAfterHalfABody)
 }
 
 // readsNothingOfAStream: the replica's connection and the request end with the
@@ -63,6 +65,53 @@
 	}
 }
 
+// newImpatientNode is a node that gives requesters little time for their bodies.
+func newImpatientNode(t *testing.T, bodyTime time.Duration) *node {
+	owner := &scripted{t: t, asked: make(chan relay.Ask, 16), outcomes: make(chan relay.Outcome, 16)}
+	server := httptest.NewServer(Handler(Options{Owner: owner, Names: replica.OwnNames, Most: 1 << 20, Closing: make(chan struct{}), BodyTime: bodyTime}))
+	t.Cleanup(server.Close)
+	return &node{scripted: owner, server: server}
+}
+
+// malformedHalfABody: a request that is refused for its head alone does not hold its
+// connection while its body stalls.
+func malformedHalfABody(t *testing.T) {
+	for _, head := range []string{
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nhalf",
+		"POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: a1\r\nSaffronfall-Budget: x\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+	} {
+		n := newImpatientNode(t, 200*time.Millisecond)
+		q := n.dial(t)
+		q.say(head)
+		q.SetDeadline(clock.Deadline(patience / 2))
+		if got := q.read("POST"); got.StatusCode != 400 {
+			t.Errorf("%q: %d", head, got.StatusCode)
+		}
+		ends(t, q, head)
+	}
+}
+
+// waitsAfterHalfABody: a requester that was told that its body came late does not hold
+// its connection either.
+func waitsAfterHalfABody(t *testing.T) {
+	n := newImpatientNode(t, 200*time.Millisecond)
+	q := n.dial(t)
+	q.say("POST /a HTTP/1.1\r\nHost: h\r\nSaffronfall-Attempt: a1\r\nContent-Length: 1000\r\n\r\nhalf")
+	q.SetDeadline(clock.Deadline(patience / 2))
+	if got := q.read("POST"); got.StatusCode != 408 {
+		t.Errorf("%d", got.StatusCode)
+	}
+	ends(t, q, "a late body")
+}
+
+// ends wants a node to end a connection.
+func ends(t *testing.T, q *client, what string) {
+	t.Helper()
+	if _, err := io.Copy(io.Discard, q.reader); err != nil && strings.Contains(err.Error(), "timeout") {
+		t.Errorf("%s: the connection is held", what)
+	}
+}
+
 // announcesBodies: memory is taken for what came, not for what was announced.
 func announcesBodies(t *testing.T) {
 	const requesters, announced = 200, 1 << 20
--- a/peer/front/intake.go
+++ b/peer/front/intake.go
@@ -20,6 +20,8 @@
 	// answerTime is how long a requester may take to read an answer that is there
 	// whole.
 	answerTime = 10 * time.Second
+	// discardTime is for how long a body that is not wanted is still read.
+	discardTime = 2 * time.Second
 	// bodyStep is how much of a body is made room for at a time.
 	bodyStep = 64 << 10
 )
