A desk acknowledges that a replica leaves once others hold it

Hypothesis: a desk that dies right after it has acknowledged that a replica leaves, with all that it had sent, takes the word with it until the replica's next heartbeat, which is later than the bound after which nothing may reach that replica.

Change: the acknowledgement waits until as many other desks as may be lost at once say that they have that version; where no other desk speaks, until all nodes that speak do (they are asked to say so at once). Desks say so at once. Not confirmed within 0.6 of a heartbeat, or 150 ms at a desk that knows that it is cut off, the replica is sent to another desk (503). Also: a subscriber's version counts only for the desk's present life.

Tests whose expectation moved: relaysim's bound on a leave at a live desk has the desk's own bound added, as the other calls have theirs; the break of a desk that takes heartbeats which it can pass on to nobody now answers them itself. Calls of Beat and Leave carry a ticket.

--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -60,7 +60,7 @@
 	founding        *core.Founding
 	reach
 	loads    loads
-	tickedAt time.Duration
+	tickedAt   time.Duration
 	// saved are the addresses that were written down last.
 	saved savedPeers
 }
@@ -131,6 +131,7 @@
 	m.tickedAt = now
 	m.caller.Tick(now)
 	m.giveUpCalls(now)
+	m.answerDepartures(now)
 	m.listenForEcho(now)
 	m.tellLoads(now)
 	if now >= m.followAt {
@@ -142,8 +143,7 @@
 			}
 		}
 		for _, to := range targets {
-			other := m.otherDesks[to]
-			m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: other.life, Version: other.version})
+			m.follow(to)
 		}
 	}
 	if now >= m.pullAt {
--- a/peer/desk/reach.go
+++ b/peer/desk/reach.go
@@ -24,7 +24,9 @@
 type reach struct {
 	// pending has the calls that wait for the cores, by their tickets.
 	pending map[uint64]pendingCall
-	echo    echo
+	// departures are the words of leaving that are not acknowledged yet.
+	departures []departure
+	echo       echo
 }
 
 // echo is how a desk that is out of touch finds out whether nodes hear it: it
--- a/peer/desk/replicas.go
+++ b/peer/desk/replicas.go
@@ -11,16 +11,23 @@
 	heard time.Duration
 }
 
-// Beat takes what a replica says of itself. What is new is told at once.
-func (m *Machine) Beat(now time.Duration, r Replica) Output {
+// Beat takes what a replica says of itself. What is new is told at once. The ticket is
+// answered with Heard; zero: nobody waits.
+func (m *Machine) Beat(now time.Duration, ticket uint64, r Replica) Output {
 	m.out = &Output{}
 	m.Counters.Beats++
+	m.acknowledge(now, ticket, m.takeBeat(now, r))
+	return *m.out
+}
+
+// takeBeat takes a heartbeat into the list, unless a later word was heard.
+func (m *Machine) takeBeat(now time.Duration, r Replica) *listed {
 	old, ok := m.list[r.ID]
 	if ok && r.Call < old.Replica.Call {
-		return *m.out
+		return old
 	}
 	if ok && (old.Final || old.Gone && r.Call <= old.Replica.Call) {
-		return *m.out
+		return old
 	}
 	if !ok {
 		old = &listed{}
@@ -36,11 +43,11 @@
 	if changed {
 		m.change(now, old)
 	}
-	return *m.out
+	return old
 }
 
-// Leave takes a replica off the list.
-func (m *Machine) Leave(now time.Duration, id string) Output {
+// Leave takes a replica off the list. The ticket is answered as by Beat.
+func (m *Machine) Leave(now time.Duration, ticket uint64, id string) Output {
 	m.out = &Output{}
 	old, ok := m.list[id]
 	if !ok {
@@ -52,6 +59,7 @@
 		old.Gone, old.Final = true, true
 		m.change(now, old)
 	}
+	m.acknowledge(now, ticket, old)
 	return *m.out
 }
 
--- a/peer/desk/subscribers.go
+++ b/peer/desk/subscribers.go
@@ -23,6 +23,9 @@
 	return now <= f.heard+lost*m.params.Beat
 }
 
+// speaks reports whether a subscriber was heard within a heartbeat.
+func (f *subscriber) speaks(now, beat time.Duration) bool { return now <= f.heard+beat }
+
 func (m *Machine) tellAll(now time.Duration) {
 	for _, address := range ordered.Keys(m.subscribers) {
 		if f := m.subscribers[address]; m.listens(now, f) {
@@ -44,6 +47,7 @@
 	for _, id := range ordered.Keys(m.list) {
 		if l := m.list[id]; l.Version > b.Since && (!f.desk || l.departed()) {
 			b.List = append(b.List, l.Listed)
+			b.Confirm = b.Confirm || l.departed()
 		}
 	}
 	if f.table < m.table.number() {
@@ -60,11 +64,23 @@
 	if !always && len(b.List) == 0 && b.Table == nil && b.Differences == nil && b.Topology == nil {
 		return
 	}
+	b.Confirm = b.Confirm && !f.desk && m.speakingDesks(now) == 0
 	f.life, f.version, f.table, f.topologyVersion = m.life, m.version, max(f.table, m.table.number()), m.topologyVersion
 	m.Counters.Bulletins++
 	m.send(to, b)
 }
 
+// speakingDesks counts the other desks that were heard within a heartbeat.
+func (m *Machine) speakingDesks(now time.Duration) int {
+	n := 0
+	for _, f := range m.subscribers {
+		if f.desk && f.speaks(now, m.params.Beat) {
+			n++
+		}
+	}
+	return n
+}
+
 // nodes counts the nodes that listen.
 func (m *Machine) nodes(now time.Duration) int {
 	n := 0
@@ -86,7 +102,7 @@
 	f.life, f.version, f.table, f.differs = b.Life, b.Version, b.Table, b.Differs
 	f.has = b.Version
 	if b.Life != m.life {
-		f.topologyVersion = 0
+		f.topologyVersion, f.has = 0, 0
 	}
 	if b.Desk {
 		m.learnDesk(now, from)
@@ -96,6 +112,7 @@
 		m.pullAt = now
 	}
 	m.tell(now, from, f, true)
+	m.answerDepartures(now)
 }
 
 // deskHeard is up to where this desk has heard another one's life.
@@ -118,6 +135,16 @@
 		other.version = max(other.version, b.Version)
 	}
 	m.otherDesks[from] = other
+	if len(b.List) > 0 {
+		// A replica waits for the word that its leaving is known here.
+		m.follow(from)
+	}
+}
+
+// follow asks another desk for what is new, and tells up to where it was heard.
+func (m *Machine) follow(to string) {
+	other := m.otherDesks[to]
+	m.send(to, Follow{Node: m.id, Table: m.table.number(), Differs: true, Desk: true, Life: other.life, Version: other.version})
 }
 
 func (m *Machine) learnDesk(now time.Duration, address string) {
--- a/peer/desk/types.go
+++ b/peer/desk/types.go
@@ -71,6 +71,9 @@
 		Nodes    int            `msgpack:"o"`
 		Desks    []string       `msgpack:"d"`
 		Topology *core.Topology `msgpack:"y"`
+		// Confirm asks a node to follow again at once, as a replica that leaves waits
+		// until it is known beyond this desk.
+		Confirm bool `msgpack:"k,omitempty"`
 	}
 )
 
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -148,6 +148,9 @@
 		}
 		at.version = max(at.version, b.Version)
 	}
+	if b.Confirm {
+		m.follow(from)
+	}
 	m.nodes = max(b.Nodes, 1)
 	if len(b.List) > 0 {
 		// They are joined when the next one is chosen.
@@ -233,6 +236,18 @@
 	desk.HintOwners(m.caller, m.topology)
 }
 
+// follow asks a desk for what is new, and tells up to where it was heard.
+func (m *Machine) follow(to string) {
+	f := desk.Follow{Node: m.id, Differs: true}
+	if m.pending != nil && !m.wantWhole {
+		f.Table = m.pending.Number
+	}
+	if b := m.boards[to]; b != nil {
+		f.Life, f.Version = b.life, b.version
+	}
+	m.send(to, f)
+}
+
 // Tick lets time pass.
 func (m *Machine) Tick(now time.Duration) Output {
 	m.out = &Output{}
@@ -251,16 +266,8 @@
 				targets = append(targets, seed)
 			}
 		}
-		var number uint64
-		if m.pending != nil && !m.wantWhole {
-			number = m.pending.Number
-		}
 		for _, to := range targets {
-			f := desk.Follow{Node: m.id, Table: number, Differs: true}
-			if b := m.boards[to]; b != nil {
-				f.Life, f.Version = b.life, b.version
-			}
-			m.send(to, f)
+			m.follow(to)
 		}
 	}
 	if now >= m.drawAt {
--- a/rehearsalkit/capacity/hollow.go
+++ b/rehearsalkit/capacity/hollow.go
@@ -37,7 +37,7 @@
 		d.meter.Received++
 		d.meter.ReceivedBytes += int64(len(raw))
 		d.meter.kind("received heartbeat", len(raw))
-		d.takeDesk(timed(d, func() desk.Output { return d.desk.Beat(w.now, word) }))
+		d.takeDesk(timed(d, func() desk.Output { return d.desk.Beat(w.now, 0, word) }))
 	}
 	w.after(w.between(beat*9/10, beat*11/10), func() { w.beats(r) })
 }
--- a/rehearsalkit/relaysim/judge_orders.go
+++ b/rehearsalkit/relaysim/judge_orders.go
@@ -92,6 +92,8 @@
 		switch c.kind {
 		case callOrder, callOrderAgain, callRead, callRetire, callStatus:
 			bound += b.world.deskParams().Within
+		case callLeave:
+			bound += b.world.deskParams().DepartureWithin()
 		}
 		took := c.ended - c.at
 		if c.ended < 0 {
--- a/rehearsalkit/relaysim/process.go
+++ b/rehearsalkit/relaysim/process.go
@@ -225,6 +225,16 @@
 	}
 }
 
+// announce hands a replica's word to a desk, and tells whether it is known beyond it.
+func (p *process) announce(step func(ticket uint64) desk.Output, then func(reached bool)) {
+	p.next++
+	p.calls[p.next] = func(body any) {
+		h, _ := body.(desk.Heard)
+		then(h.Reached)
+	}
+	p.takeDesk(step(p.next))
+}
+
 // takeDesk carries out what a desk wants done. Changes of its list are on its
 // disk before anybody hears of them.
 func (p *process) takeDesk(o desk.Output) {
--- a/rehearsalkit/relaysim/replica.go
+++ b/rehearsalkit/relaysim/replica.go
@@ -86,19 +86,20 @@
 			return
 		}
 		to.do(func() {
-			to.takeDesk(to.desk.Beat(to.now(), word))
-			if isolated(to) {
-				return
-			}
 			life := to.life
-			w.after(w.delay(), func() {
-				if to.life == life && !done && r.alive {
-					done = true
-					if word.Leaving {
-						w.Record.Words = append(w.Record.Words, Word{At: w.now, Replica: r.id})
-					}
-					heard()
+			to.announce(func(ticket uint64) desk.Output { return to.desk.Beat(to.now(), ticket, word) }, func(reached bool) {
+				if !reached {
+					return
 				}
+				w.after(w.delay(), func() {
+					if to.life == life && !done && r.alive {
+						done = true
+						if word.Leaving {
+							w.Record.Words = append(w.Record.Words, Word{At: w.now, Replica: r.id})
+						}
+						heard()
+					}
+				})
 			})
 		})
 	})
@@ -119,7 +120,7 @@
 	end := func() {
 		if r.alive {
 			to := w.anyDesk()
-			to.do(func() { to.takeDesk(to.desk.Leave(to.now(), r.id)) })
+			to.do(func() { to.takeDesk(to.desk.Leave(to.now(), 0, r.id)) })
 			w.after(w.between(50*time.Millisecond, 300*time.Millisecond), func() { r.end(then) })
 		}
 	}
--- a/rehearsalkit/relaysim/world.go
+++ b/rehearsalkit/relaysim/world.go
@@ -27,8 +27,8 @@
 
 // Desk is the desk's machine as the simulator drives it.
 type Desk interface {
-	Beat(now time.Duration, r desk.Replica) desk.Output
-	Leave(now time.Duration, id string) desk.Output
+	Beat(now time.Duration, ticket uint64, r desk.Replica) desk.Output
+	Leave(now time.Duration, ticket uint64, id string) desk.Output
 	Receive(now time.Duration, from string, body any) desk.Output
 	Tick(now time.Duration) desk.Output
 	Apply(now time.Duration, ticket uint64, base uint64, text []byte, digest string) desk.Output
--- a/saffronfall/deskprocess/process.go
+++ b/saffronfall/deskprocess/process.go
@@ -244,18 +244,12 @@
 	}
 }
 
-// errIsolated says that what a replica told this desk may have reached no node.
-var errIsolated = errors.New("this desk is cut off; tell another")
-
-// told answers a replica: nil where the desk can pass on what it said.
-func told(m *desk.Machine, now time.Duration, o desk.Output, ticket uint64) desk.Output {
-	o.Answers = append(o.Answers, desk.Answer{Ticket: ticket, Body: !m.Isolated(now)})
-	return o
-}
+// errIsolated says that what a replica told this desk may be known to nobody else.
+var errIsolated = errors.New("this desk can't pass it on now; tell another")
 
 // heard turns the answer to a replica into an error where it should tell another.
-func heard(reached bool, err error) error {
-	if err == nil && !reached {
+func heard(h desk.Heard, err error) error {
+	if err == nil && !h.Reached {
 		return errIsolated
 	}
 	return err
@@ -263,15 +257,15 @@
 
 // Beat takes what a replica says of itself.
 func (s *process) Beat(ctx context.Context, r desk.Replica) error {
-	return heard(call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
-		return told(m, now, m.Beat(now, r), ticket)
+	return heard(call[desk.Heard](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return m.Beat(now, ticket, r)
 	}))
 }
 
 // Leave takes a replica off the list.
 func (s *process) Leave(ctx context.Context, id string) error {
-	return heard(call[bool](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
-		return told(m, now, m.Leave(now, id), ticket)
+	return heard(call[desk.Heard](ctx, s, func(m *desk.Machine, now time.Duration, ticket uint64) desk.Output {
+		return m.Leave(now, ticket, id)
 	}))
 }
 
