--- a/peer/desk/machine.go
+++ b/peer/desk/machine.go
@@ -60,7 +60,7 @@
 	founding        *core.Founding
 	reach
 	loads    loads
-	tickedAt   time.Duration
+	tickedAt time.Duration
 	// saved are the addresses that were written down last.
 	saved savedPeers
 }
