Turns that are not found: never kept, another tenant's, run out, or missing

Cause: history_unknown (404) stood for four things, so that a log line did not tell a stranger's turn from one whose time was over, and a turn that was lost would have looked like either.

Change: four causes. The partition's leader says whether the id is another tenant's, or was kept and has run out (the last 4,096 keys that ended under it); a node remembers the last 4,096 turns that came whole at it, and one of these that is not found while it is owed breaks an invariant (turn_kept_for_its_time) and is answered 503, as nothing is known of it for sure.

--- a/peer/core/relay.go
+++ b/peer/core/relay.go
@@ -1,9 +1,7 @@
 package core
 
 import (
-	"bytes"
 	"net/url"
-	"slices"
 	"strings"
 	"time"
 
@@ -58,10 +56,12 @@
 	// KeptTurn answers it. A turn that is not Found surely is not kept: the part
 	// that answers holds what a majority has agreed.
 	KeptTurn struct {
-		Found  bool     `msgpack:"f"`
-		Before []string `msgpack:"b"`
-		Input  []byte   `msgpack:"i"`
-		Output []byte   `msgpack:"o"`
+		Found bool `msgpack:"f"`
+		// Absence says why it is not found.
+		Absence Absence  `msgpack:"w,omitempty"`
+		Before  []string `msgpack:"b"`
+		Input   []byte   `msgpack:"i"`
+		Output  []byte   `msgpack:"o"`
 		// Left is how long it is still kept.
 		Left time.Duration `msgpack:"l"`
 	}
@@ -211,7 +211,7 @@
 }
 
 func (r *rules) seatedRelay(tx *part.Tx) {
-	r.ends, r.ledgers = expiries{}, map[string]*rate.Ledger{}
+	r.ends, r.ledgers, r.expired = expiries{}, map[string]*rate.Ledger{}, newRecentKeys()
 	for _, key := range tx.Keys(keptPrefix) {
 		if t, ok := read[keptTurn](tx, key); ok {
 			r.ends.add(key, t.Until)
@@ -247,6 +247,7 @@
 			continue
 		}
 		tx.Remove(e.key)
+		r.expired.add(e.key)
 	}
 }
 
@@ -277,11 +278,7 @@
 	case KeepTurn:
 		return r.keepTurn(tx, c)
 	case ReadTurn:
-		_, t, ok := findTurn(tx, c.Tenant, c.Attempt)
-		if !ok {
-			return KeptTurn{}
-		}
-		return KeptTurn{Found: true, Before: t.Before, Input: t.Input, Output: t.Output, Left: t.Until - tx.Clock()}
+		return r.readTurn(tx, c)
 	case ProlongTurn:
 		key, t, ok := findTurn(tx, c.Tenant, c.Attempt)
 		if !ok {
@@ -333,43 +330,6 @@
 	return bookPrefix + url.PathEscape(tenant) + "/" + program
 }
 
-// keptKeys are where a kept turn may be. Requesters choose the ids of their attempts,
-// so an id means something only together with its tenant. The first tenant that uses
-// an id has its turn under the id alone, where a core of the former version, which
-// may lead the partition in the middle of an upgrade, looks for it; others have
-// theirs under a mark that no header can hold, their name and the id.
-func keptKeys(tenant, attempt string) [2]string {
-	return [2]string{keptPrefix + attempt, keptPrefix + "\x00" + url.PathEscape(tenant) + "/" + attempt}
-}
-
-// findTurn finds a tenant's kept turn. If there is none, the key is where it goes.
-func findTurn(tx *part.Tx, tenant, attempt string) (key string, t keptTurn, ok bool) {
-	free := ""
-	for _, key := range keptKeys(tenant, attempt) {
-		t, taken := read[keptTurn](tx, key)
-		switch {
-		case taken && t.Tenant == tenant:
-			return key, t, true
-		case !taken && free == "":
-			free = key
-		}
-	}
-	return free, keptTurn{}, false
-}
-
-// keepTurn keeps a turn. The same command is acknowledged again; another turn under
-// an id that its tenant used before is not kept, and not said to be.
-func (r *rules) keepTurn(tx *part.Tx, c KeepTurn) any {
-	key, t, ok := findTurn(tx, c.Tenant, c.Attempt)
-	if ok {
-		return Done{OK: slices.Equal(t.Before, c.Before) && bytes.Equal(t.Input, c.Input) && bytes.Equal(t.Output, c.Output)}
-	}
-	t = keptTurn{Tenant: c.Tenant, Before: c.Before, Input: c.Input, Output: c.Output, Until: tx.Clock() + c.Keep}
-	write(tx, key, t)
-	r.ends.add(key, t.Until)
-	return Done{OK: true}
-}
-
 func (r *rules) reserveTurn(tx *part.Tx, c ReserveTurn) any {
 	key := bookKey(c.Tenant, c.Program)
 	b, ok := read[keptBook](tx, key)
--- a/peer/core/relay_test.go
+++ b/peer/core/relay_test.go
@@ -28,6 +28,9 @@
 	if found("other", "k0").Found || found("t", "none").Found {
 		t.Fatal("another tenant's, or none, is found")
 	}
+	if other, none := found("other", "k0").Absence, found("t", "none").Absence; other != Foreign || none != NeverKept {
+		t.Fatalf("another tenant's is absent as %q, one that never was as %q", other, none)
+	}
 	a.pass(15 * time.Second)
 	if d := a.run(ProlongTurn{Tenant: "t", Attempt: "k1", Keep: keep}).(Done); !d.OK {
 		t.Fatal("not prolonged")
@@ -55,6 +58,9 @@
 	if left != 0 || found("t", "k1").Found {
 		t.Fatalf("%d kept turns are left after their time", left)
 	}
+	if why := found("t", "k1").Absence; why != Expired {
+		t.Fatalf("one whose time is over is absent as %q", why)
+	}
 }
 
 // TestBooksOfAProgram by the commands: side by side, repeated, late, and gone
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -47,6 +47,8 @@
 	violated invariant.Report
 	ends     expiries
 	ledgers  map[string]*rate.Ledger
+	// expired are the keys of kept turns whose time ended under this leader.
+	expired *recentKeys
 }
 
 func (r *rules) Seated(now time.Duration, tx *part.Tx) {
--- a/peer/relay/ended.go
+++ b/peer/relay/ended.go
@@ -26,6 +26,9 @@
 	CauseBudget         Cause = "budget"
 	CauseBudgetUnsure   Cause = "budget_unsure"
 	CauseHistoryUnknown Cause = "history_unknown"
+	CauseHistoryForeign Cause = "history_foreign"
+	CauseHistoryExpired Cause = "history_expired"
+	CauseHistoryMissing Cause = "history_missing"
 	CauseHistoryUnsure  Cause = "history_unsure"
 	CauseCutOff         Cause = "cut_off"
 	CauseWaitedTooLong  Cause = "waited_too_long"
@@ -70,6 +73,9 @@
 	CauseBudget:         {status: 402, check: "program budget", reason: "what is left of the program's budget cannot hold the turn"},
 	CauseBudgetUnsure:   {status: 503, check: "cores", reason: "the program's books did not answer in time", retries: 2},
 	CauseHistoryUnknown: {status: 404, check: "history", reason: "no such turn is kept for this tenant"},
+	CauseHistoryForeign: {status: 404, check: "history", reason: "no such turn is kept for this tenant"},
+	CauseHistoryExpired: {status: 404, check: "history", reason: "no such turn is kept for this tenant"},
+	CauseHistoryMissing: {status: 503, check: "history", reason: "a turn that was kept is not found", retries: 2},
 	CauseHistoryUnsure:  {status: 503, check: "cores", reason: "the kept turns did not answer in time", retries: 2},
 	CauseCutOff:         {status: 503, check: "cores", reason: "this node reaches no core; try another", retries: 0.5},
 	CauseWaitedTooLong:  {status: 503, check: "patience", reason: "what this request needs did not come in time", retries: 2},
--- a/peer/relay/history.go
+++ b/peer/relay/history.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"saffronfall/peer/core"
+	"saffronfall/rule/invariant"
 )
 
 // fetch reads the turns that a turn goes on from: its former one tells the
@@ -57,16 +58,58 @@
 		case !ok:
 			m.unsure(now, w, CauseHistoryUnsure)
 		case !k.Found:
-			m.unknownTurn(now, w)
+			m.turnNotFound(now, w, attempt, k.Absence)
 		default:
 			next(now, k)
 		}
 	})
 }
 
-func (m *Machine) unknownTurn(now time.Duration, w *way) {
-	if w.ended {
-		return
+// turnNotFound ends a request whose former turn, or one before that, the cores do not
+// have. What came whole at this node must still be there: it is missed, not unknown.
+func (m *Machine) turnNotFound(now time.Duration, w *way, attempt string, absence core.Absence) {
+	owed, kept := m.keptHere.until(turnName{tenant: m.tenantName(w), attempt: w.ask.Previous})
+	switch {
+	case kept && now < owed:
+		m.violated.Violated(invariant.TurnKeptForItsTime, "turn %s, before %s, is not found %v before its time is over", attempt, w.ask.Attempt, owed-now)
+		m.refuse(now, w, CauseHistoryMissing)
+	case kept || absence == core.Expired:
+		m.refuse(now, w, CauseHistoryExpired)
+	case absence == core.Foreign:
+		m.refuse(now, w, CauseHistoryForeign)
+	default:
+		m.refuse(now, w, CauseHistoryUnknown)
 	}
-	m.refuse(now, w, CauseHistoryUnknown)
+}
+
+// keptTurnsMost is how many turns that came whole at this node it remembers.
+const keptTurnsMost = 4096
+
+// keptTurns remembers until when the last turns that came whole at this node are owed to
+// their requesters, together with those before them.
+type keptTurns struct {
+	owed map[turnName]time.Duration
+	ring []turnName
+	next int
+}
+
+func (k *keptTurns) add(name turnName, until time.Duration) {
+	if k.owed == nil {
+		k.owed = map[turnName]time.Duration{}
+	}
+	if _, known := k.owed[name]; !known {
+		if len(k.ring) < keptTurnsMost {
+			k.ring = append(k.ring, name)
+		} else {
+			delete(k.owed, k.ring[k.next])
+			k.ring[k.next] = name
+			k.next = (k.next + 1) % keptTurnsMost
+		}
+	}
+	k.owed[name] = until
+}
+
+func (k *keptTurns) until(name turnName) (time.Duration, bool) {
+	until, known := k.owed[name]
+	return until, known
 }
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -49,9 +49,11 @@
 	choosing
 	sharing
 	spending
-	cache   *cache
-	live    map[uint64]*way
-	leaving bool
+	cache *cache
+	// keptHere are the turns that came whole at this node.
+	keptHere keptTurns
+	live     map[uint64]*way
+	leaving  bool
 	// early are requests that wait for a first table, parked those that wait for
 	// a first replica.
 	early   []*way
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -36,6 +36,8 @@
 	version uint64
 	until   map[uint64]time.Duration
 	ended   []Ended
+	// absence is why the cores do not find a kept turn.
+	absence core.Absence
 }
 
 func newRig(t *testing.T) *rig {
@@ -115,7 +117,7 @@
 		return core.Seats{}
 	case core.ReadTurn:
 		k, ok := g.kept[c.Attempt]
-		return core.KeptTurn{Found: ok && k.Tenant == c.Tenant, Before: k.Before, Input: k.Input, Output: k.Output, Left: time.Minute}
+		return core.KeptTurn{Found: ok && k.Tenant == c.Tenant, Absence: g.absence, Before: k.Before, Input: k.Input, Output: k.Output, Left: time.Minute}
 	case core.DrawRates:
 		var answer core.RatesDrawn
 		for _, d := range c.Draws {
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -315,7 +315,7 @@
 		return
 	}
 	w.state = stateEnding
-	keep := 2 * time.Duration(w.route.KeepSeconds*float64(time.Second))
+	keep := 2 * m.owedFor(w)
 	waiting, failed := 1, false
 	fresh := &turn{attempt: w.ask.Attempt, tenant: m.tenantName(w), former: w.former, input: w.ask.Input, output: o.Output, until: now + keep}
 	done := func(at time.Duration, o core.Outcome) {
@@ -329,6 +329,7 @@
 			return
 		}
 		m.cache.put(fresh)
+		m.keptHere.add(fresh.name(), now+m.owedFor(w))
 		m.end(at, w, CauseServed, Step{Kind: StepPass})
 	}
 	c := core.KeepTurn{Tenant: fresh.tenant, Attempt: fresh.attempt, Input: fresh.input, Output: fresh.output, Keep: keep}
@@ -356,6 +357,12 @@
 	}
 }
 
+// owedFor is for how long a kept turn is owed to its requester. It is kept for twice that
+// time, so that those before it, which are prolonged in time, outlive it.
+func (m *Machine) owedFor(w *way) time.Duration {
+	return time.Duration(w.route.KeepSeconds * float64(time.Second))
+}
+
 func (m *Machine) tokens(w *way) int64 {
 	per := int64(1)
 	if s, ok := w.table.Service(w.service); ok {
--- a/rule/invariant/invariant.go
+++ b/rule/invariant/invariant.go
@@ -48,6 +48,9 @@
 	// AnswerMatches: an answer is passed on to the requester of the attempt that it
 	// names.
 	AnswerMatches Name = "answer_matches"
+	// TurnKeptForItsTime: a turn that came whole at this node is found until its time is
+	// over.
+	TurnKeptForItsTime Name = "turn_kept_for_its_time"
 	// CountsAgree: counts kept in two ways agree.
 	CountsAgree Name = "counts_agree"
 )
