--- a/peer/relay/ended.go
+++ b/peer/relay/ended.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"saffronfall/rule/invariant"
+	"saffronfall/rule/ordered"
 )
 
 // Cause is why a request ended as it did. Each request ends once, by one cause.
@@ -86,6 +87,17 @@
 	CauseRequesterGone:  {status: statusGone, check: "requester", reason: "the requester went away"},
 }
 
+// RefusalCauses lists the causes that requesters are answered by with 400 to 499.
+func RefusalCauses() []Cause {
+	causes := []Cause{CauseMalformed, CauseBodyIncomplete, CauseBodyLate}
+	for _, cause := range ordered.Keys(verdicts) {
+		if status := verdicts[cause].status; status >= 400 && status <= 499 {
+			causes = append(causes, cause)
+		}
+	}
+	return causes
+}
+
 // Ended is what is known of a request when it ends: enough to explain afterwards
 // why it was not served.
 type Ended struct {
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -21,6 +21,7 @@
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rehearsalkit/modelcheck"
+	"saffronfall/rehearsalkit/refusals"
 	"saffronfall/rehearsalkit/relaysim"
 	"saffronfall/rehearsalkit/setup"
 	"saffronfall/rehearsalkit/simulator"
@@ -386,6 +387,7 @@
 	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of a partition's shipped state machine within bounds, or replay a trace."`
 	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
 	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	Refusals   refusals.Command   `cmd:"" help:"List answers of 400 to 499 that logs of nodes tell of, by cause and route, and whether they are owed."`
 	Worth      worth.Command      `cmd:"" help:"Tell where played days lost their worth, by their reports, or compare two builds' days in pairs."`
 	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random troubles, over seeds, and judge."`
 }
