Cores do not call retired cores that keep no replica

Cause: a core told every core of its topology that it lives, retired ones too, whose machines may be gone for good: a connection dialled in vain several times a second for each, for ever. Change: a retired core is told as long as a group has it. Test: TestRetiredCoresAreNotCalled (seen to fail before). A retired core's entry (some 100 bytes) still stays in topologies: taking it out was tried and given up, as a core that starts anew brings the entry back from its founding as one that is not retired (TestEndedCoresStayEnded failed); it needs births numbered by the configuration's partition.

--- a/peer/core/retired_test.go
+++ b/peer/core/retired_test.go
@@ -39,3 +39,25 @@
 		t.Error("a retired core no longer keeps up the replica that it still has")
 	}
 }
+
+// TestRetiredCoresAreNotCalled: a retired core is told that others live for as long as it
+// keeps a replica, and no longer: its machine may be gone for good.
+func TestRetiredCoresAreNotCalled(t *testing.T) {
+	for _, keeps := range []bool{true, false} {
+		a := newAlone(t)
+		retired := Core{ID: "x", Incarnation: "1", Peer: "x:1", Version: 1, Retired: true}
+		a.m.learnCore(retired)
+		if keeps {
+			a.m.groups[1].Former = append(a.m.groups[1].Former, retired.Seat())
+		}
+		called := false
+		for end := a.now + 10*time.Second; a.now < end; a.now += 50 * time.Millisecond {
+			for _, s := range a.m.Tick(a.now).Sends {
+				called = called || s.To == retired.Peer
+			}
+		}
+		if called != keeps {
+			t.Errorf("keeps a replica %v, called %v", keeps, called)
+		}
+	}
+}
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -196,7 +197,7 @@
 	m.known = topology.Digest()
 	for _, id := range ordered.Keys(m.cores) {
 		c := m.cores[id]
-		if id == m.self.ID {
+		if id == m.self.ID || c.Retired && !m.hasReplica(c) {
 			continue
 		}
 		m.send(c.Peer, m.present(), false)
@@ -209,6 +210,11 @@
 	}
 }
 
+// hasReplica reports whether a core keeps a replica of any partition.
+func (m *Machine) hasReplica(c Core) bool {
+	return slices.ContainsFunc(m.groups, func(g part.Group) bool { return g.Has(c.Seat()) })
+}
+
 // Topology is what this core knows of cores, groups and owners.
 func (m *Machine) Topology() Topology {
 	t := Topology{Fleet: m.founding.Fleet, Size: m.size(), Cores: map[string]Core{}, Owners: append([]part.Term(nil), m.owners...), Groups: append([]part.Group(nil), m.groups...)}
