--- a/peer/disk/disk.go
+++ b/peer/disk/disk.go
@@ -49,7 +49,7 @@
 }
 
 // Open reads a folder, which may be empty.
-func Open(path string) (*Folder, Held, error) { return OpenIn(systemFiles{}, path) }
+func Open(path string) (*Folder, Held, error) { return OpenIn(System, path) }
 
 // OpenIn reads a folder of a file system.
 func OpenIn(files FileSystem, path string) (*Folder, Held, error) {
--- a/peer/disk/files.go
+++ b/peer/disk/files.go
@@ -27,6 +27,9 @@
 	SyncFolder(path string) error
 }
 
+// System is the operating system's file system.
+var System FileSystem = systemFiles{}
+
 // systemFiles is the operating system's file system.
 type systemFiles struct{}
 
--- a/peer/relay/ended.go
+++ b/peer/relay/ended.go
@@ -104,8 +104,10 @@
 	Cause   Cause
 	Attempt string
 	Program string
-	Route   string
-	Tenant  string
+	// Previous is the turn that it goes on from.
+	Previous string
+	Route    string
+	Tenant   string
 	// Replica is the last one that it was sent to; Sendings is to how many.
 	Replica  string
 	Sendings int64
@@ -140,7 +142,7 @@
 func (m *Machine) note(now time.Duration, w *way, cause Cause, s Step) {
 	m.byCause[cause]++
 	m.ended++
-	e := Ended{Cause: cause, Attempt: w.ask.Attempt, Program: w.ask.Program, Tenant: m.tenantName(w), Replica: w.sentTo, Sendings: w.sendings, Ran: w.ran, Status: s.Status,
+	e := Ended{Cause: cause, Attempt: w.ask.Attempt, Program: w.ask.Program, Previous: w.ask.Previous, Tenant: m.tenantName(w), Replica: w.sentTo, Sendings: w.sendings, Ran: w.ran, Status: s.Status,
 		Waited: w.waited, Took: now - w.arrived, CoresSilent: m.caller.Silent(now)}
 	if w.route != nil {
 		e.Route = w.route.Name
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -77,10 +77,15 @@
 
 // Run runs the role until the context ends, then hands its parts over.
 func Run(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
+	return RunOn(ctx, disk.System, p, adopt, log)
+}
+
+// RunOn runs the role with its folder in a file system.
+func RunOn(ctx context.Context, files disk.FileSystem, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
 	if p.Folder == "" {
 		return errors.New("a core needs a folder")
 	}
-	folder, stored, err := load(p.Folder, log)
+	folder, stored, err := load(files, p.Folder, log)
 	if err != nil {
 		return err
 	}
@@ -117,14 +122,14 @@
 // callTime bounds how long an operator's call may take to send.
 const callTime = time.Minute
 
-func load(path string, log logr.Logger) (*disk.Folder, core.Stored, error) {
-	folder, found, err := disk.Open(path)
+func load(files disk.FileSystem, path string, log logr.Logger) (*disk.Folder, core.Stored, error) {
+	folder, found, err := disk.OpenIn(files, path)
 	if errors.Is(err, disk.ErrLost) {
 		log.Info("copy lost; this core begins as a new one without a vote", "cause", err.Error())
 		if err := disk.SetAside(path); err != nil {
 			return nil, core.Stored{}, err
 		}
-		folder, found, err = disk.Open(path)
+		folder, found, err = disk.OpenIn(files, path)
 	}
 	if err != nil {
 		return nil, core.Stored{}, err
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -5,11 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -27,47 +24,25 @@
 	"saffronfall/saffronfall/nodeprocess"
 	"saffronfall/saffronfall/params"
 	"saffronfall/saffronfall/relayprocess"
-	"saffronfall/saffronfall/reload"
+	"saffronfall/saffronfall/role"
 )
 
-type role struct {
+type settingsFile struct {
 	Settings string `arg:"" type:"path" help:"Settings file (JSON)."`
 }
 
-func (r role) start(run func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error) error {
-	reloads := reload.Listen()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	p, err := params.ReadFile(r.Settings)
-	if err != nil {
-		return err
-	}
-	// The level is read by all goroutines that log while a reload may set it.
-	var level slog.LevelVar
-	level.Set(levelOf(p))
-	logger := logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &level}))
-	adopt := make(chan params.Params, 1)
-	follower := reload.Follower{Read: func() ([]byte, error) { return os.ReadFile(r.Settings) }, Adopt: adopt, Log: logger,
-		Taken: func(p params.Params) { level.Set(levelOf(p)) }}
-	go follower.Run(ctx, reloads, p)
-	return run(ctx, p, adopt, logger)
-}
-
-// levelOf is the level from which on a process logs: more verbose is lower.
-func levelOf(p params.Params) slog.Level { return slog.LevelInfo - slog.Level(p.Verbosity) }
-
-type deskCommand struct{ role }
+type deskCommand struct{ settingsFile }
 
 func (c *deskCommand) Run() error {
-	return c.start(func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
+	return role.Start(c.Settings, func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
 		return deskprocess.Run(ctx, p, adopt, log, desk.Surface(p.Operators, p.Replicas, p.Largest))
 	})
 }
 
-type relayCommand struct{ role }
+type relayCommand struct{ settingsFile }
 
 func (c *relayCommand) Run() error {
-	return c.start(func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
+	return role.Start(c.Settings, func(ctx context.Context, p params.Params, adopt <-chan params.Params, log logr.Logger) error {
 		return relayprocess.Run(ctx, p, adopt, log, replica.OwnNames)
 	})
 }
@@ -140,13 +115,13 @@
 	return nil
 }
 
-type coreRun struct{ role }
+type coreRun struct{ settingsFile }
 
-func (c *coreRun) Run() error { return c.start(coreprocess.Run) }
+func (c *coreRun) Run() error { return role.Start(c.Settings, coreprocess.Run) }
 
-type nodeCommand struct{ role }
+type nodeCommand struct{ settingsFile }
 
-func (c *nodeCommand) Run() error { return c.start(nodeprocess.Run) }
+func (c *nodeCommand) Run() error { return role.Start(c.Settings, nodeprocess.Run) }
 
 type calling struct {
 	Core   string        `help:"Operator address of any core, by IP number." placeholder:"IP:PORT" env:"SAFFRONFALL_CORE"`
--- a/saffronfall/relayprocess/observe.go
+++ b/saffronfall/relayprocess/observe.go
@@ -21,12 +21,12 @@
 	Status  int         `json:"status"`
 	Attempt string      `json:"attempt"`
 	Program string      `json:"program,omitempty"`
-	Route   string      `json:"route,omitempty"`
+	// Previous is the turn that it goes on from.
+	Previous string `json:"previous,omitempty"`
+	Route    string `json:"route,omitempty"`
 	// Tenant is a digest: names of tenants stay out of logs.
-	Tenant   string `json:"tenant_digest,omitempty"`
-	Replica  string `json:"replica,omitempty"`
-	Sendings int64  `json:"sendings"`
-	Ran      bool   `json:"may_have_run"`
+	Tenant string `json:"tenant_digest,omitempty"`
+	sendings
 	Table    uint64 `json:"table"`
 	WaitedMS int64  `json:"waited_ms"`
 	TookMS   int64  `json:"took_ms"`
@@ -36,6 +36,14 @@
 	Life string `json:"life"`
 }
 
+// sendings is what is known of a request's sendings to replicas.
+type sendings struct {
+	// Replica is the last one.
+	Replica  string `json:"replica,omitempty"`
+	Sendings int64  `json:"sendings"`
+	Ran      bool   `json:"may_have_run"`
+}
+
 const (
 	// logEvery is how often a failure of one cause is logged; all are counted, and
 	// the next line tells how many were not.
@@ -84,8 +92,7 @@
 	if !e.Failed() {
 		return
 	}
-	f := failure{Time: clock.TimeOfDay(), Cause: e.Cause, Status: e.Status, Attempt: e.Attempt, Program: e.Program, Route: e.Route, Tenant: o.digest(e.Tenant), Replica: e.Replica,
-		Sendings: e.Sendings, Ran: e.Ran, Table: e.Table, WaitedMS: e.Waited.Milliseconds(), TookMS: e.Took.Milliseconds(), CoresSilentMS: e.CoresSilent.Milliseconds(), Life: o.life}
+	f := failure{Time: clock.TimeOfDay(), Cause: e.Cause, Status: e.Status, Attempt: e.Attempt, Program: e.Program, Previous: e.Previous, Route: e.Route, Tenant: o.digest(e.Tenant), sendings: sendings{Replica: e.Replica, Sendings: e.Sendings, Ran: e.Ran}, Table: e.Table, WaitedMS: e.Waited.Milliseconds(), TookMS: e.Took.Milliseconds(), CoresSilentMS: e.CoresSilent.Milliseconds(), Life: o.life}
 	o.keep(f)
 	o.write(now, f)
 }
@@ -131,7 +138,7 @@
 		o.unlogged[f.Cause]++
 		return
 	}
-	o.log.Info("request not served", "cause", f.Cause, "status", f.Status, "attempt", f.Attempt, "program", f.Program, "route", f.Route, "tenant_digest", f.Tenant, "replica", f.Replica,
+	o.log.Info("request not served", "cause", f.Cause, "status", f.Status, "attempt", f.Attempt, "program", f.Program, "previous", f.Previous, "route", f.Route, "tenant_digest", f.Tenant, "replica", f.Replica,
 		"sendings", f.Sendings, "may_have_run", f.Ran, "table", f.Table, "waited_ms", f.WaitedMS, "took_ms", f.TookMS, "cores_silent_ms", f.CoresSilentMS, "life", f.Life,
 		"more_of_this_cause", o.unlogged[f.Cause])
 	o.logged[f.Cause], o.unlogged[f.Cause] = now, 0
