A tenant's rate: units are spent when sent, and nothing is held beforehand where tight

Hypothesis: refusals while the window has room go away if a unit is only reserved at the node until the request is sent, and if the ledger grants beforehand only while under 0.6 of the window is out or spent; beyond, nodes get what waits, and hand back what they hold idle.

Change: rate.Draw tells how much of what is wanted has not come yet (Ahead; a node of the former version tells none, so all counts as needed), rate.Drawn says Tight; peer/relay reserves a unit at admission and spends it with the sending.

--- a/peer/relay/pace.go
+++ b/peer/relay/pace.go
@@ -29,6 +29,15 @@
 	drawAt  time.Duration
 	retryAt time.Duration
 	waiting []*way
+	// reserved are units that requests hold which were not sent yet.
+	reserved int64
+	// tight: the tenant's window is nearly full, so nothing is held beforehand.
+	tight bool
+	report
+}
+
+// report is what the part knows of what was spent.
+type report struct {
 	// recent tells when what the part has not acknowledged yet was spent, told
 	// how much of it was in a draw, acknowledged how much was in an answered one.
 	recent       []spend
@@ -36,10 +45,12 @@
 	acknowledged int64
 }
 
-// payment is what a request has taken of its tenant's rate.
+// payment is what a request has taken of its tenant's rate: a unit that it holds until it
+// is sent, and that is spent then. What is refused before it was sent takes nothing.
 type payment struct {
 	pace      *pace
 	hold      time.Duration
+	holds     bool
 	paid      bool
 	paidBirth int
 	paidAt    time.Duration
@@ -83,14 +94,14 @@
 func (m *Machine) rename(p *pace) {
 	m.births++
 	p.births = m.births
-	p.granted, p.spent, p.returned, p.told, p.acknowledged, p.recent = 0, 0, 0, 0, 0, nil
+	p.granted, p.spent, p.returned, p.reserved, p.told, p.acknowledged, p.recent = 0, 0, 0, 0, 0, 0, nil
 }
 
 func (p *pace) free(now time.Duration) int64 {
 	if now >= p.until {
 		return 0
 	}
-	return p.granted - p.spent - p.returned
+	return p.granted - p.spent - p.returned - p.reserved
 }
 
 // used is which part of the allowed overshoot nodes use. The ledger is strict; the
@@ -123,7 +134,7 @@
 	p.usedAt = now
 	w.pace = p
 	if len(p.waiting) == 0 && p.free(now) > 0 {
-		m.pay(now, w)
+		w.reserve()
 		m.admitted(now, w)
 		return
 	}
@@ -146,6 +157,21 @@
 // would run in another window than it was booked in.
 const stale = 20
 
+// reserve takes a unit of the rate for a request that is to be sent.
+func (w *way) reserve() {
+	w.pace.reserved++
+	w.holds, w.paidBirth = true, w.pace.births
+}
+
+// letGo gives the unit back that a request holds.
+func (w *way) letGo() {
+	if w.holds && w.paidBirth == w.pace.births {
+		w.pace.reserved--
+	}
+	w.holds = false
+}
+
+// pay spends a unit of the rate for a request that is sent now.
 func (m *Machine) pay(now time.Duration, w *way) {
 	if w.pace.free(now) <= 0 {
 		m.violated.Violated(invariant.SpentWithinGrant, "tenant %s: granted %d, spent %d, returned %d", w.pace.tenant, w.pace.granted, w.pace.spent, w.pace.returned)
@@ -154,13 +180,15 @@
 	w.paid, w.paidBirth, w.paidAt, w.covered = true, w.pace.births, now, true
 }
 
-// paysAgain pays for a request that has waited for long since it was paid for, or
-// lets it wait for that. It reports whether the request may go on.
-func (m *Machine) paysAgain(now time.Duration, w *way) bool {
+// paysToSend pays for a request that is about to be sent, also for one that has waited
+// for long since it was paid for, or lets it wait for that. It reports whether the request
+// may go on.
+func (m *Machine) paysToSend(now time.Duration, w *way) bool {
 	if w.pace == nil || w.paid && now < w.paidAt+m.params.Window/stale {
 		return true
 	}
 	p := w.pace
+	w.letGo()
 	if p.free(now) > 0 {
 		m.pay(now, w)
 		return true
@@ -176,6 +204,9 @@
 
 // unpay gives a request back to its tenant's rate that surely did not run.
 func (m *Machine) unpay(w *way) {
+	if w.pace != nil {
+		w.letGo()
+	}
 	// What a draw has told as spent stays spent.
 	if p := w.pace; w.paid && p != nil && p.births == w.paidBirth && p.spent > p.told {
 		p.spent--
@@ -201,6 +232,9 @@
 // wait, what comes in a part of a draw's term, and a spare one or two where the
 // tenant's limit has plenty for each node. What nodes hold idle, others lack.
 func (m *Machine) want(p *pace, limit rate.Limit) int64 {
+	if p.tight {
+		return int64(len(p.waiting))
+	}
 	spare := min(2, limit.Most/(10*int64(max(m.nodes, 1))))
 	return int64(len(p.waiting)) + int64(p.demand*m.drawTerm().Seconds()*0.6+0.5) + spare
 }
@@ -234,7 +268,7 @@
 			// What was out when its time ended counts as spent at the part.
 			m.rename(p)
 		}
-		if now > p.usedAt+m.drawTerm() && len(p.waiting) == 0 && p.free(now) == 0 && p.acknowledged == p.spent {
+		if now > p.usedAt+m.drawTerm() && len(p.waiting) == 0 && p.free(now) == 0 && p.reserved == 0 && p.acknowledged == p.spent {
 			delete(m.paces, name)
 			continue
 		}
@@ -250,7 +284,7 @@
 		}
 		p.drawing, p.wanted = true, false
 		p.drawAt = now + m.drawTerm()/12
-		d := rate.Draw{Holder: m.life + "+" + strconv.Itoa(p.births), Granted: p.granted, Spent: p.spent, Returned: p.returned, Want: want,
+		d := rate.Draw{Holder: m.life + "+" + strconv.Itoa(p.births), Granted: p.granted, Spent: p.spent, Returned: p.returned, Want: want + p.reserved, Ahead: want - int64(len(p.waiting)),
 			Version: m.table.Number, Limit: limit, Term: m.drawTerm()}
 		for _, r := range p.recent {
 			d.Recent = append(d.Recent, rate.Spend{Age: now - r.at, Count: r.count})
@@ -302,13 +336,14 @@
 	m.Counters.Drawn++
 	p.granted = max(p.granted, d.Granted)
 	p.until = max(p.until, until)
+	p.tight = d.Tight
 	for len(p.waiting) > 0 && p.free(now) > 0 {
 		w := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		if w.ended {
 			continue
 		}
-		m.pay(now, w)
+		w.reserve()
 		if w.admitted {
 			m.dispatch(now, w)
 		} else {
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -197,7 +197,7 @@
 		m.refuse(now, w, CauseTriesSpent)
 		return
 	}
-	if !m.paysAgain(now, w) {
+	if !m.paysToSend(now, w) {
 		return
 	}
 	s := m.choose(now, w)
--- a/rule/rate/ledger.go
+++ b/rule/rate/ledger.go
@@ -72,8 +72,10 @@
 	Returned int64 `msgpack:"r"`
 	// Recent tells how long ago the newest of Spent were spent, oldest first.
 	Recent []Spend `msgpack:"e"`
-	// Want is how many requests the node wants to be able to send from now on.
-	Want int64 `msgpack:"w"`
+	// Want is how many requests the node wants to be able to send from now on, Ahead how
+	// many of them have not come yet.
+	Want  int64 `msgpack:"w"`
+	Ahead int64 `msgpack:"b"`
 	// Version is that of the configuration that Limit is from.
 	Version uint64 `msgpack:"v"`
 	Limit   Limit  `msgpack:"l"`
@@ -81,6 +83,9 @@
 	Term time.Duration `msgpack:"t"`
 }
 
+// need is how many requests wait for what is drawn.
+func (d Draw) need() int64 { return d.Want - d.Ahead }
+
 // Spend is how many requests were spent, and how long ago at the least.
 type Spend struct {
 	Age   time.Duration `msgpack:"a"`
@@ -88,14 +93,20 @@
 }
 
 // Drawn answers: Granted is all that this holder was ever granted, and Retry
-// after what time more may be had where less than wanted was granted. Expired
+// after what time more may be had where less than needed was granted. Expired
 // says that what the holder has counts as spent; it begins anew by another name.
+// Tight says that nothing should be held beforehand: others need it.
 type Drawn struct {
 	Granted int64         `msgpack:"g"`
 	Retry   time.Duration `msgpack:"r"`
 	Expired bool          `msgpack:"x"`
+	Tight   bool          `msgpack:"t"`
 }
 
+// ahead is the part of a window's limit up to which holders get more than they need at
+// once. Beyond it, what one holds idle another is refused.
+const ahead = 0.6
+
 // slices is into how many parts a window's spending is told apart.
 const slices = 20
 
@@ -130,11 +141,10 @@
 	}
 	h.Until = now + d.Term
 	l.Holdings[d.Holder] = h
-	if extra := d.Want - h.out(); extra > 0 {
-		granted := max(0, min(extra, l.Limit.Most-l.used()))
+	if granted := l.grantable(d, h); granted > 0 {
 		h.Granted += granted
 		l.Holdings[d.Holder] = h
-		l.Exceeded = granted > 0 && l.used() > l.Limit.Most
+		l.Exceeded = l.used() > l.Limit.Most
 		if l.left -= granted; l.left < 0 {
 			l.left = max(l.Limit.Most/blocks, 1)
 			changed = true
@@ -149,13 +159,25 @@
 			l.Open += h.out()
 		}
 	}
-	answer.Granted = h.Granted
-	if h.out() < d.Want {
+	answer.Granted, answer.Tight = h.Granted, l.used() >= l.aheadMost()
+	if h.out() < d.need() {
 		answer.Retry = l.frees(now)
 	}
 	return answer, changed
 }
 
+// grantable is how much a holder gets: what it needs as long as the window has room, and
+// what it wants beforehand while there is plenty.
+func (l *Ledger) grantable(d Draw, h Holding) int64 {
+	room := l.Limit.Most - l.used()
+	needed := min(max(d.need()-h.out(), 0), max(room, 0))
+	beforehand := min(d.Want-h.out()-needed, l.aheadMost()-l.used()-needed)
+	return needed + max(beforehand, 0)
+}
+
+// aheadMost is how much may be out and spent when something is granted beforehand.
+func (l *Ledger) aheadMost() int64 { return int64(ahead * float64(l.Limit.Most)) }
+
 // book counts what was spent when it was: the newest first, as an earlier report
 // may have told the older.
 func (l *Ledger) book(now time.Duration, recent []Spend, count int64) {
--- a/rule/rate/ledger_test.go
+++ b/rule/rate/ledger_test.go
@@ -74,6 +74,7 @@
 						h.returned += free / 2
 					}
 					d := Draw{Holder: fmt.Sprint(h.name, "+", h.births), Granted: h.granted, Spent: h.spent, Returned: h.returned, Want: int64(random.IntN(40)), Limit: limit, Term: term}
+					d.Ahead = int64(random.IntN(int(d.Want) + 1))
 					for _, at := range h.recent {
 						d.Recent = append(d.Recent, Spend{Age: now - at, Count: 1})
 					}
@@ -129,6 +130,36 @@
 	}
 }
 
+// TestNothingIsHeldBeforehandWhereTight: what is wanted beforehand is granted while the
+// window has plenty, and what is needed as long as it has room.
+func TestNothingIsHeldBeforehandWhereTight(t *testing.T) {
+	l := Open(0, Reserve{}, time.Second)
+	limit := Limit{Window: 5 * time.Second, Most: 100}
+	draw := func(holder string, want, beforehand int64) Drawn {
+		got, _ := l.Take(0, Draw{Holder: holder, Want: want, Ahead: beforehand, Limit: limit, Term: time.Second})
+		return got
+	}
+	for _, c := range []struct {
+		holder           string
+		want, beforehand int64
+		granted          int64
+		tight, waits     bool
+	}{
+		{"a", 50, 50, 50, false, false},
+		{"b", 30, 20, 10, true, false},
+		{"c", 5, 5, 0, true, false},
+		{"d", 35, 5, 30, true, false},
+		{"e", 15, 0, 10, true, true},
+	} {
+		if got := draw(c.holder, c.want, c.beforehand); got.Granted != c.granted || got.Tight != c.tight || got.Retry > 0 != c.waits {
+			t.Errorf("%s: %+v", c.holder, got)
+		}
+	}
+	if l.used() != limit.Most || l.Exceeded {
+		t.Errorf("%d of %d are out", l.used(), limit.Most)
+	}
+}
+
 func TestRepeatedDrawGrantsOnce(t *testing.T) {
 	l := Open(0, Reserve{}, time.Second)
 	d := Draw{Holder: "a", Want: 10, Limit: Limit{Window: 5 * time.Second, Most: 100}, Term: time.Second}
