Soak: disks that are full, slow, stalled; losses of power; links to requesters and replicas

Cause: the soak's processes wrote to sound disks, lost no power, and requesters and replicas were linked to nodes directly.

Change: rehearsalkit/faultdisk, a file system that keeps what was synced and, at a loss of power, keeps, loses or tears the rest by chance; the soak's cores are the shipped role on it (rehearsalkit faulty-core), told over HTTP what ails them. New troubles: disk full, slow, stalled; power lost by one, several, all; requesters cut off from a node, answers delayed, a link to a replica cut either way or reset (half of the replicas stay unrelayed, so that refused connections go on coming about). Other roles lose power as they are killed: what they keep on disk is a help and no more.

--- /dev/null
+++ b/rehearsalkit/faultdisk/disk.go
@@ -0,0 +1,432 @@
+// Package faultdisk is a file system for rehearsals: real files in real folders, on a disk
+// that can be full, slow or stalled, and can lose power. What a sync has covered outlives
+// a loss of power; every later write, and every later change of a name, is then kept, lost
+// or torn by chance. One goroutine owns the disk; all operations go through it. Start
+// reading at Disk.LosePower.
+package faultdisk
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"saffronfall/peer/disk"
+)
+
+// Faults are what ails a disk now.
+type Faults struct {
+	// Full: writes end short, for want of room.
+	Full bool
+	// Stalled: operations wait until it is over. Slow is how long each takes longer.
+	Stalled bool
+	Slow    time.Duration
+}
+
+// Disk is a disk with its folders.
+type Disk struct {
+	ctx context.Context
+	// asks are carried out by the owner, one after the other.
+	asks chan func(s *state)
+}
+
+// state is what the owner knows.
+type state struct {
+	faults Faults
+	random *rand.Rand
+	// names are the files as they are called now, durable as a loss of power leaves them
+	// at least.
+	names, durable map[string]*file
+	// renames are the changes of names since their folder was synced.
+	renames []rename
+}
+
+// rename is one change of a name. One without a former name makes a file, one without a
+// new name removes it.
+type rename struct {
+	from, to string
+	file     *file
+}
+
+// file is a file's content: what was synced, and what was written since.
+type file struct {
+	synced []byte
+	writes []write
+}
+
+// write is one write, or a cut to a size where it has no bytes.
+type write struct {
+	at    int64
+	bytes []byte
+	cut   bool
+}
+
+// apply carries a write out on a content.
+func (w write) apply(content []byte) []byte {
+	if w.cut {
+		return resized(content, w.at)
+	}
+	end := w.at + int64(len(w.bytes))
+	if end > int64(len(content)) {
+		content = resized(content, end)
+	}
+	copy(content[w.at:], w.bytes)
+	return content
+}
+
+func resized(content []byte, size int64) []byte {
+	fresh := make([]byte, size)
+	copy(fresh, content)
+	return fresh
+}
+
+// New makes a disk without faults, until the context ends.
+func New(ctx context.Context, seed uint64) *Disk {
+	d := &Disk{ctx: ctx, asks: make(chan func(s *state))}
+	s := &state{random: rand.New(rand.NewPCG(seed, 7)), names: map[string]*file{}, durable: map[string]*file{}}
+	go func() {
+		for {
+			select {
+			case ask := <-d.asks:
+				ask(s)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return d
+}
+
+// do has the owner carry something out, and waits for it.
+func (d *Disk) do(what func(s *state) error) error {
+	done := make(chan error, 1)
+	select {
+	case d.asks <- func(s *state) { done <- what(s) }:
+		return <-done
+	case <-d.ctx.Done():
+		return d.ctx.Err()
+	}
+}
+
+// SetFaults changes what ails the disk.
+func (d *Disk) SetFaults(f Faults) {
+	d.do(func(s *state) error {
+		s.faults = f
+		return nil
+	})
+}
+
+// stallPoll is how often an operation looks whether the disk is still stalled.
+const stallPoll = 5 * time.Millisecond
+
+// wait waits while the disk is stalled, and as long as it is slow.
+func (d *Disk) wait() error {
+	for waited := false; ; {
+		var f Faults
+		if err := d.do(func(s *state) error {
+			f = s.faults
+			return nil
+		}); err != nil {
+			return err
+		}
+		pause := stallPoll
+		switch {
+		case !f.Stalled && (f.Slow == 0 || waited):
+			return nil
+		case !f.Stalled:
+			pause, waited = f.Slow, true
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-d.ctx.Done():
+			timer.Stop()
+			return d.ctx.Err()
+		}
+	}
+}
+
+// known is the file of a name, which is read when it is first named.
+func (s *state) known(name string) (*file, error) {
+	if f, ok := s.names[name]; ok {
+		return f, nil
+	}
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	f := &file{synced: content}
+	s.names[name], s.durable[name] = f, f
+	return f, nil
+}
+
+// OpenFile opens a file.
+func (d *Disk) OpenFile(name string, flag int, mode os.FileMode) (disk.File, error) {
+	if err := d.wait(); err != nil {
+		return nil, err
+	}
+	var opened disk.File
+	return opened, d.do(func(s *state) error {
+		f, err := s.known(name)
+		isNew := os.IsNotExist(err)
+		if err != nil && !isNew {
+			return err
+		}
+		real, err := os.OpenFile(name, flag, mode)
+		if err != nil {
+			return err
+		}
+		switch {
+		case isNew:
+			f = &file{}
+			s.names[name] = f
+			s.renames = append(s.renames, rename{to: name, file: f})
+		case flag&os.O_TRUNC != 0:
+			f.writes = append(f.writes, write{cut: true})
+		}
+		opened = &handle{disk: d, name: name, file: f, real: real, appends: flag&os.O_APPEND != 0}
+		return nil
+	})
+}
+
+// ReadFile reads a file whole.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	if err := d.wait(); err != nil {
+		return nil, err
+	}
+	return os.ReadFile(name)
+}
+
+// Rename renames a file. The new name lasts once its folder was synced.
+func (d *Disk) Rename(from, to string) error {
+	if err := d.wait(); err != nil {
+		return err
+	}
+	return d.do(func(s *state) error {
+		f, err := s.known(from)
+		if err != nil {
+			return err
+		}
+		if _, err := s.known(to); err != nil && !os.IsNotExist(err) {
+			return err
+		}
+		if err := os.Rename(from, to); err != nil {
+			return err
+		}
+		delete(s.names, from)
+		s.names[to] = f
+		s.renames = append(s.renames, rename{from: from, to: to, file: f})
+		return nil
+	})
+}
+
+// Remove removes a file.
+func (d *Disk) Remove(name string) error {
+	if err := d.wait(); err != nil {
+		return err
+	}
+	return d.do(func(s *state) error {
+		f, err := s.known(name)
+		if err != nil {
+			return err
+		}
+		if err := os.Remove(name); err != nil {
+			return err
+		}
+		delete(s.names, name)
+		s.renames = append(s.renames, rename{from: name, file: f})
+		return nil
+	})
+}
+
+// SyncFolder makes the names in a folder last.
+func (d *Disk) SyncFolder(path string) error {
+	if err := d.wait(); err != nil {
+		return err
+	}
+	return d.do(func(s *state) error {
+		var others []rename
+		for _, r := range s.renames {
+			if filepath.Dir(r.from) != path && filepath.Dir(r.to) != path {
+				others = append(others, r)
+				continue
+			}
+			r.apply(s.durable)
+		}
+		s.renames = others
+		return nil
+	})
+}
+
+// apply carries a change of a name out.
+func (r rename) apply(names map[string]*file) {
+	if r.from != "" && names[r.from] == r.file {
+		delete(names, r.from)
+	}
+	if r.to != "" {
+		names[r.to] = r.file
+	}
+}
+
+// syncFile makes a file's content last. A new file lasts with its own sync.
+func (s *state) syncFile(f *file) {
+	for _, w := range f.writes {
+		f.synced = w.apply(f.synced)
+	}
+	f.writes = nil
+	kept := s.renames[:0]
+	for _, r := range s.renames {
+		if r.file == f && r.from == "" {
+			r.apply(s.durable)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	s.renames = kept
+}
+
+// LosePower makes of the files what a loss of power leaves of them, and then ends the
+// disk's service by calling end, which must not return.
+func (d *Disk) LosePower(end func()) error {
+	return d.do(func(s *state) error {
+		if err := s.losePower(); err != nil {
+			return err
+		}
+		end()
+		return nil
+	})
+}
+
+const (
+	// loseAllChance is how likely a loss of power takes every write that was not synced.
+	loseAllChance = 0.3
+	// block is what a torn write loses or keeps at a time.
+	block = 512
+)
+
+func (s *state) losePower() error {
+	losesAll := s.random.Float64() < loseAllChance
+	names := s.durable
+	for _, r := range s.renames {
+		if !losesAll && s.random.IntN(2) == 0 {
+			r.apply(names)
+		}
+	}
+	for name := range s.names {
+		if err := os.Remove(name); err != nil && !os.IsNotExist(err) {
+			return errors.Wrap(err, "a loss of power")
+		}
+	}
+	for name, f := range names {
+		content := append([]byte(nil), f.synced...)
+		for _, w := range f.writes {
+			if !losesAll {
+				content = s.mayApply(content, w)
+			}
+		}
+		if err := os.WriteFile(name, content, 0o600); err != nil {
+			return errors.Wrap(err, "a loss of power")
+		}
+	}
+	return nil
+}
+
+// mayApply keeps, loses or tears a write.
+func (s *state) mayApply(content []byte, w write) []byte {
+	switch s.random.IntN(3) {
+	case 0:
+		return content
+	case 1:
+		return w.apply(content)
+	}
+	if w.cut {
+		return content
+	}
+	for at := 0; at < len(w.bytes); at += block {
+		if s.random.IntN(2) == 0 {
+			piece := w.bytes[at:min(at+block, len(w.bytes))]
+			content = write{at: w.at + int64(at), bytes: piece}.apply(content)
+		}
+	}
+	return content
+}
+
+// handle is an open file.
+type handle struct {
+	disk    *Disk
+	name    string
+	file    *file
+	real    *os.File
+	at      int64
+	appends bool
+}
+
+// Write writes at the handle's place. On a full disk a part of it is written.
+func (h *handle) Write(raw []byte) (written int, err error) {
+	if err := h.disk.wait(); err != nil {
+		return 0, err
+	}
+	err = h.disk.do(func(s *state) error {
+		part := raw
+		if s.faults.Full {
+			part = raw[:s.random.IntN(len(raw)+1)]
+		}
+		if h.appends {
+			end, err := h.real.Seek(0, io.SeekEnd)
+			if err != nil {
+				return err
+			}
+			h.at = end
+		}
+		var err error
+		if written, err = h.real.Write(part); err != nil {
+			return err
+		}
+		h.file.writes = append(h.file.writes, write{at: h.at, bytes: append([]byte(nil), part...)})
+		h.at += int64(written)
+		if s.faults.Full {
+			return &os.PathError{Op: "write", Path: h.name, Err: syscall.ENOSPC}
+		}
+		return nil
+	})
+	return written, err
+}
+
+// Seek moves the handle's place.
+func (h *handle) Seek(offset int64, whence int) (int64, error) {
+	at, err := h.real.Seek(offset, whence)
+	if err == nil {
+		h.at = at
+	}
+	return at, err
+}
+
+// Truncate cuts the file to a size.
+func (h *handle) Truncate(size int64) error {
+	return h.disk.do(func(*state) error {
+		if err := h.real.Truncate(size); err != nil {
+			return err
+		}
+		h.file.writes = append(h.file.writes, write{at: size, cut: true})
+		return nil
+	})
+}
+
+// Sync makes the file's content last.
+func (h *handle) Sync() error {
+	if err := h.disk.wait(); err != nil {
+		return err
+	}
+	return h.disk.do(func(s *state) error {
+		s.syncFile(h.file)
+		return nil
+	})
+}
+
+// Close closes the handle.
+func (h *handle) Close() error { return h.real.Close() }
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -18,6 +18,7 @@
 	"saffronfall/rehearsalkit/breaks"
 	"saffronfall/rehearsalkit/capacity"
 	"saffronfall/rehearsalkit/days"
+	"saffronfall/rehearsalkit/faultdisk"
 	"saffronfall/rehearsalkit/fleet"
 	"saffronfall/rehearsalkit/judge"
 	"saffronfall/rehearsalkit/modelcheck"
@@ -387,6 +388,7 @@
 	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of a partition's shipped state machine within bounds, or replay a trace."`
 	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
 	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	FaultyCore faultdisk.Command  `cmd:"" help:"Run the shipped core role on a disk that can be full, slow or stalled, or lose power, as told over HTTP."`
 	Refusals   refusals.Command   `cmd:"" help:"List answers of 400 to 499 that logs of nodes tell of, by cause and route, and whether they are owed."`
 	Worth      worth.Command      `cmd:"" help:"Tell where played days lost their worth, by their reports, or compare two builds' days in pairs."`
 	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random troubles, over seeds, and judge."`
--- a/rehearsalkit/soak/client.go
+++ b/rehearsalkit/soak/client.go
@@ -40,7 +40,11 @@
 }
 
 func dialNode(node *process) (*connection, error) {
-	c, err := net.DialTimeout("tcp", node.at(clientPort), time.Second)
+	port := clientPort
+	if rand.IntN(2) == 0 {
+		port = relayedClientPort
+	}
+	c, err := net.DialTimeout("tcp", node.at(port), time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/rehearsalkit/soak/command.go
+++ b/rehearsalkit/soak/command.go
@@ -17,6 +17,7 @@
 // Command runs seeds of the soak.
 type Command struct {
 	Binary   string        `help:"The saffronfall program; best built with the race detector." default:"bin/saffronfall" type:"path"`
+	Disks    string        `help:"The rehearsalkit program that runs cores on disks that can fail; 'none': no disk fails. Default: this program." default:""`
 	Folder   string        `help:"Where settings, data and logs of seeds with breaches are kept." default:"run/soak" type:"path"`
 	First    uint64        `help:"First seed." default:"1"`
 	Seeds    int           `help:"How many seeds." default:"1"`
@@ -85,13 +86,30 @@
 	return nil
 }
 
+// noDisks names no program for cores on disks that can fail.
+const noDisks = "none"
+
+// diskBinary is the program that runs cores on disks that can fail, if any.
+func (c *Command) diskBinary() string {
+	switch c.Disks {
+	case noDisks:
+		return ""
+	case "":
+		if own, err := os.Executable(); err == nil {
+			return own
+		}
+		return ""
+	}
+	return c.Disks
+}
+
 // one runs a seed. Its folder stays if anything broke.
 func (c *Command) one(ctx context.Context, seed uint64) outcome {
 	folder := filepath.Join(c.Folder, fmt.Sprint("seed", seed))
 	if err := os.RemoveAll(folder); err != nil {
 		return outcome{err: errors.Wrap(err, "folder")}
 	}
-	o := Options{Binary: c.Binary, Folder: folder, Seed: seed, Calm: c.Calm, Length: c.For, Settle: c.Settle, Troubles: c.Troubles}
+	o := Options{Binary: c.Binary, DiskBinary: c.diskBinary(), Folder: folder, Seed: seed, Calm: c.Calm, Length: c.For, Settle: c.Settle, Troubles: c.Troubles}
 	if c.Verbose {
 		o.Logf = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 	}
--- a/rehearsalkit/soak/fleet.go
+++ b/rehearsalkit/soak/fleet.go
@@ -37,7 +37,9 @@
 // Options are what a run is made of.
 type Options struct {
 	Binary, Folder string
-	Seed           uint64
+	// DiskBinary runs cores on disks that can fail; without it no disk fails.
+	DiskBinary string
+	Seed       uint64
 	// Calm is how long requesters live before troubles begin, Length how long
 	// troubles come, Settle how long they live after the last one is over.
 	Calm, Length, Settle time.Duration
@@ -94,7 +96,12 @@
 			return nil, err
 		}
 	}
-	return f, nil
+	for _, p := range f.of(roleNode) {
+		if err := f.links.Relay(ctx, p.at(relayedClientPort), p.at(clientPort)); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.replicas.relay(ctx)
 }
 
 func (f *Fleet) settingsOf(p *process, zone string) map[string]any {
--- a/rehearsalkit/soak/judge.go
+++ b/rehearsalkit/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -260,7 +261,7 @@
 // befell reports whether a process was in trouble in a time.
 func (r *record) befell(who string, from, to time.Duration) bool {
 	for _, t := range r.Troubles {
-		if t.Whom == who && t.From < to && from < t.To+time.Second {
+		if slices.Contains(strings.Fields(t.Whom), who) && t.From < to && from < t.To+time.Second {
 			return true
 		}
 	}
--- a/rehearsalkit/soak/process.go
+++ b/rehearsalkit/soak/process.go
@@ -21,14 +21,17 @@
 	roleNode = "relay"
 )
 
-// Ports of every machine. Peers are advertised at the relayed port.
+// Ports of every machine. Peers are advertised at the relayed port; some requesters come
+// by the relayed one of theirs.
 const (
-	relayedPort  = 7000
-	operatorPort = 7001
-	clientPort   = 7002
-	readyPort    = 7003
-	metricsPort  = 7004
-	peerPort     = 7100
+	relayedPort       = 7000
+	operatorPort      = 7001
+	clientPort        = 7002
+	readyPort         = 7003
+	metricsPort       = 7004
+	diskPort          = 7005
+	relayedClientPort = 7006
+	peerPort          = 7100
 )
 
 const (
@@ -48,6 +51,8 @@
 	// startedAt is when its present life began.
 	startedAt time.Duration
 	frozen    bool
+	// lives counts those of a core on a disk that can fail.
+	lives uint64
 }
 
 func (p *process) at(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
@@ -90,7 +95,7 @@
 	}
 	defer out.Close()
 	fmt.Fprintf(out, "== a life begins at %.3fs\n", p.fleet.now().Seconds())
-	command := exec.Command(p.fleet.Options.Binary, p.role, p.settingsPath())
+	command := p.program()
 	command.Stdout, command.Stderr = out, out
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -102,6 +107,17 @@
 	return nil
 }
 
+// program is what a life runs: the shipped program, or, for a core, the shipped role on a
+// disk that can fail.
+func (p *process) program() *exec.Cmd {
+	o := p.fleet.Options
+	if p.role == roleCore && o.DiskBinary != "" {
+		p.lives++
+		return exec.Command(o.DiskBinary, "faulty-core", p.settingsPath(), "--control", p.at(diskPort), "--seed", fmt.Sprint(o.Seed*1000+p.lives))
+	}
+	return exec.Command(o.Binary, p.role, p.settingsPath())
+}
+
 func (p *process) signal(s syscall.Signal) {
 	if p.command == nil {
 		return
--- a/rehearsalkit/soak/replica.go
+++ b/rehearsalkit/soak/replica.go
@@ -41,8 +41,10 @@
 type place struct {
 	fleet            *Fleet
 	service, address string
-	lives            int
-	current          *replica
+	// behind is where its replicas listen: the address itself, or one behind a relay.
+	behind  string
+	lives   int
+	current *replica
 	// busy lets one trouble at a time have the place.
 	busy chan struct{}
 }
@@ -65,11 +67,30 @@
 		if i >= 3 {
 			service = serviceApp
 		}
-		r.places = append(r.places, &place{fleet: f, service: service, address: f.host(hostReplica, i+1) + ":7900", busy: make(chan struct{}, 1)})
+		p := &place{fleet: f, service: service, address: f.host(hostReplica, i+1) + ":7900", busy: make(chan struct{}, 1)}
+		p.behind = p.address
+		if i%2 == 0 {
+			// Those that are not behind a relay refuse connections while they are down.
+			p.behind = f.host(hostReplica, i+1) + ":7910"
+		}
+		r.places = append(r.places, p)
 	}
 	return r
 }
 
+// relay puts relays before the places that are behind one.
+func (r *replicas) relay(ctx context.Context) error {
+	for _, p := range r.places {
+		if p.behind == p.address {
+			continue
+		}
+		if err := r.fleet.links.Relay(ctx, p.address, p.behind); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (r *replicas) fill(ctx context.Context) {
 	for _, p := range r.places {
 		p.begin(ctx)
@@ -81,7 +102,7 @@
 	var listener net.Listener
 	for range 100 {
 		var err error
-		if listener, err = net.Listen("tcp", p.address); err == nil {
+		if listener, err = net.Listen("tcp", p.behind); err == nil {
 			break
 		}
 		pause(ctx, 20*time.Millisecond)
--- a/rehearsalkit/soak/trouble.go
+++ b/rehearsalkit/soak/trouble.go
@@ -237,17 +237,26 @@
 	return p.address
 }
 
+// kinds are the troubles that may come.
+func (f *Fleet) kinds() []upheaval {
+	kinds := append(append([]upheaval(nil), upheavals...), linkUpheavals...)
+	if f.DiskBinary != "" {
+		kinds = append(kinds, diskUpheavals...)
+	}
+	return kinds
+}
+
 // upheave lets troubles come for a time, overlapping as they may, and returns when
 // all are over.
 func (f *Fleet) upheave(ctx context.Context) {
-	all := 0
-	for _, u := range upheavals {
+	all, kinds := 0, f.kinds()
+	for _, u := range kinds {
 		all += u.weight
 	}
 	done, begun := make(chan struct{}, 1<<12), 0
 	for end := f.now() + f.Length; f.now() < end && ctx.Err() == nil; {
-		at, chosen := f.random.IntN(all), upheavals[0]
-		for _, u := range upheavals {
+		at, chosen := f.random.IntN(all), kinds[0]
+		for _, u := range kinds {
 			if chosen = u; at < u.weight {
 				break
 			}
