Model checker: the scenarios with groups of five

Cause: the checker's scenarios had groups of three alone. Change: each scenario again with a group of five, in which one more member follows what the setup brings about and another has heard of nothing; replacements and leavings bear one loss more. One (candidate) is left out: its setup brings single messages that a group of five does not send at that point.

--- a/rehearsalkit/modelcheck/modelcheck_test.go
+++ b/rehearsalkit/modelcheck/modelcheck_test.go
@@ -13,6 +13,8 @@
 // goes as deep as it is told.
 var smallDepths = map[string]int{
 	"orders": 6, "again": 6, "replace": 7, "leave": 6, "catchup": 6, "read": 7, "cut": 7, "renewal": 7,
+	"orders5": 4, "again5": 4, "replace5": 5, "leave5": 4, "catchup5": 4, "read5": 5, "cut5": 5, "renewal5": 5, "restart5": 5,
+	"promise5": 4, "power5": 4, "unsynced5": 8, "leftover5": 4, "refusal5": 4,
 	"restart": 7, "promise": 7, "power": 6, "candidate": 7, "unsynced": 11, "leftover": 5, "refusal": 5,
 }
 
--- a/rehearsalkit/modelcheck/scenario.go
+++ b/rehearsalkit/modelcheck/scenario.go
@@ -32,6 +32,8 @@
 	Alike []string
 	Depth int
 
+	// companions take part in every settling of the setup.
+	companions []string
 	setup      func(*World)
 	renamings  []map[string]string
 	recoveries recoveries
@@ -102,6 +104,7 @@
 
 // settleAmong delivers messages among some seats and loses all others.
 func (w *World) settleAmong(seats ...string) {
+	seats = append(slices.Clone(seats), w.scenario.companions...)
 	for len(w.network) > 0 {
 		one := w.network[0].packet
 		w.network = w.network[1:]
--- a/rehearsalkit/modelcheck/scenarios.go
+++ b/rehearsalkit/modelcheck/scenarios.go
@@ -22,7 +22,7 @@
 
 // Scenarios are all that the checker knows.
 func Scenarios() []*Scenario {
-	return []*Scenario{
+	return withFives([]*Scenario{
 		ordersScenario(),
 		againScenario(),
 		replaceScenario(),
@@ -38,7 +38,7 @@
 		unsyncedScenario(),
 		leftoverScenario(),
 		refusalScenario(),
-	}
+	})
 }
 
 // Find is the scenario of a name.
