--- a/rehearsalkit/soak/power.go
+++ b/rehearsalkit/soak/power.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -33,7 +34,7 @@
 		p.start()
 	})},
 	{"power lost by several", 2, func(f *Fleet, ctx context.Context, random *rand.Rand) string {
-		several := append([]*process(nil), f.processes...)
+		several := slices.Clone(f.processes)
 		random.Shuffle(len(several), func(i, j int) { several[i], several[j] = several[j], several[i] })
 		return f.loseTogether(ctx, random, several[:2+random.IntN(len(several)-2)])
 	}},
@@ -63,6 +64,7 @@
 // loseTogether takes the power from processes at one moment, and gives it back to each
 // after a time of its own.
 func (f *Fleet) loseTogether(ctx context.Context, random *rand.Rand, whom []*process) string {
+	whom = slices.Clone(whom)
 	waiting, cancel := context.WithTimeout(ctx, takenWithin)
 	defer cancel()
 	var names []string
