--- a/peer/relay/overload.go
+++ b/peer/relay/overload.go
@@ -72,18 +72,6 @@
 	return false
 }
 
-// leastUrgent is the least urgent rank that replicas know.
-const leastUrgent = 9
-
-// urgencyAtReplica is the rank by which a replica orders a request. What its program can no
-// longer be in time for yields its place to what can.
-func (w *way) urgencyAtReplica(now time.Duration) int64 {
-	if w.ask.Horizon.Known && w.ask.Horizon.Left <= now-w.arrived {
-		return leastUrgent
-	}
-	return min(w.urgency(), leastUrgent-1)
-}
-
 // urgency is the tenant's, where it has one, and else the route's.
 func (w *way) urgency() int64 {
 	if w.tenant != nil && w.tenant.Urgency != nil {
--- a/peer/relay/way.go
+++ b/peer/relay/way.go
@@ -219,7 +219,7 @@
 	m.checkSending(w)
 	m.sent(now, w, s)
 	m.Counters.Sent++
-	step := Step{Kind: StepSend, Replica: s.listed, Service: w.service, Tenant: m.tenantName(w), Urgency: w.urgencyAtReplica(now), Kept: w.route.Kept && w.route.Mode == route.Stream,
+	step := Step{Kind: StepSend, Replica: s.listed, Service: w.service, Tenant: m.tenantName(w), Urgency: w.urgency(), Kept: w.route.Kept && w.route.Mode == route.Stream,
 		Stream: w.route.Mode == route.Stream, Resumable: w.route.Repeats() && w.route.Mode == route.Stream, Within: w.until - now}
 	if w.former != nil {
 		step.Before = w.former.said()
