Loads name replicas by the places of a desk's present life alone

And a report with a bad place was dropped after some of its records had been added. Change: entries of an earlier life have no place; the cache ends with a life; a report is checked before anything of it is taken, and counted as bad. Tests: TestPlacesAreOfTheDesksPresentLife, TestBadLoadReportChangesNothing, both seen to fail before. It touches estimates only.

--- a/peer/desk/loads.go
+++ b/peer/desk/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"saffronfall/rule/message"
@@ -100,11 +101,12 @@
 		return
 	}
 	places := m.placesNow()
+	if slices.ContainsFunc(b.List, func(one ReplicaLoad) bool { return int(one.Place) >= len(places) }) {
+		m.Counters.BadMessages++
+		return
+	}
 	word := nodeLoad{at: now, outstanding: map[string]uint16{}}
 	for _, one := range b.List {
-		if int(one.Place) >= len(places) {
-			return
-		}
 		id := places[one.Place]
 		word.outstanding[id] = one.Outstanding
 		if one.Served > 0 || one.Failed > 0 || one.Units > 0 {
--- a/peer/relay/loads.go
+++ b/peer/relay/loads.go
@@ -22,10 +22,11 @@
 // a node goes by its own sendings.
 const shareMemory = 6
 
-// places lists the replicas by which loads name a board's.
+// places lists the replicas by which loads name a board's: those that the desk's present
+// life has told of. What an earlier life told is kept for a while, and has no place.
 func (b *board) places() []string {
 	if b.placesVersion != b.version || b.placesOf == nil {
-		b.placesOf = desk.Places(b.list, func(p posted) bool { return p.Gone })
+		b.placesOf = desk.Places(b.list, func(p posted) bool { return p.Gone || p.until > 0 })
 		b.placesVersion = b.version
 	}
 	return b.placesOf
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -139,7 +139,7 @@
 			p.until = now + lostBeats*m.params.Beat
 			at.list[id] = p
 		}
-		at.life, at.version = b.Life, 0
+		at.life, at.version, at.placesOf = b.Life, 0, nil
 	}
 	if b.Since <= at.version {
 		for _, l := range b.List {
