Calls that concern the same thing have a home on pinned routes; hashes of names are keyed

And what requesters choose (parts of prompts) was told apart by an unkeyed hash, so that a tenant could choose names which all meet at one replica.

Change: routes have pinned, requests Saffronfall-Affinity; on such routes a call without a prompt has its home by the thing's hash over all zones, expected to save a fifth of its time there, and leaves it while that is busy. Hashes of things and of prompts' parts are SipHash under a key made of the fleet's secret.

--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -48,6 +48,8 @@
 	// may take. Zero: defaults.
 	BodyTime   time.Duration
 	IntakeSize int64
+	// HashKey is the fleet's secret key of hashes of what requesters choose.
+	HashKey [2]uint64
 	// Rejected, where it is set, is told of requests that did not arrive whole, on
 	// the goroutine that found it.
 	Rejected func(e relay.Ended)
--- a/peer/front/head.go
+++ b/peer/front/head.go
@@ -1,14 +1,14 @@
 package front
 
 import (
-	"hash/fnv"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/dchest/siphash"
+
 	"saffronfall/peer/relay"
 	"saffronfall/rule/placement"
 )
@@ -66,13 +66,16 @@
 		}
 		a.Most = count
 	}
-	a.Prompt = promptParts(r.Header.Get(n.Prompt))
+	a.Prompt = h.promptParts(r.Header.Get(n.Prompt))
+	if thing := r.Header.Get(n.Affinity); thing != "" {
+		a.Affinity = h.hash(thing) | 1
+	}
 	return a, ""
 }
 
 // promptParts reads the parts of a prompt. They only help to choose, so one that can't be
 // read is passed over.
-func promptParts(text string) (parts []placement.Part) {
+func (h *handler) promptParts(text string) (parts []placement.Part) {
 	if text == "" {
 		return nil
 	}
@@ -82,13 +85,17 @@
 		if err != nil || count < 0 {
 			continue
 		}
-		hash := fnv.New64a()
-		io.WriteString(hash, id)
-		parts = append(parts, placement.Part{ID: hash.Sum64(), Tokens: count})
+		parts = append(parts, placement.Part{ID: h.hash(id), Tokens: count})
 	}
 	return parts
 }
 
+// hash stands for a name that a requester chose. All nodes have the same key, and nobody
+// outside, so that no tenant can choose names which meet at one replica.
+func (h *handler) hash(name string) uint64 {
+	return siphash.Hash(h.HashKey[0], h.HashKey[1], []byte(name))
+}
+
 // horizon reads the time that a program has left. It only helps to decide what is served
 // first, so one that can't be read is none.
 func horizon(text string) relay.Horizon {
--- a/peer/relay/choice.go
+++ b/peer/relay/choice.go
@@ -187,6 +187,9 @@
 		return !w.tried[r.ID] && r.Outstanding < connections
 	}
 	request := placement.Request{Prompt: w.ask.Prompt, Repeats: w.route.Repeats(), Left: w.until - now, Service: s.time.Mean(), Reference: s.reference, Again: w.unrun > 0}
+	if w.route.Pinned {
+		request.Affinity = w.ask.Affinity
+	}
 	chosen := m.policy.Choose(now, request, s.estimates, allowed)
 	if chosen == nil {
 		return nil
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -30,13 +30,20 @@
 	// Budget is what all turns of the program may put out, Most what this one
 	// may.
 	Budget, Most int64
-	Prompt       []placement.Part
-	Left         time.Duration
-	Horizon      Horizon
-	Input        []byte
+	Subject
+	Left    time.Duration
+	Horizon Horizon
+	Input   []byte
 	Arrival
 }
 
+// Subject is what a request is about: the parts of its prompt, and the hash of the thing
+// that it concerns; zero: not told.
+type Subject struct {
+	Prompt   []placement.Part
+	Affinity uint64
+}
+
 // Arrival is how a request came: the sizes of its parts, and when its head came, on
 // the clock of the machine.
 type Arrival struct {
--- a/peer/replica/line.go
+++ b/peer/replica/line.go
@@ -20,7 +20,7 @@
 
 // Names are the headers that requesters, nodes and replicas speak with.
 type Names struct {
-	Attempt, Deadline, LastEvent, Target, Load, NotRun, Seal, Tenant, Key, Urgency string
+	Attempt, Deadline, LastEvent, Target, Load, NotRun, Seal, Tenant, Key, Urgency, Affinity string
 	ProgramNames
 }
 
@@ -32,7 +32,7 @@
 
 // OwnNames are the product's own.
 var OwnNames = Names{Attempt: "Saffronfall-Attempt", Deadline: "Saffronfall-Deadline-Ms", LastEvent: "Last-Event-Id", Target: "Saffronfall-Replica",
-	Load: "Saffronfall-Load", NotRun: "Saffronfall-Not-Run", Seal: "Saffronfall-Seal", Tenant: "Saffronfall-Tenant", Key: "Saffronfall-Key", Urgency: "Saffronfall-Urgency",
+	Load: "Saffronfall-Load", NotRun: "Saffronfall-Not-Run", Seal: "Saffronfall-Seal", Tenant: "Saffronfall-Tenant", Key: "Saffronfall-Key", Urgency: "Saffronfall-Urgency", Affinity: "Saffronfall-Affinity",
 	ProgramNames: ProgramNames{Tokens: "Saffronfall-Tokens", Prompt: "Saffronfall-Prompt", Program: "Saffronfall-Program", Session: "Saffronfall-Session", Budget: "Saffronfall-Budget", Previous: "Saffronfall-Previous", Horizon: "Saffronfall-Horizon-Ms"}}
 
 // Line keeps the idle connections to one replica. They are shared by all
--- a/rule/placement/home.go
+++ b/rule/placement/home.go
@@ -29,13 +29,16 @@
 }
 
 func (p *Policy) homesOf(request Request, replicas []*Replica, allowed func(*Replica) bool) (h homes) {
-	key, ok := conversation(request.Prompt)
+	key, ok := request.homeKey()
 	if !ok || !p.Settings.Homes {
 		return h
 	}
+	// What a replica saves of a request for a thing that it knows outweighs the way to
+	// another zone, and all zones have requests for it.
+	isZonal := p.Settings.Zones && !request.hasAffinity()
 	for _, r := range replicas {
 		if allowed(r) {
-			h.add(r, score{near: p.Settings.Zones && r.Zone == p.Zone, rank: rank(mix(key^r.hash()), p.slowness(request, r))})
+			h.add(r, score{near: isZonal && r.Zone == p.Zone, rank: rank(mix(key^r.hash()), p.slowness(request, r))})
 		}
 	}
 	return h
@@ -62,6 +65,17 @@
 	return -weight / math.Log(where)
 }
 
+// hasAffinity reports whether a request's home goes by the thing that it concerns.
+func (r Request) hasAffinity() bool { return r.Affinity != 0 && len(r.Prompt) == 0 }
+
+// homeKey is by what a request has a home.
+func (r Request) homeKey() (uint64, bool) {
+	if r.hasAffinity() {
+		return r.Affinity, true
+	}
+	return conversation(r.Prompt)
+}
+
 // conversation is what tells a prompt's conversation from others: its second part, as
 // the first one is shared by many.
 func conversation(prompt []Part) (uint64, bool) {
--- a/rule/placement/placement_test.go
+++ b/rule/placement/placement_test.go
@@ -63,6 +63,31 @@
 	}
 }
 
+// TestThingsMeetAgain: calls that concern the same thing go to one replica, whichever node
+// and zone they come through, and things are spread; a home that is full is left.
+func TestThingsMeetAgain(t *testing.T) {
+	picked := map[string]int{}
+	for thing := uint64(1); thing <= 300; thing++ {
+		call := request(nil, false)
+		call.Affinity = mix(thing)
+		here, there := policy(1, settings()), policy(2, settings())
+		there.Zone = "zone1"
+		list := replicas(24)
+		first, other := here.Choose(0, call, list, everyone), there.Choose(0, call, replicas(24), everyone)
+		if first.ID != other.ID {
+			t.Fatalf("thing %d goes to %s from one zone and to %s from another", thing, first.ID, other.ID)
+		}
+		picked[first.ID]++
+		first.Share(30, 0, time.Minute)
+		if away := here.Choose(0, call, list, everyone); away == first {
+			t.Fatalf("thing %d goes to its home though that is full", thing)
+		}
+	}
+	if len(picked) != 24 {
+		t.Errorf("300 things at %d of 24 replicas", len(picked))
+	}
+}
+
 // TestFullHomeIsLeft: a conversation leaves its home while that has a queue, for a
 // replica with room.
 func TestFullHomeIsLeft(t *testing.T) {
--- a/rule/placement/policy.go
+++ b/rule/placement/policy.go
@@ -24,6 +24,9 @@
 // Request is what a decision has to know of a request.
 type Request struct {
 	Prompt []Part
+	// Affinity tells requests that concern the same thing, which a replica that had one of
+	// them lately serves faster; zero: not known.
+	Affinity uint64
 	// Repeats: it may run more than once. Left is how much time it still has.
 	Repeats bool
 	Left    time.Duration
@@ -56,6 +59,10 @@
 	// to be needed once nothing was sent for idleBeats.
 	connectionCost = 2 * time.Millisecond
 	idleBeats      = 4
+	// affinityGain is which part of its time a request is expected to save at the home of
+	// what it concerns: some of what a replica saves that had a request for it, as it may
+	// have had none lately.
+	affinityGain = 0.2
 	// tieBreak spreads requests over replicas that are alike.
 	tieBreak = 3 * time.Millisecond
 )
@@ -118,6 +125,9 @@
 	service := time.Duration(float64(request.Service) * slowness)
 	cost := service - request.Service
 	cost += time.Duration(float64(service) * sharing * float64(min(running, slots)) / float64(slots))
+	if isHome && request.hasAffinity() {
+		cost -= time.Duration(float64(service) * affinityGain)
+	}
 	if running >= slots {
 		cost += service * time.Duration(running-slots+1) / time.Duration(slots)
 	}
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -30,20 +30,22 @@
 
 // Route is one host and path prefix.
 type Route struct {
-	Name        string   `json:"name"`
-	Host        string   `json:"host"`
-	Prefix      string   `json:"prefix"`
-	Mode        string   `json:"mode"`
-	Resumable   bool     `json:"resumable"`
-	Kept        bool     `json:"kept"`
-	KeepSeconds float64  `json:"keep_seconds"`
-	TimeoutMS   float64  `json:"timeout_ms"`
-	AimMS       float64  `json:"aim_ms"`
-	GapMS       float64  `json:"gap_ms"`
-	Urgency     int64    `json:"urgency"`
-	Tries       int64    `json:"tries"`
-	Open        bool     `json:"open"`
-	Targets     []Target `json:"targets"`
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"prefix"`
+	Mode        string  `json:"mode"`
+	Resumable   bool    `json:"resumable"`
+	Kept        bool    `json:"kept"`
+	KeepSeconds float64 `json:"keep_seconds"`
+	TimeoutMS   float64 `json:"timeout_ms"`
+	AimMS       float64 `json:"aim_ms"`
+	GapMS       float64 `json:"gap_ms"`
+	Urgency     int64   `json:"urgency"`
+	Tries       int64   `json:"tries"`
+	Open        bool    `json:"open"`
+	// Pinned: a replica that lately had a request for the same thing is faster.
+	Pinned  bool     `json:"pinned"`
+	Targets []Target `json:"targets"`
 }
 
 // Repeats reports whether a request of this route may run more than once.
@@ -114,6 +116,7 @@
 	{Path: "routes.[].urgency", Type: "int", Default: 5, Min: 0, Max: 9, About: "0 is the most urgent"},
 	{Path: "routes.[].tries", Type: "int", Default: 1, Min: 1, Max: 100, About: "replicas that one request may be sent to"},
 	{Path: "routes.[].open", Type: "bool", Default: false, About: "needs no key"},
+	{Path: "routes.[].pinned", Type: "bool", Default: false, About: "a replica that lately had a request for the same thing is faster"},
 	{Path: "routes.[].targets.[].service", Type: "text", Required: true, About: "service that requests go to"},
 	{Path: "routes.[].targets.[].weight", Type: "number", Default: 1.0, Min: 0, Max: most, About: "weight among the route's services"},
 	{Path: "services.[].name", Type: "text", Required: true, About: "name of the service"},
--- a/saffronfall/relayprocess/observe.go
+++ b/saffronfall/relayprocess/observe.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"time"
@@ -154,3 +155,12 @@
 	mac.Write([]byte(tenant))
 	return hex.EncodeToString(mac.Sum(nil)[:8])
 }
+
+// hashKey is the key of hashes of what requesters choose: the same at all nodes, as it is
+// made of the fleet's secret.
+func hashKey(secret string) [2]uint64 {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte("placement"))
+	sum := mac.Sum(nil)
+	return [2]uint64{binary.LittleEndian.Uint64(sum), binary.LittleEndian.Uint64(sum[8:])}
+}
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -115,7 +115,7 @@
 	group.Add(func() error { return s.own() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
 	telemetry.Serve(&group, p.MetricsListen, telemetry.Source{Role: "node", Look: s.snapshot, Set: s.observer.set}, log)
-	handler := front.Handler(front.Options{Owner: s, Names: names, Most: p.Largest, Closing: s.closing,
+	handler := front.Handler(front.Options{Owner: s, Names: names, HashKey: hashKey(p.Secret), Most: p.Largest, Closing: s.closing,
 		BodyTime: time.Duration(p.BodyMS) * time.Millisecond, IntakeSize: p.IntakeBytes, Rejected: s.rejected, Violated: s.violated})
 	server := &http.Server{Addr: p.RequesterListen, Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 20}
 	serve(&group, server, func(server *http.Server) error { return front.Serve(server, int(p.Connections)) }, "requester address")
