--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -43,7 +43,7 @@
 		From: "case m.heldElsewhere(now, d.version):", To: "case true:"},
 	{What: "a torn frame is taken for a whole one", File: "peer/disk/log.go", Seeds: 4,
 		From: "	if f.sum(at, raw[:8], body) != binary.LittleEndian.Uint64(raw[8:]) {\n		return nil, 0\n	}\n", To: ""},
-	{What: "a new state counts before it is synced", File: "peer/disk/disk.go", Seeds: 1, Elsewhere: "TestWhatIsSyncedOutlivesPower; in a soak's time no core writes a second state",
+	{What: "a new state counts before it is synced", File: "peer/disk/disk.go", Seeds: 4,
 		From: "	if err := file.Sync(); err != nil {\n		return errors.Wrap(err, \"folder\")\n	}\n	return f.files.SyncFolder(f.path)", To: "	return f.files.SyncFolder(f.path)"},
 	{What: "a frame counts before it is synced", File: "peer/disk/disk.go", Seeds: 2,
 		From: "	return errors.Wrap(f.log.Sync(), \"log\")\n}\n\n// takeBack", To: "	return nil\n}\n\n// takeBack"},
