Refused configurations: named in the operator's words, logged and counted by the desk

A configuration with the mode "keyed" was refused with `routes[42].mode, value ""`, in terms of the translated table; no log line of a desk and no metric said that, or why, orders were refused.

Faults have a kind (unknown word, unknown setting, unreadable text). Whoever answers an operator reports the refusal; the registry process counts it by cause (configurations_refused_CAUSE) and logs one line for each cause and second, with the number and the first three faults, each text cut at 120 bytes. Texts that could hold a credential are not logged, and the fault of a key of two tenants names the other tenant by its index.

--- a/peer/registry/handler.go
+++ b/peer/registry/handler.go
@@ -11,6 +11,7 @@
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/operator"
+	"saffronfall/rule/configuration"
 	"saffronfall/rule/route"
 )
 
@@ -25,6 +26,8 @@
 	Retire(ctx context.Context, id string) (RetirementStatus, error)
 	RetirementStatus(ctx context.Context, id string) (RetirementStatus, error)
 	Counters(ctx context.Context) (map[string]int64, error)
+	// ReportRefusal counts and logs an order that was refused for its content.
+	ReportRefusal(ctx context.Context, refusal Refusal)
 }
 
 // Digest returns the SHA-256 of a text in hexadecimal.
@@ -39,13 +42,20 @@
 }
 
 // readOrder reads an operator's order and its base. If that fails, it writes the response.
-func readOrder(w http.ResponseWriter, r *http.Request, maxBody int64, kind string) (base uint64, body []byte, ok bool) {
+func readOrder(api API, w http.ResponseWriter, r *http.Request, maxBody int64, kind string) (base uint64, body []byte, ok bool) {
 	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
 	body, bodyErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil || bodyErr != nil {
+		reason := "base must be the number of the table in force, and the body a whole " + kind
+		api.ReportRefusal(r.Context(), Refusal{Faults: configuration.Faults{{
+			Path:    "$",
+			Value:   "no base, or a body that did not come whole",
+			Allowed: reason,
+			Kind:    configuration.UnreadableText,
+		}}})
 		operator.WriteJSON(w, http.StatusBadRequest, operator.ErrorResponse{
 			Code:     "malformed",
-			Reason:   "base must be the number of the table in force, and the body a whole " + kind,
+			Reason:   reason,
 			Executed: "no",
 		})
 		return 0, nil, false
@@ -71,12 +81,13 @@
 }
 
 func handleAmendment(api API, w http.ResponseWriter, r *http.Request, maxBody int64) {
-	base, text, ok := readOrder(w, r, maxBody, "amendment")
+	base, text, ok := readOrder(api, w, r, maxBody, "amendment")
 	if !ok {
 		return
 	}
 	amendment, faults := route.ParseAmendment(text)
 	if faults != nil {
+		api.ReportRefusal(r.Context(), Refusal{Number: amendment.Number, Faults: faults})
 		operator.WriteJSON(w, http.StatusBadRequest, OrderResult{Faults: faults})
 		return
 	}
@@ -88,6 +99,21 @@
 		Apply:       ApplyAmendment(amendment),
 		PreviewOnly: previewOnly,
 	})
+	if result.Faults != nil && !previewOnly {
+		api.ReportRefusal(r.Context(), Refusal{Number: amendment.Number, Faults: result.Faults})
+	}
+	writeOrderResult(w, result, err)
+}
+
+func handleTable(api API, w http.ResponseWriter, r *http.Request, maxBody int64) {
+	base, text, ok := readOrder(api, w, r, maxBody, "table")
+	if !ok {
+		return
+	}
+	result, err := api.Apply(r.Context(), base, text, Digest(text))
+	if result.Faults != nil {
+		api.ReportRefusal(r.Context(), Refusal{Number: NumberOf(text, "number"), Faults: result.Faults})
+	}
 	writeOrderResult(w, result, err)
 }
 
@@ -99,14 +125,7 @@
 		operatorMux := http.NewServeMux()
 		mux.Handle("/v1/replicas/", operator.RequireKey(replicaKey, replicaHandler(api)))
 		mux.Handle("/", operator.RequireKey(operatorKey, operatorMux))
-		operatorMux.HandleFunc("PUT /v1/table", func(w http.ResponseWriter, r *http.Request) {
-			base, text, ok := readOrder(w, r, maxBody, "table")
-			if !ok {
-				return
-			}
-			result, err := api.Apply(r.Context(), base, text, Digest(text))
-			writeOrderResult(w, result, err)
-		})
+		operatorMux.HandleFunc("PUT /v1/table", func(w http.ResponseWriter, r *http.Request) { handleTable(api, w, r, maxBody) })
 		operatorMux.HandleFunc("PATCH /v1/table", func(w http.ResponseWriter, r *http.Request) { handleAmendment(api, w, r, maxBody) })
 		operatorMux.HandleFunc("GET /v1/table", func(w http.ResponseWriter, r *http.Request) {
 			table, err := api.Read(r.Context())
--- a/rule/configuration/description.go
+++ b/rule/configuration/description.go
@@ -175,25 +175,25 @@
 		t := d.Tenants[name]
 		for _, k := range t.Keys {
 			if _, ok := d.Roles[k.Role]; !ok {
-				faults = append(faults, Fault{"tenants." + name + ".keys.role", k.Role, "a role of this description"})
+				faults = append(faults, Fault{Path: "tenants." + name + ".keys.role", Value: k.Role, Allowed: "a role of this description"})
 			}
 			if other, ok := tenantOfKey[k.SHA256]; ok {
-				faults = append(faults, Fault{"tenants." + name + ".keys.sha256", k.SHA256, "a key of one tenant only; also of " + other})
+				faults = append(faults, Fault{Path: "tenants." + name + ".keys.sha256", Value: k.SHA256, Allowed: "a key of one tenant only; also of " + other})
 			}
 			tenantOfKey[k.SHA256] = name
 		}
 	}
 	for name, r := range d.Roles {
 		if r.ProgramTokensSoft > r.ProgramTokensHard {
-			faults = append(faults, Fault{"roles." + name + ".program_tokens_soft", r.ProgramTokensSoft, "at most program_tokens_hard"})
+			faults = append(faults, Fault{Path: "roles." + name + ".program_tokens_soft", Value: r.ProgramTokensSoft, Allowed: "at most program_tokens_hard"})
 		}
 		if r.UserDayTokensSoft > r.UserDayTokensHard {
-			faults = append(faults, Fault{"roles." + name + ".user_day_tokens_soft", r.UserDayTokensSoft, "at most user_day_tokens_hard"})
+			faults = append(faults, Fault{Path: "roles." + name + ".user_day_tokens_soft", Value: r.UserDayTokensSoft, Allowed: "at most user_day_tokens_hard"})
 		}
 	}
 	for name, s := range d.Services {
 		if s.BypassesBreaker && s.Kind != "once" {
-			faults = append(faults, Fault{"services." + name + ".past_breaker", true, "only with kind once, which spends no tokens"})
+			faults = append(faults, Fault{Path: "services." + name + ".past_breaker", Value: true, Allowed: "only with kind once, which spends no tokens"})
 		}
 	}
 	sort.Slice(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
--- a/rule/configuration/settings.go
+++ b/rule/configuration/settings.go
@@ -29,11 +29,26 @@
 	Help     string
 }
 
+// FaultKind says what makes a value invalid.
+type FaultKind int
+
+const (
+	// InvalidValue is a value that its setting does not allow.
+	InvalidValue FaultKind = iota
+	// UnknownWord is a word that is none of those that its setting knows.
+	UnknownWord
+	// UnknownSetting is a setting that does not exist.
+	UnknownSetting
+	// UnreadableText is a text that cannot be decoded; the value describes the error.
+	UnreadableText
+)
+
 // Fault is one invalid value of a configuration. Allowed describes the valid ones.
 type Fault struct {
-	Path    string `json:"path"`
-	Value   any    `json:"value,omitempty"`
-	Allowed string `json:"allowed"`
+	Path    string    `json:"path"`
+	Value   any       `json:"value,omitempty"`
+	Allowed string    `json:"allowed"`
+	Kind    FaultKind `json:"-"`
 }
 
 // String returns the fault as one line of text.
@@ -60,7 +75,7 @@
 	decoder.UseNumber()
 	var tree any
 	if err := decoder.Decode(&tree); err != nil {
-		return Faults{{Path: "$", Value: err.Error(), Allowed: "one JSON object"}}
+		return Faults{{Path: "$", Value: err.Error(), Allowed: "one JSON object", Kind: UnreadableText}}
 	}
 	if decoder.More() {
 		return Faults{{Path: "$", Value: "text after the object", Allowed: "one JSON object"}}
@@ -78,7 +93,7 @@
 		err = json.Unmarshal(encoded, target)
 	}
 	if err != nil {
-		return Faults{{Path: "$", Value: err.Error(), Allowed: "values of the documented types"}}
+		return Faults{{Path: "$", Value: err.Error(), Allowed: "values of the documented types", Kind: UnreadableText}}
 	}
 	return nil
 }
@@ -151,6 +166,7 @@
 				Path:    joinPath(path, key),
 				Value:   child,
 				Allowed: "no such setting; known here: " + strings.Join(childNames(schema), ", "),
+				Kind:    UnknownSetting,
 			})
 			continue
 		}
@@ -229,7 +245,8 @@
 				found = found || allowedText == text
 			}
 			if !found {
-				return reject()
+				*faults = append(*faults, Fault{Path: path, Value: value, Allowed: allowed(setting), Kind: UnknownWord})
+				return value
 			}
 		}
 	case "texts":
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -249,7 +249,7 @@
 			report(path+".targets.weight", weight, "weights with a sum above 0")
 		}
 	}
-	tenantOfKey, names := map[string]string{}, map[string]bool{}
+	tenantOfKey, names := map[string]int{}, map[string]bool{}
 	for i, tenant := range t.Tenants {
 		path := "tenants[" + strconv.Itoa(i) + "]"
 		if names[tenant.Name] {
@@ -258,10 +258,10 @@
 		names[tenant.Name] = true
 		for _, key := range tenant.Keys {
 			key = strings.ToLower(key)
-			if other, ok := tenantOfKey[key]; ok && other != tenant.Name {
-				report(path+".keys", key, "a key of one tenant only; also of "+other)
+			if other, ok := tenantOfKey[key]; ok && t.Tenants[other].Name != tenant.Name {
+				report(path+".keys", key, "a key of one tenant only; also of tenant ["+strconv.Itoa(other)+"]")
 			}
-			tenantOfKey[key] = tenant.Name
+			tenantOfKey[key] = i
 		}
 	}
 	return faults
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -42,14 +42,16 @@
 	ctx         context.Context
 	answers     map[uint64]chan any
 	lastTicket  uint64
-	sent        int64
-	dropped     int64
-	badStreams  int64
+	traffic     trafficCounts
+	refusals    *refusalLog
 	tableNumber uint64
 	// dataDir is nil if nothing is stored.
 	dataDir *disk.Store
 }
 
+// trafficCounts counts the messages to other processes, and streams that could not be read.
+type trafficCounts struct{ sent, dropped, badStreams int64 }
+
 // record is a stored state of a registry, or the changes to one. Records of a former version are a
 // bare list of replicas.
 type record struct {
@@ -154,7 +156,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	s := &process{params: p, updates: updates, log: log, streams: streams, start: clock.Now(), ctx: runCtx,
-		calls: make(chan func(time.Duration) registry.Output, 64), answers: map[uint64]chan any{}}
+		calls: make(chan func(time.Duration) registry.Output, 64), answers: map[uint64]chan any{}, refusals: newRefusalLog()}
 	var replicas []registry.ReplicaEntry
 	var peers *registry.Peers
 	if p.DataDir != "" {
@@ -210,7 +212,7 @@
 			s.apply(call(s.now()))
 		case s.params = <-s.updates:
 		case c := <-s.streams.Counts:
-			s.badStreams += c.BadStreams
+			s.traffic.badStreams += c.BadStreams
 		case <-ticker.C:
 			s.apply(s.machine.Tick(s.now()))
 			if number := s.machine.TableNumber(); number != s.tableNumber {
@@ -227,9 +229,9 @@
 func (s *process) apply(o registry.Output) {
 	s.store(o.ChangedReplicas, o.Peers)
 	for _, send := range o.Sends {
-		s.sent++
+		s.traffic.sent++
 		if !s.streams.Send(send.To, send.Body) {
-			s.dropped++
+			s.traffic.dropped++
 		}
 	}
 	for _, a := range o.Answers {
@@ -312,6 +314,17 @@
 	})
 }
 
+// ReportRefusal does not wait until the refusal is recorded.
+func (s *process) ReportRefusal(ctx context.Context, refusal registry.Refusal) {
+	select {
+	case s.calls <- func(now time.Duration) registry.Output {
+		s.refusals.record(now, refusal, s.log)
+		return registry.Output{}
+	}:
+	case <-ctx.Done():
+	}
+}
+
 // Retire starts to retire a core.
 func (s *process) Retire(ctx context.Context, id string) (registry.RetirementStatus, error) {
 	return call[registry.RetirementStatus](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
@@ -334,7 +347,8 @@
 func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
 	return call[map[string]int64](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		counts := m.Status(now)
-		counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.sent, s.dropped, s.badStreams
+		counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.traffic.sent, s.traffic.dropped, s.traffic.badStreams
+		s.refusals.addMetrics(counts)
 		return registry.Output{Answers: []registry.Answer{{Ticket: ticket, Body: counts}}}
 	})
 }
