Faults: their kind is not an exported field

TestJSONSchema in saffronfall failed on: an exported field of Fault, though left out of its JSON, shifted the values with which the schema test fills it (and would have been written by encodings other than JSON). The kind is unexported now, with WithKind and Kind; the encoding is what it was, and the golden file is untouched.

--- a/peer/registry/handler.go
+++ b/peer/registry/handler.go
@@ -47,12 +47,8 @@
 	body, bodyErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil || bodyErr != nil {
 		reason := "base must be the number of the table in force, and the body a whole " + kind
-		api.ReportRefusal(r.Context(), Refusal{Faults: configuration.Faults{{
-			Path:    "$",
-			Value:   "no base, or a body that did not come whole",
-			Allowed: reason,
-			Kind:    configuration.UnreadableText,
-		}}})
+		fault := configuration.Fault{Path: "$", Value: "no base, or a body that did not come whole", Allowed: reason}
+		api.ReportRefusal(r.Context(), Refusal{Faults: configuration.Faults{fault.WithKind(configuration.UnreadableText)}})
 		operator.WriteJSON(w, http.StatusBadRequest, operator.ErrorResponse{
 			Code:     "malformed",
 			Reason:   reason,
--- a/peer/registry/refusal.go
+++ b/peer/registry/refusal.go
@@ -31,7 +31,7 @@
 // Cause returns that of the first fault which is more than an invalid value.
 func (r Refusal) Cause() RefusalCause {
 	for _, fault := range r.Faults {
-		switch fault.Kind {
+		switch fault.Kind() {
 		case configuration.UnreadableText:
 			return CauseUnreadable
 		case configuration.UnknownWord, configuration.UnknownSetting:
--- a/rule/configuration/settings.go
+++ b/rule/configuration/settings.go
@@ -45,12 +45,22 @@
 
 // Fault is one invalid value of a configuration. Allowed describes the valid ones.
 type Fault struct {
-	Path    string    `json:"path"`
-	Value   any       `json:"value,omitempty"`
-	Allowed string    `json:"allowed"`
-	Kind    FaultKind `json:"-"`
+	Path    string `json:"path"`
+	Value   any    `json:"value,omitempty"`
+	Allowed string `json:"allowed"`
+
+	kind FaultKind
+}
+
+// WithKind returns the fault with a kind, which is not part of its encoding.
+func (f Fault) WithKind(kind FaultKind) Fault {
+	f.kind = kind
+	return f
 }
 
+// Kind is InvalidValue unless WithKind has set another.
+func (f Fault) Kind() FaultKind { return f.kind }
+
 // String returns the fault as one line of text.
 func (f Fault) String() string {
 	return fmt.Sprintf("%s: %v is not allowed; allowed: %s", f.Path, f.Value, f.Allowed)
@@ -75,7 +85,7 @@
 	decoder.UseNumber()
 	var tree any
 	if err := decoder.Decode(&tree); err != nil {
-		return Faults{{Path: "$", Value: err.Error(), Allowed: "one JSON object", Kind: UnreadableText}}
+		return Faults{{Path: "$", Value: err.Error(), Allowed: "one JSON object", kind: UnreadableText}}
 	}
 	if decoder.More() {
 		return Faults{{Path: "$", Value: "text after the object", Allowed: "one JSON object"}}
@@ -93,7 +103,7 @@
 		err = json.Unmarshal(encoded, target)
 	}
 	if err != nil {
-		return Faults{{Path: "$", Value: err.Error(), Allowed: "values of the documented types", Kind: UnreadableText}}
+		return Faults{{Path: "$", Value: err.Error(), Allowed: "values of the documented types", kind: UnreadableText}}
 	}
 	return nil
 }
@@ -166,7 +176,7 @@
 				Path:    joinPath(path, key),
 				Value:   child,
 				Allowed: "no such setting; known here: " + strings.Join(childNames(schema), ", "),
-				Kind:    UnknownSetting,
+				kind:    UnknownSetting,
 			})
 			continue
 		}
@@ -245,7 +255,7 @@
 				found = found || allowedText == text
 			}
 			if !found {
-				*faults = append(*faults, Fault{Path: path, Value: value, Allowed: allowed(setting), Kind: UnknownWord})
+				*faults = append(*faults, Fault{Path: path, Value: value, Allowed: allowed(setting), kind: UnknownWord})
 				return value
 			}
 		}
--- a/saffronfall/registryprocess/refusals.go
+++ b/saffronfall/registryprocess/refusals.go
@@ -82,7 +82,7 @@
 	case bool, int, int64, uint64, float64, json.Number:
 		return shorten(fmt.Sprint(value))
 	case string:
-		if fault.Kind == configuration.UnknownWord || fault.Kind == configuration.UnreadableText {
+		if kind := fault.Kind(); kind == configuration.UnknownWord || kind == configuration.UnreadableText {
 			return fmt.Sprintf("%q", shorten(value))
 		}
 	}
--- a/saffronfall/registryprocess/refusals_test.go
+++ b/saffronfall/registryprocess/refusals_test.go
@@ -12,9 +12,8 @@
 )
 
 func unknownMode(word string) registry.Refusal {
-	return registry.Refusal{Number: 3, Faults: configuration.Faults{
-		{Path: "channels[1].mode", Value: word, Allowed: "one of a, b", Kind: configuration.UnknownWord},
-	}}
+	fault := configuration.Fault{Path: "channels[1].mode", Value: word, Allowed: "one of a, b"}
+	return registry.Refusal{Number: 3, Faults: configuration.Faults{fault.WithKind(configuration.UnknownWord)}}
 }
 
 func recordingLog() (*refusalLog, func(now time.Duration, refusal registry.Refusal), *[]string) {
@@ -69,9 +68,9 @@
 	for i, fault := range []configuration.Fault{
 		{Path: "accounts[0].credentials", Value: credential},
 		{Path: "accounts[0].credentials", Value: []any{credential}},
-		{Path: "accounts[0].credential", Value: []any{credential}, Kind: configuration.UnknownSetting},
-		{Path: "accounts[0].credential", Value: credential, Kind: configuration.UnknownSetting},
-		{Path: "$", Value: map[string]any{"accounts": credential}, Kind: configuration.UnreadableText},
+		configuration.Fault{Path: "accounts[0].credential", Value: []any{credential}}.WithKind(configuration.UnknownSetting),
+		configuration.Fault{Path: "accounts[0].credential", Value: credential}.WithKind(configuration.UnknownSetting),
+		configuration.Fault{Path: "$", Value: map[string]any{"accounts": credential}}.WithKind(configuration.UnreadableText),
 	} {
 		record(time.Duration(i)*time.Minute, registry.Refusal{Faults: configuration.Faults{fault}})
 	}
