Operation keys: one run a key in its window, on any node, with a durable claim

Cause: routes whose requests carry a key for all attempts at one operation were unknown to the product. A second attempt at another node would have run again. Change: route mode "keyed". A node claims (tenant, key) at the cores, synced at a majority, before it sends; the first claim wins. The response of the run (status, headers, body, bounded in bytes) is stored before it is delivered, and repeats at any node get it. While the first attempt has time left a repeat gets 409; after a loss the outcome is unknown (502) and nothing is sent again, except to a service that keeps a record of keys itself (deduplicates): there the key is handed on, to the same service only. An operation that certainly did not run releases its key. Keys are stored by the partition's clock, which never runs ahead, for the window after the last possible sending; their memory is bounded for each partition. The operation of a requester that disconnects runs to its end. New: core.ClaimKey, EndKey, KeyResult, settings key_window_ms, key_response_bytes and key_memory_bytes, causes repeated, key_in_progress, key_uncertain, key_unsure and keys_full, invariant claimed_before_sent. The end of a request moved to finish.go, storing a turn to a function of its own. The expired-turn list no longer takes entries of other kinds that expire. TestRefusedOrdersAreReported used "keyed" as its unknown mode; it uses "hourly" now.

--- a/peer/core/expiry.go
+++ b/peer/core/expiry.go
@@ -38,6 +38,12 @@
 
 func (r *rules) loadExpiries(tx *partition.Tx) {
 	r.expiries, r.ledgers, r.expired = expiryQueue{}, map[string]*rate.Ledger{}, newRecentKeys()
+	r.keys = loadKeyUsage(tx)
+	for _, key := range tx.Keys(operationKeyPrefix) {
+		if k, ok := read[storedKey](tx, key); ok {
+			r.expiries.add(key, k.Until)
+		}
+	}
 	for _, key := range tx.Keys(turnPrefix) {
 		if t, ok := read[storedTurn](tx, key); ok {
 			r.expiries.add(key, t.Until)
@@ -65,6 +71,11 @@
 			until = t.Until
 		} else if o, ok := readWithPrefix[acceptedOrder](tx, planned.key, acceptedPrefix); ok {
 			until = o.Until
+		} else if k, ok := readWithPrefix[storedKey](tx, planned.key, operationKeyPrefix); ok {
+			until = k.Until
+			if clock >= until {
+				r.keys.bytes -= k.size(planned.key)
+			}
 		} else {
 			continue
 		}
@@ -73,7 +84,9 @@
 			continue
 		}
 		tx.Delete(planned.key)
-		r.expired.add(planned.key)
+		if strings.HasPrefix(planned.key, turnPrefix) {
+			r.expired.add(planned.key)
+		}
 	}
 }
 
--- a/peer/core/messages_relay.go
+++ b/peer/core/messages_relay.go
@@ -167,5 +167,5 @@
 	case DrawRates:
 		return c.Partition, true
 	}
-	return 0, false
+	return keyTargetPartition(partitions, command)
 }
--- a/peer/core/registered.go
+++ b/peer/core/registered.go
@@ -71,6 +71,9 @@
 		"core.FindOrder":    FindOrder{},
 		"core.ReadTable":    ReadTable{},
 		"core.AgreedTable":  CurrentTable{},
+		"core.ClaimKey":     ClaimKey{},
+		"core.EndKey":       EndKey{},
+		"core.KeyResult":    KeyResult{},
 	})
 }
 
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -32,6 +32,9 @@
 	ColdStart bool
 	// OrderRetention is how long accepted orders are recorded; zero means defaultOrderRetention.
 	OrderRetention time.Duration
+	// MaxKeyBytes bounds the memory for the operation keys of a partition; zero means
+	// defaultMaxKeyBytes.
+	MaxKeyBytes int
 }
 
 // rules runs the commands of one partition on its leader. Fields other than params, fleet and
@@ -51,6 +54,7 @@
 	ledgers        map[string]*rate.Ledger
 	// expired has the keys that this leader deleted on expiry.
 	expired *recentKeys
+	keys    keyUsage
 }
 
 // Elected resets the volatile state. All leases count from now, because an earlier leader may have
--- /dev/null
+++ b/peer/core/rules_keys.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"saffronfall/rule/partition"
+)
+
+const (
+	defaultMaxKeyBytes = 32 << 20
+	// keyOverheadBytes approximates the memory of a stored key besides its name and response.
+	keyOverheadBytes = 300
+	// responseFraction is the part of the memory for keys that may be used when a response is
+	// stored. The rest is for claims.
+	responseFraction = 0.75
+)
+
+func (p Params) maxKeyBytes() int {
+	if p.MaxKeyBytes > 0 {
+		return p.MaxKeyBytes
+	}
+	return defaultMaxKeyBytes
+}
+
+// keyUsage is the leader's volatile state about the stored keys of a partition.
+type keyUsage struct {
+	bytes int
+	// released has the claims that were released. A delayed claim of these must not be stored,
+	// since its holder has given it up.
+	released *recentKeys
+}
+
+func loadKeyUsage(tx *partition.Tx) keyUsage {
+	usage := keyUsage{released: newRecentKeys()}
+	for _, name := range tx.Keys(operationKeyPrefix) {
+		if stored, ok := read[storedKey](tx, name); ok {
+			usage.bytes += stored.size(name)
+		}
+	}
+	return usage
+}
+
+func (s storedKey) size(name string) int { return keyOverheadBytes + len(name) + s.Response.Size() }
+
+// claimKey stores a claim unless the key is stored already. The entry outlasts the window of the
+// last possible sending: the holder may send until Working after its command, which is no later
+// than Working after now.
+func (r *rules) claimKey(tx *partition.Tx, c ClaimKey) KeyResult {
+	name := operationKey(c.Tenant, c.Key)
+	if stored, ok := read[storedKey](tx, name); ok {
+		return stored.result(tx)
+	}
+	if r.keys.released.has(c.Claim) {
+		return KeyResult{State: KeyReleased, Claim: c.Claim}
+	}
+	stored := storedKey{
+		Claim:        c.Claim,
+		Service:      c.Service,
+		State:        KeyClaimed,
+		WorkingUntil: tx.Clock() + c.Working,
+		Until:        tx.Clock() + c.Working + c.Window,
+	}
+	if r.keys.bytes+stored.size(name) > r.params.maxKeyBytes() {
+		return KeyResult{State: KeyRejected}
+	}
+	write(tx, name, stored)
+	r.keys.bytes += stored.size(name)
+	r.expiries.add(name, stored.Until)
+	return stored.result(tx)
+}
+
+// endKey changes only the claim that it names. A stored response is never replaced.
+func (r *rules) endKey(tx *partition.Tx, c EndKey) KeyResult {
+	name := operationKey(c.Tenant, c.Key)
+	if c.State == KeyReleased {
+		r.keys.released.add(c.Claim)
+	}
+	stored, ok := read[storedKey](tx, name)
+	if !ok {
+		return KeyResult{State: KeyReleased, Claim: c.Claim}
+	}
+	if stored.Claim != c.Claim || stored.State == KeyDone || stored.State == KeyNotStored {
+		return stored.result(tx)
+	}
+	switch c.State {
+	case KeyReleased:
+		if stored.State != KeyClaimed {
+			return stored.result(tx)
+		}
+		tx.Delete(name)
+		r.keys.bytes -= stored.size(name)
+		return KeyResult{State: KeyReleased, Claim: c.Claim}
+	case KeyDone:
+		stored.State = KeyNotStored
+		if float64(r.keys.bytes+c.Response.Size()) <= responseFraction*float64(r.params.maxKeyBytes()) {
+			stored.State, stored.Response = KeyDone, c.Response
+			r.keys.bytes += c.Response.Size()
+		}
+	case KeyNotStored, KeyUncertain:
+		stored.State = c.State
+	default:
+		return stored.result(tx)
+	}
+	write(tx, name, stored)
+	return stored.result(tx)
+}
+
+func (s storedKey) result(tx *partition.Tx) KeyResult {
+	return KeyResult{
+		State:    s.State,
+		Claim:    s.Claim,
+		Service:  s.Service,
+		Response: s.Response,
+		Working:  max(s.WorkingUntil-tx.Clock(), 0),
+	}
+}
--- /dev/null
+++ b/peer/core/rules_keys_test.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	testKeyWorking = 2 * time.Second
+	testKeyWindow  = 20 * time.Second
+)
+
+func (a *singleCore) claim(tenant, key, claim string) KeyResult {
+	a.t.Helper()
+	return a.run(ClaimKey{Tenant: tenant, Key: key, Claim: claim, Service: "s", Working: testKeyWorking, Window: testKeyWindow}).(KeyResult)
+}
+
+func (a *singleCore) end(key, claim string, state KeyState, body string) KeyResult {
+	a.t.Helper()
+	response := KeyResponse{Status: 200, Header: [][2]string{{"Seal", claim}}, Body: []byte(body)}
+	return a.run(EndKey{Tenant: "t", Key: key, Claim: claim, State: state, Response: response}).(KeyResult)
+}
+
+func TestFirstClaimOfKeyWins(t *testing.T) {
+	single := newSingleCore(t)
+	if first := single.claim("t", "k", "a"); first.State != KeyClaimed || first.Claim != "a" || first.Working != testKeyWorking {
+		t.Fatalf("first claim: %+v", first)
+	}
+	if again := single.claim("t", "k", "a"); again.State != KeyClaimed || again.Claim != "a" {
+		t.Fatalf("repeated command: %+v", again)
+	}
+	if second := single.claim("t", "k", "b"); second.State != KeyClaimed || second.Claim != "a" || second.Service != "s" {
+		t.Fatalf("second claim: %+v", second)
+	}
+	for i, pair := range [][2]string{{"other", "k"}, {"t/k", "x"}, {"t", "k/x"}, {"t", ""}} {
+		if result := single.claim(pair[0], pair[1], fmt.Sprint("c", i)); result.Claim != fmt.Sprint("c", i) {
+			t.Fatalf("the key %q of tenant %q is not independent: %+v", pair[1], pair[0], result)
+		}
+	}
+	single.advance(testKeyWorking + time.Second)
+	if late := single.claim("t", "k", "c"); late.State != KeyClaimed || late.Claim != "a" || late.Working != 0 {
+		t.Fatalf("claim after the holder's time: %+v", late)
+	}
+}
+
+func TestFirstResponseOfKeyIsKept(t *testing.T) {
+	single := newSingleCore(t)
+	single.claim("t", "k", "a")
+	single.end("k", "b", KeyDone, "not of the claim")
+	single.end("k", "b", KeyReleased, "")
+	if open := single.claim("t", "k", "c"); open.State != KeyClaimed || open.Claim != "a" {
+		t.Fatalf("another attempt ended the claim: %+v", open)
+	}
+	single.end("k", "a", KeyUncertain, "")
+	single.end("k", "a", KeyReleased, "")
+	if uncertain := single.claim("t", "k", "d"); uncertain.State != KeyUncertain {
+		t.Fatalf("an operation that may have run: %+v", uncertain)
+	}
+	single.end("k", "a", KeyDone, "first")
+	single.end("k", "a", KeyDone, "second")
+	single.end("k", "a", KeyUncertain, "")
+	single.end("k", "a", KeyReleased, "")
+	done := single.claim("t", "k", "e")
+	if done.State != KeyDone || !bytes.Equal(done.Response.Body, []byte("first")) || done.Response.Status != 200 || done.Response.Header[0] != [2]string{"Seal", "a"} {
+		t.Fatalf("stored response: %+v", done)
+	}
+}
+
+func TestReleasedKeyIsFreeButNotForDelayedClaim(t *testing.T) {
+	single := newSingleCore(t)
+	single.claim("t", "k", "a")
+	single.end("k", "a", KeyReleased, "")
+	if delayed := single.claim("t", "k", "a"); delayed.State != KeyReleased {
+		t.Fatalf("a delayed claim was stored: %+v", delayed)
+	}
+	if next := single.claim("t", "k", "b"); next.State != KeyClaimed || next.Claim != "b" {
+		t.Fatalf("claim after a release: %+v", next)
+	}
+	single.end("early", "x", KeyReleased, "")
+	if overtaken := single.claim("t", "early", "x"); overtaken.State != KeyReleased {
+		t.Fatalf("a claim that its release overtook: %+v", overtaken)
+	}
+}
+
+// A key must be stored for its whole window after the last possible sending.
+func TestKeyOutlastsItsWindow(t *testing.T) {
+	single := newSingleCore(t, func(p *Params) { p.MaxKeyBytes = 2 * keyOverheadBytes })
+	single.claim("t", "k", "a")
+	single.end("k", "a", KeyDone, "")
+	for elapsed := time.Duration(0); elapsed < testKeyWorking+testKeyWindow-time.Second; elapsed += time.Second {
+		if stored := single.claim("t", "k", fmt.Sprint(elapsed)); stored.State != KeyDone {
+			t.Fatalf("after %v: %+v", elapsed, stored)
+		}
+		single.advance(time.Second)
+	}
+	single.advance(testKeyWindow + expiryBucket + time.Second)
+	// The expired key and its response no longer count against the bounds.
+	if next := single.claim("t", "k", "z"); next.Claim != "z" {
+		t.Fatalf("the key is stored long after its window: %+v", next)
+	}
+	if done := single.end("k", "z", KeyDone, ""); done.State != KeyDone {
+		t.Fatalf("the bytes of the expired response still count: %+v", done)
+	}
+}
+
+func TestMemoryForKeysIsBounded(t *testing.T) {
+	const maxBytes, responseBytes = 10_000, 900
+	single := newSingleCore(t, func(p *Params) { p.MaxKeyBytes = maxBytes })
+	bytes, rejected, unstored := map[int]int{}, 0, 0
+	for i := 0; i < 200; i++ {
+		key := fmt.Sprint("k", i)
+		partition := TargetPartition(4, ClaimKey{Tenant: "t", Key: key})
+		if result := single.claim("t", key, "a"); result.State == KeyRejected {
+			rejected++
+			continue
+		}
+		bytes[partition] += keyOverheadBytes
+		result := single.end(key, "a", KeyDone, string(make([]byte, responseBytes)))
+		if result.State == KeyNotStored && len(result.Response.Body) == 0 {
+			unstored++
+			continue
+		}
+		bytes[partition] += responseBytes
+	}
+	for partition, sum := range bytes {
+		if sum > maxBytes || sum < maxBytes/2 {
+			t.Fatalf("partition %d stores %d bytes", partition, sum)
+		}
+	}
+	if rejected == 0 || unstored == 0 {
+		t.Fatalf("%d claims rejected, %d responses not stored", rejected, unstored)
+	}
+	if result := single.claim("t", "k0", "b"); result.Claim != "a" {
+		t.Fatalf("a key that is stored already: %+v", result)
+	}
+}
--- a/peer/core/rules_relay.go
+++ b/peer/core/rules_relay.go
@@ -42,6 +42,10 @@
 			write(tx, key, turn)
 		}
 		return Done{OK: true}
+	case ClaimKey:
+		return r.claimKey(tx, c)
+	case EndKey:
+		return r.endKey(tx, c)
 	case DrawRates:
 		return r.drawRates(tx, c)
 	case AcceptTable:
--- a/peer/core/schema_test.go
+++ b/peer/core/schema_test.go
@@ -29,6 +29,7 @@
 		schematest.Msgpack[storedTurn]("kept turn"),
 		schematest.Msgpack[storedAccount]("kept book"),
 		schematest.Msgpack[acceptedOrder]("accepted order"),
+		schematest.Msgpack[storedKey]("operation key"),
 		schematest.Msgpack[uint64]("floor of versions"),
 		schematest.Msgpack[time.Duration]("time of a past member"),
 		schematest.Msgpack[bool]("core that was outlived"),
--- a/peer/front/handler.go
+++ b/peer/front/handler.go
@@ -126,6 +126,9 @@
 			continue
 		case relay.StepDeliver:
 			return
+		case relay.StepReplay:
+			x.replay(step.Response)
+			return
 		case relay.StepAbort:
 			if x.started || r.Context().Err() != nil {
 				panic(http.ErrAbortHandler)
@@ -266,7 +269,11 @@
 		delete(request.Header, http.CanonicalHeaderKey(names.LastEvent))
 		request.NodeHeaders = append(request.NodeHeaders, [2]string{names.LastEvent, x.lastEventID})
 	}
-	response, notSent, err := pool.Do(x.r.Context(), names, request)
+	ctx := x.r.Context()
+	if step.RunToEnd {
+		ctx = context.WithoutCancel(ctx)
+	}
+	response, notSent, err := pool.Do(ctx, names, request)
 	disconnected := x.r.Context().Err() != nil
 	switch {
 	case notSent:
@@ -282,13 +289,14 @@
 		size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxNotRunBody))
 		response.Done(err == nil && size < maxNotRunBody)
 		outcome.Kind, outcome.AddressReused = relay.OutcomeNotRun, response.Misdirected
+		outcome.InProgress = response.StatusCode == http.StatusConflict
 	case ok && (response.Header.Get(names.Seal) == "" || !response.Delimited()):
 		response.Done(false)
 		outcome.Kind = relay.OutcomeInterrupted
 	case ok && step.Stream:
 		outcome = x.relayStream(response, step, outcome)
 	default:
-		return x.relayBuffered(response, outcome)
+		return x.relayBuffered(response, step, outcome)
 	}
 	outcome.RequesterDisconnected = outcome.RequesterDisconnected || x.r.Context().Err() != nil
 	return x.dispatched.Next(outcome)
@@ -334,7 +342,7 @@
 var errResponseTooLarge = errors.New("the replica's answer is larger than the largest allowed body")
 
 // relayBuffered forwards a response only if it arrived complete.
-func (x *exchange) relayBuffered(response *replica.Response, outcome relay.Outcome) (relay.Step, *replica.Pool, bool) {
+func (x *exchange) relayBuffered(response *replica.Response, sent relay.Step, outcome relay.Outcome) (relay.Step, *replica.Pool, bool) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, x.MaxBody+1))
 	if int64(len(body)) > x.MaxBody {
 		err = errResponseTooLarge
@@ -346,6 +354,9 @@
 		return x.dispatched.Next(outcome)
 	}
 	outcome.Kind, outcome.Failed, outcome.Status = relay.OutcomeComplete, response.StatusCode >= 300, response.StatusCode
+	if sent.RunToEnd {
+		outcome.Response = x.storableResponse(response, body)
+	}
 	step, pool, ok := x.dispatched.Next(outcome)
 	if ok && step.Kind == relay.StepDeliver {
 		x.setWriteTimeout(responseTimeout)
--- a/peer/front/head.go
+++ b/peer/front/head.go
@@ -9,6 +9,7 @@
 
 	"github.com/dchest/siphash"
 
+	"saffronfall/peer/core"
 	"saffronfall/peer/relay"
 	"saffronfall/rule/placement"
 )
@@ -26,8 +27,12 @@
 func (h *handler) parseHead(r *http.Request) (relay.Request, string) {
 	names := h.Headers
 	request := relay.Request{
-		Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(names.Attempt), Program: r.Header.Get(names.Program),
-		Session: r.Header.Get(names.Session), Previous: r.Header.Get(names.Previous), Key: r.Header.Get(names.Key),
+		Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(names.Attempt), Previous: r.Header.Get(names.Previous), Key: r.Header.Get(names.Key),
+		Operation: relay.Operation{OperationKey: r.Header.Get(names.Operation), Program: r.Header.Get(names.Program),
+			Session: r.Header.Get(names.Session)},
+	}
+	if len(request.OperationKey) > core.MaxKeyBytes || len(r.Header.Values(names.Operation)) > 1 {
+		return request, names.Operation + " is not one key of at most " + strconv.Itoa(core.MaxKeyBytes) + " bytes"
 	}
 	_, request.HasKey = r.Header[http.CanonicalHeaderKey(names.Key)]
 	if i := strings.IndexByte(r.RequestURI, '?'); i >= 0 {
@@ -56,10 +61,24 @@
 		}
 	}
 	request.Horizon = parseHorizon(r.Header.Get(names.Horizon))
+	if fault := h.parseTokens(r, &request); fault != "" {
+		return request, fault
+	}
+	request.Prompt = h.parsePrompt(r.Header.Get(names.Prompt))
+	if key := r.Header.Get(names.Affinity); key != "" {
+		// The lowest bit is set because zero means no affinity.
+		request.Affinity = h.hash(key) | 1
+	}
+	return request, ""
+}
+
+// parseTokens reads the program's budget and the turn's greatest output.
+func (h *handler) parseTokens(r *http.Request, request *relay.Request) string {
+	names := h.Headers
 	if text := r.Header.Get(names.Budget); text != "" {
 		budget, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || budget < 0 {
-			return request, names.Budget + " is not a count"
+			return names.Budget + " is not a count"
 		}
 		// Zero means no budget, so a spent one counts as 1.
 		request.TokenBudget = max(budget, 1)
@@ -67,20 +86,15 @@
 	if text := r.Header.Get(names.Tokens); text != "" {
 		promptTokens, maxTokens, _ := strings.Cut(text, ",")
 		if count, err := strconv.ParseInt(strings.TrimSpace(promptTokens), 10, 64); err != nil || count < 0 {
-			return request, names.Tokens + " is not two counts"
+			return names.Tokens + " is not two counts"
 		}
 		count, err := strconv.ParseInt(strings.TrimSpace(maxTokens), 10, 64)
 		if err != nil || count < 0 {
-			return request, names.Tokens + " is not two counts"
+			return names.Tokens + " is not two counts"
 		}
 		request.MaxTokens = count
 	}
-	request.Prompt = h.parsePrompt(r.Header.Get(names.Prompt))
-	if key := r.Header.Get(names.Affinity); key != "" {
-		// The lowest bit is set because zero means no affinity.
-		request.Affinity = h.hash(key) | 1
-	}
-	return request, ""
+	return ""
 }
 
 // parsePrompt ignores malformed segments, since they are only hints.
--- a/peer/registry/refusal_test.go
+++ b/peer/registry/refusal_test.go
@@ -37,7 +37,7 @@
 		cause                     RefusalCause
 	}{
 		{"valid", "PUT", "?base=0", valid, 0, ""},
-		{"unknown mode", "PUT", "?base=0", `{"number":4,"routes":[{"host":"h","prefix":"/","mode":"keyed","timeout_ms":9,"targets":[{"service":"s"}]}],"services":[{"name":"s"}]}`, 4, CauseUnknownWord},
+		{"unknown mode", "PUT", "?base=0", `{"number":4,"routes":[{"host":"h","prefix":"/","mode":"hourly","timeout_ms":9,"targets":[{"service":"s"}]}],"services":[{"name":"s"}]}`, 4, CauseUnknownWord},
 		{"unknown setting", "PUT", "?base=0", `{"number":4,"rooms":[]}`, 4, CauseUnknownWord},
 		{"invalid value", "PUT", "?base=0", `{"number":4,"limits":{"header_bytes":1}}`, 4, CauseInvalid},
 		{"unreadable", "PUT", "?base=0", valid[:len(valid)-1], 0, CauseUnreadable},
--- a/peer/relay/completion.go
+++ b/peer/relay/completion.go
@@ -10,9 +10,11 @@
 // Cause is why a request ended. Every request ends once, with one cause.
 type Cause string
 
-// Causes of completions. With the first two, a replica's response was delivered.
+// Causes of completions. With the first three, a replica's response was delivered; with
+// CauseRepeated, the stored one to an earlier attempt with the operation key.
 const (
 	CauseServed                Cause = "served"
+	CauseRepeated              Cause = "repeated"
 	CauseReplicaError          Cause = "replica_error"
 	CauseHeadTooLarge          Cause = "head_too_large"
 	CauseBodyTooLarge          Cause = "body_too_large"
@@ -31,6 +33,10 @@
 	CauseHistoryExpired        Cause = "history_expired"
 	CauseHistoryMissing        Cause = "history_missing"
 	CauseHistoryUnavailable    Cause = "history_unsure"
+	CauseKeyInProgress         Cause = "key_in_progress"
+	CauseKeyUncertain          Cause = "key_uncertain"
+	CauseKeyUnavailable        Cause = "key_unsure"
+	CauseKeysFull              Cause = "keys_full"
 	CauseCoresUnreachable      Cause = "cut_off"
 	CauseAdmissionTimeout      Cause = "waited_too_long"
 	CauseAttemptsExhausted     Cause = "tries_spent"
@@ -77,6 +83,10 @@
 	CauseHistoryExpired:        {status: 404, check: "history", reason: "no such turn is kept for this tenant"},
 	CauseHistoryMissing:        {status: 503, check: "history", reason: "a turn that was kept is not found", retryFactor: 2},
 	CauseHistoryUnavailable:    {status: 503, check: "cores", reason: "the kept turns did not answer in time", retryFactor: 2},
+	CauseKeyInProgress:         {status: 409, check: "operation key", reason: "an earlier attempt with this key is in progress", retryFactor: 1},
+	CauseKeyUncertain:          {status: 502, check: "operation key", reason: "an earlier attempt with this key may have run; its outcome is unknown"},
+	CauseKeyUnavailable:        {status: 503, check: "cores", reason: "the operation's key could not be claimed in time", retryFactor: 2},
+	CauseKeysFull:              {status: 503, check: "operation key", reason: "as many operation keys as can be are stored", retryFactor: 8},
 	CauseCoresUnreachable:      {status: 503, check: "cores", reason: "this node reaches no core; try another", retryFactor: 0.5},
 	CauseAdmissionTimeout:      {status: 503, check: "patience", reason: "what this request needs did not come in time", retryFactor: 2},
 	CauseAttemptsExhausted:     {status: 503, check: "replicas", reason: "as many replicas were asked as the route allows", retryFactor: 1},
@@ -121,7 +131,7 @@
 }
 
 // Failed reports whether the requester did not get a successful response.
-func (c Completion) Failed() bool { return c.Cause != CauseServed }
+func (c Completion) Failed() bool { return c.Cause != CauseServed && c.Cause != CauseRepeated }
 
 type auditState struct {
 	violated invariant.Reporter
--- a/peer/relay/cores.go
+++ b/peer/relay/cores.go
@@ -28,7 +28,9 @@
 	return m.caller.SilentFor(now) <= unreadyRetries*m.params.Core.AttemptTimeout
 }
 
-func (req *activeRequest) needsCores() bool { return req.reservingBudget || req.fetchingHistory }
+func (req *activeRequest) needsCores() bool {
+	return req.reservingBudget || req.fetchingHistory || req.claiming
+}
 
 // checkCores refuses requests that wait for unreachable cores, so that requesters can try another
 // node. It probes the cores because no other command may show that they are back.
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -68,6 +68,8 @@
 	lastLeaseID     int
 	drawAt          time.Duration
 	lastReservation uint64
+	// lastClaim numbers the claims on operation keys.
+	lastClaim uint64
 }
 
 type registryState struct {
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -38,6 +38,8 @@
 	completions    []Completion
 	// absence is why the cores do not find a stored turn.
 	absence core.Absence
+	// keys, if set, stores operation keys.
+	keys *keyCore
 }
 
 func newHarness(t *testing.T) *harness {
@@ -111,6 +113,8 @@
 	case core.StoreTurn:
 		h.storedTurns[c.Attempt] = c
 		return core.Done{OK: true}
+	case core.ClaimKey, core.EndKey:
+		return h.keys.run(command)
 	case core.ExtendTurn:
 		return core.Done{OK: true}
 	case core.ReadGroup:
--- a/peer/relay/request.go
+++ b/peer/relay/request.go
@@ -45,6 +45,7 @@
 	readyToSend bool
 
 	budgetState
+	keyState
 	fetchingHistory bool
 	previous        *turn
 	overdueReported bool
@@ -153,6 +154,9 @@
 			m.fetchHistory(now, req)
 		}
 	}
+	if req.usesKey() && !req.completed {
+		m.claimKey(now, req)
+	}
 	if req.needsCores() && !req.completed && m.coresUnreachable(now) {
 		m.refuseCoresUnreachable(now, req)
 		return
@@ -168,7 +172,7 @@
 }
 
 func (m *Machine) sendWhenReady(now time.Duration, req *activeRequest) {
-	if req.completed || req.state != stateAdmitting || req.reservingBudget || req.fetchingHistory || req.budgetRefused {
+	if req.completed || req.state != stateAdmitting || req.reservingBudget || req.fetchingHistory || req.claiming || req.budgetRefused {
 		return
 	}
 	m.dispatch(now, req)
@@ -228,6 +232,7 @@
 		ReturnOutput: req.route.KeepHistory && req.route.Mode == route.Stream,
 		Stream:       req.route.Mode == route.Stream,
 		Resumable:    req.route.Retryable() && req.route.Mode == route.Stream,
+		KeyedStep:    KeyedStep{RunToEnd: req.usesKey()},
 		Timeout:      req.deadline - now,
 	}
 	if req.previous != nil {
@@ -263,6 +268,7 @@
 	if outcome.Kind != OutcomeNotRun {
 		req.mayHaveRun, req.covered = true, false
 	}
+	m.keepResponse(req, outcome)
 	if outcome.RequesterDisconnected {
 		m.abortCanceled(now, req)
 		return *m.out
@@ -282,6 +288,10 @@
 			m.retryOrAbort(now, req)
 			return *m.out
 		}
+		if outcome.InProgress && req.usesKey() {
+			m.refuse(now, req, CauseKeyInProgress)
+			return *m.out
+		}
 		m.dispatch(now, req)
 	default:
 		m.Counters.Interrupted++
@@ -292,7 +302,7 @@
 
 // retryOrAbort retries a request that may have run if its route allows it to run again.
 func (m *Machine) retryOrAbort(now time.Duration, req *activeRequest) {
-	canRetry := req.route.Retryable() && m.attemptsUsed(req) < req.route.MaxAttempts && now < req.deadline
+	canRetry := m.mayRunAgain(req) && m.attemptsUsed(req) < req.route.MaxAttempts && now < req.deadline
 	if req.started && req.route.Mode != route.Stream {
 		canRetry = false
 	}
@@ -317,12 +327,20 @@
 func (m *Machine) complete(now time.Duration, req *activeRequest, o Outcome) {
 	switch {
 	case o.Failed:
-		m.finish(now, req, CauseReplicaError, Step{Kind: StepDeliver, Status: o.Status})
+		m.completeOperation(now, req, CauseReplicaError, Step{Kind: StepDeliver, Status: o.Status})
+		return
+	case req.usesKey():
+		m.completeOperation(now, req, CauseServed, Step{Kind: StepDeliver})
 		return
 	case !req.route.KeepHistory || req.route.Mode != route.Stream:
 		m.finish(now, req, CauseServed, Step{Kind: StepDeliver})
 		return
 	}
+	m.storeTurn(now, req, o.Output)
+}
+
+// storeTurn stores a complete turn of a conversation and then delivers its end.
+func (m *Machine) storeTurn(now time.Duration, req *activeRequest, output []byte) {
 	req.state = stateStoring
 	retention := storedRetentions * m.turnRetention(req)
 	waiting, failed := 1, false
@@ -331,7 +349,7 @@
 		tenant:      m.tenantName(req),
 		previous:    req.previous,
 		input:       req.spec.Input,
-		output:      o.Output,
+		output:      output,
 		storedUntil: now + retention,
 	}
 	done := func(at time.Duration, o core.Outcome) {
@@ -394,65 +412,9 @@
 	return req.events * perEvent
 }
 
-// refuse ends a request that has not run. One that may have run is aborted instead.
-func (m *Machine) refuse(now time.Duration, req *activeRequest, cause Cause) {
-	m.refuseWithRetry(now, req, cause, 0)
-}
-
-// refuseWithRetry is like refuse; a retry of zero selects the cause's retryFactor.
-func (m *Machine) refuseWithRetry(now time.Duration, req *activeRequest, cause Cause, retry time.Duration) {
-	if req.mayHaveRun {
-		m.abort(now, req, cause)
-		return
-	}
-	response := requesterResponses[cause]
-	if retry == 0 {
-		retry = time.Duration(response.retryFactor * float64(m.params.Core.AttemptTimeout))
-	}
-	m.finish(now, req, cause, Step{
-		Kind:       StepRefuse,
-		Status:     response.status,
-		Check:      response.check,
-		Reason:     response.reason,
-		RetryAfter: retry,
-	})
-}
-
-// abort ends a request that may have run.
-func (m *Machine) abort(now time.Duration, req *activeRequest, cause Cause) {
-	response := requesterResponses[cause]
-	step := Step{Kind: StepAbort, Status: response.status, Check: response.check, Reason: response.reason}
-	if step.Status != statusRequesterDisconnected {
-		step.Status = requesterResponses[CauseReplicaInterrupted].status
-	}
-	m.finish(now, req, cause, step)
-}
-
-// finish ends a request once, and returns or settles what it held.
-func (m *Machine) finish(now time.Duration, req *activeRequest, cause Cause, lastStep Step) {
-	if req.completed {
-		return
-	}
-	req.completed = true
-	if _, active := m.active[req.ticket]; !active {
-		m.violated.Violated(invariant.EndedOnce, "attempt %s completes with cause %s but is not in progress", req.spec.Attempt, cause)
-	}
-	if lastStep.Kind == StepRefuse && (req.mayHaveRun || req.outstanding) {
-		m.violated.Violated(invariant.RefusedNeverRan, "attempt %s is refused with cause %s; may have run %v, outstanding at a replica %v",
-			req.spec.Attempt, cause, req.mayHaveRun, req.outstanding)
-	}
-	delete(m.active, req.ticket)
-	if !req.mayHaveRun {
-		m.refund(req)
-	}
-	m.settle(now, req, m.tokensUsed(req))
-	m.recordCompletion(now, req, cause, lastStep)
-	m.emit(req, lastStep)
-}
-
 func (m *Machine) checkSend(req *activeRequest) {
 	switch {
-	case req.mayHaveRun && !req.route.Retryable():
+	case req.mayHaveRun && !m.mayRunAgain(req):
 		m.violated.Violated(invariant.RunsOnce, "attempt %s on route %s may have run and is sent to %s",
 			req.spec.Attempt, req.route.Name, req.replicaID)
 	case m.attemptsUsed(req) > req.route.MaxAttempts:
@@ -464,6 +426,9 @@
 	case req.route.Mode == route.Stream && req.spec.Program != "" && req.spec.TokenBudget > 0 && !req.budgetReserved:
 		m.violated.Violated(invariant.ReservedBeforeSent, "attempt %s of program %s is sent to %s without a budget reservation",
 			req.spec.Attempt, req.spec.Program, req.replicaID)
+	case req.usesKey() && !req.ownsClaim && req.sharedClaim == "":
+		m.violated.Violated(invariant.ClaimedBeforeSent, "attempt %s is sent to %s without a claim on its operation key",
+			req.spec.Attempt, req.replicaID)
 	case m.departed.has(req.replicaID):
 		m.violated.Violated(invariant.LeavingNeverChosen, "attempt %s is sent to %s, which is leaving", req.spec.Attempt, req.replicaID)
 	}
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -30,8 +30,7 @@
 	HasKey bool
 	// Attempt is the requester's ID, which need not be unique.
 	Attempt string
-	Program string
-	Session string
+	Operation
 	// Previous is the attempt ID of the stored turn that this one continues.
 	Previous string
 	// TokenBudget limits the output of all turns of the program, MaxTokens that of this one, in
@@ -47,6 +46,13 @@
 	Arrival
 }
 
+// Operation names what a request belongs to.
+type Operation struct {
+	// OperationKey is the same for all attempts of a requester at one operation.
+	OperationKey     string
+	Program, Session string
+}
+
 // PlacementHints say which replicas suit a request. Affinity is the hash of its affinity key, which
 // is zero if none was given.
 type PlacementHints struct {
@@ -69,6 +75,8 @@
 	StepSend = "send"
 	// StepDeliver completes the replica's response to the requester.
 	StepDeliver = "pass"
+	// StepReplay answers with the stored response of an earlier attempt at the operation.
+	StepReplay = "replay"
 	// StepAbort ends a request that may have run.
 	StepAbort = "break"
 )
@@ -95,6 +103,16 @@
 	// Stream: the response is an event stream. Resumable: another replica may continue it.
 	Stream, Resumable bool
 	Timeout           time.Duration
+	KeyedStep
+}
+
+// KeyedStep is the part of a step for requests with an operation key.
+type KeyedStep struct {
+	// RunToEnd: the attempt continues when the requester disconnects, and its response is returned
+	// in Outcome.Response.
+	RunToEnd bool
+	// Response is what StepReplay answers with.
+	Response *core.KeyResponse
 }
 
 // TicketStep is the next step of the request with the given ticket.
@@ -121,6 +139,9 @@
 	Kind string
 	// AddressReused: another replica answered here. Unreachable: no connection was established.
 	AddressReused, Unreachable bool
+	// InProgress: the replica did not run the request because its service is running the
+	// operation already.
+	InProgress bool
 	// Started: the requester has received part of the response. Events counts events with data.
 	Started bool
 	Events  int64
@@ -128,6 +149,8 @@
 	StreamDuration time.Duration
 	// Output is the response body, if the step asked for it.
 	Output []byte
+	// Response is the complete response, if the step asked for it.
+	Response *core.KeyResponse
 	// Failed: the response reports a failure, so its turn isn't stored. Status is the replica's.
 	Failed                bool
 	Status                int
@@ -175,6 +198,15 @@
 	CacheBytes int64
 	// BudgetRetention is how long a program's budget is stored after its last turn.
 	BudgetRetention time.Duration
+	KeyParams
+}
+
+// KeyParams bound what is stored of operation keys.
+type KeyParams struct {
+	// KeyWindow is how long after an operation was sent its key is stored.
+	KeyWindow time.Duration
+	// MaxKeyResponse is the size in bytes up to which responses are stored.
+	MaxKeyResponse int64
 }
 
 // Counters count events since the start. Draws counts commands, DrawsAnswered tenants' answers.
--- a/peer/replica/pool.go
+++ b/peer/replica/pool.go
@@ -29,6 +29,8 @@
 // the ID of the intended replica.
 type Headers struct {
 	Attempt, Deadline, LastEvent, Target, Load, NotRun, Seal, Tenant, Key, Urgency, Affinity string
+	// Operation carries the operation key.
+	Operation string
 	ProgramHeaders
 }
 
@@ -51,6 +53,7 @@
 	Key:       "Saffronfall-Key",
 	Urgency:   "Saffronfall-Urgency",
 	Affinity:  "Saffronfall-Affinity",
+	Operation: "Saffronfall-Operation-Key",
 	ProgramHeaders: ProgramHeaders{
 		Tokens:   "Saffronfall-Tokens",
 		Prompt:   "Saffronfall-Prompt",
--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -23,12 +23,12 @@
 // Soak lists breaks of the data path and of the messages between nodes, registries and cores.
 var Soak = []SoakBreak{
 	{What: "a request that may have been executed is retried", File: "peer/relay/request.go", Seeds: 2,
-		From: "canRetry := req.route.Retryable() && m.attemptsUsed(req)", To: "canRetry := m.attemptsUsed(req)"},
+		From: "canRetry := m.mayRunAgain(req) && m.attemptsUsed(req)", To: "canRetry := m.attemptsUsed(req)"},
 	{What: "attempts exceed the route's maximum", File: "peer/relay/request.go", Seeds: 3,
 		From: "	case m.attemptsUsed(req) >= req.route.MaxAttempts:\n", To: "	case m.attemptsUsed(req) > 50*req.route.MaxAttempts:\n"},
 	{What: "a retry is not charged to the rate", File: "peer/relay/request.go", Seeds: 3,
 		From: "			m.charge(now, req)\n		} else {\n			canRetry = false\n		}", To: "		}"},
-	{What: "a request that may have been executed is refused", File: "peer/relay/request.go", Seeds: 3,
+	{What: "a request that may have been executed is refused", File: "peer/relay/finish.go", Seeds: 3,
 		From: "	if req.mayHaveRun {\n		m.abort(now, req, cause)\n		return\n	}\n", To: ""},
 	{What: "a turn is sent before its reservation", File: "peer/relay/request.go", Seeds: 2,
 		From: "req.state != stateAdmitting || req.reservingBudget ||", To: "req.state != stateAdmitting ||"},
--- a/rehearsalkit/capacity/load.go
+++ b/rehearsalkit/capacity/load.go
@@ -123,7 +123,7 @@
 		Key:         fmt.Sprintf("key-%d", p.tenant),
 		HasKey:      true,
 		Attempt:     t.attempt,
-		Program:     p.name,
+		Operation:   relay.Operation{Program: p.name},
 		Previous:    p.previous,
 		TokenBudget: 1 << 30,
 		MaxTokens:   1000,
--- a/rehearsalkit/relaysim/activerequest.go
+++ b/rehearsalkit/relaysim/activerequest.go
@@ -60,7 +60,7 @@
 				Key:         request.Key,
 				HasKey:      request.Key != "",
 				Attempt:     request.Attempt,
-				Program:     request.Program,
+				Operation:   relay.Operation{Program: request.Program},
 				Previous:    request.Previous,
 				TokenBudget: request.Budget,
 				MaxTokens:   request.MaxTokens,
--- a/rule/invariant/invariant.go
+++ b/rule/invariant/invariant.go
@@ -33,6 +33,8 @@
 	SpentWithinGrant Name = "spent_within_grant"
 	// ReservedBeforeSent: a turn with a budget is sent only after its reservation is durable.
 	ReservedBeforeSent Name = "reserved_before_sent"
+	// ClaimedBeforeSent: an operation with a key is sent only under a durable claim on the key.
+	ClaimedBeforeSent Name = "claimed_before_sent"
 	// LeavingNeverChosen: a replica known to be leaving is not chosen.
 	LeavingNeverChosen Name = "leaving_never_chosen"
 	// EndedByDeadline: no request is in flight long after its deadline.
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -20,6 +20,9 @@
 	Repeatable = "repeatable"
 	// Once requests are executed at most once per attempt of the requester.
 	Once = "once"
+	// Keyed requests are executed at most once per operation key of a tenant. Without a key they
+	// are like Once.
+	Keyed = "keyed"
 	// Stream requests are answered with events. They run at most once unless resumable.
 	Stream = "stream"
 )
@@ -68,6 +71,8 @@
 	// Slots are the concurrent requests of a replica; 0 means as it announces.
 	Slots       int64 `json:"slots" msgpack:"Slots"`
 	CacheTokens int64 `json:"cache_tokens" msgpack:"CacheTokens"`
+	// Deduplicates: the replicas share a record of operation keys and run each key only once.
+	Deduplicates bool `json:"deduplicates" msgpack:"Deduplicates"`
 }
 
 // Tenant is a customer with its keys and request limits.
@@ -125,7 +130,7 @@
 		Path:     "routes.[].mode",
 		Type:     "text",
 		Required: true,
-		Allowed:  []string{Repeatable, Once, Stream},
+		Allowed:  []string{Repeatable, Once, Keyed, Stream},
 		Help:     "how often a request may be executed",
 	},
 	{Path: "routes.[].resumable", Type: "bool", Default: false, Help: "whether a stream may be resumed at another replica"},
@@ -176,6 +181,12 @@
 		Help:    "concurrent requests of a replica; 0: as the replica announces",
 	},
 	{Path: "services.[].cache_tokens", Type: "int", Default: 0, Min: 0, Max: maxNumber, Help: "size of a replica's prompt cache, in tokens"},
+	{
+		Path:    "services.[].deduplicates",
+		Type:    "bool",
+		Default: false,
+		Help:    "whether the replicas share a record of operation keys and run each key only once",
+	},
 	{Path: "tenants.[].name", Type: "text", Required: true, Help: "name of the tenant"},
 	{Path: "tenants.[].keys", Type: "texts", Default: []any{}, Check: checkDigests, Help: "SHA-256 of each key, in hex"},
 	{Path: "tenants.[].rate", Type: "number", Default: 0.0, Min: 0, Max: maxNumber, Help: "requests per second over all nodes; 0: no limit"},
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -213,6 +213,7 @@
 		SilenceTimeout: ms(p.CoreLossTimeoutMS),
 		OrderRetention: time.Duration(p.CommandRetentionHours) * time.Hour,
 		ColdStart:      p.ColdStart,
+		MaxKeyBytes:    int(p.KeyMemoryBytes),
 	}
 }
 
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -21,12 +21,20 @@
 	MaxRequests       int64 `json:"requests"`
 	CacheBytes        int64 `json:"cache_bytes"`
 	LedgerRetentionMS int64 `json:"book_keep_ms"`
+	OperationKeys
 	Bootstrap         bool  `json:"founds"`
 	PartitionsPerCore int64 `json:"parts_per_core"`
 	Front
 	Telemetry
 }
 
+// OperationKeys holds the settings of operation keys.
+type OperationKeys struct {
+	KeyWindowMS      int64 `json:"key_window_ms"`
+	KeyResponseBytes int64 `json:"key_response_bytes"`
+	KeyMemoryBytes   int64 `json:"key_memory_bytes"`
+}
+
 // Placement holds the settings by which a node chooses replicas.
 type Placement struct {
 	PromptTokensPerMS float64 `json:"prompt_tokens_per_ms"`
@@ -84,6 +92,9 @@
 		configuration.Setting{Path: "requests", Type: "int", Default: 2000, Min: 1, Max: 1e6, Help: "maximum number of requests in flight at a node; further ones are refused at once"},
 		configuration.Setting{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, Help: "memory for a node's cache of stored turns"},
 		configuration.Setting{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, Help: "how long a program's ledger is kept after its last turn began"},
+		configuration.Setting{Path: "key_window_ms", Type: "int", Default: 60000, Min: 1000, Max: 86400000, Help: "how long after an operation was sent a repeat with its key is not run"},
+		configuration.Setting{Path: "key_response_bytes", Type: "int", Default: 64 << 10, Min: 0, Max: 1 << 24, Help: "largest response that is stored for repeats with its operation's key"},
+		configuration.Setting{Path: "key_memory_bytes", Type: "int", Default: 32 << 20, Min: 1 << 16, Max: 1 << 36, Help: "memory of a core for the operation keys of each partition; beyond it operations with new keys are refused"},
 		configuration.Setting{Path: "dial_ms", Type: "int", Default: 300, Min: 10, Max: 60000, Help: "timeout of connecting to a replica"},
 		configuration.Setting{Path: "connections", Type: "int", Default: 16384, Min: 1, Max: 1e6, Help: "maximum number of open requester connections, further ones wait; keep it below the process's limit of file descriptors"},
 		configuration.Setting{Path: "body_ms", Type: "int", Default: 30000, Min: 10, Max: 3600000, Help: "timeout for receiving a request body, besides the request's own deadline"},
@@ -140,5 +151,9 @@
 		MaxRequests:        int(p.MaxRequests),
 		CacheBytes:         p.CacheBytes,
 		BudgetRetention:    ms(p.LedgerRetentionMS),
+		KeyParams: relay.KeyParams{
+			KeyWindow:      ms(p.KeyWindowMS),
+			MaxKeyResponse: p.KeyResponseBytes,
+		},
 	}
 }
