rehearsalkit shares: compare ways to hold a tenant's rate over many nodes

A pure simulation drives the product's ledger with the parameters of peer/relay, and beside it counting at the leader, escrow split by zone and approximate counts, with the same arrivals, losses of nodes and of a leader, a suspended node, a disconnected zone and delays of messages. It measures overshoot, refusals while there was room, messages and bytes, and the time to full use.

--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -26,6 +26,7 @@
 	"saffronfall/rehearsalkit/refusals"
 	"saffronfall/rehearsalkit/relaysim"
 	"saffronfall/rehearsalkit/setup"
+	"saffronfall/rehearsalkit/shares"
 	"saffronfall/rehearsalkit/simulator"
 	"saffronfall/rehearsalkit/soak"
 	"saffronfall/rehearsalkit/worth"
@@ -390,6 +391,7 @@
 	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
 	FaultyCore faultdisk.Command  `cmd:"" help:"Run the product's core role on a disk that can be full, slow or stalled or lose power, controlled over HTTP."`
 	Refusals   refusals.Command   `cmd:"" help:"List the client errors (400 to 499) in node logs by cause and route, and whether they are justified."`
+	Shares     shares.Command     `cmd:"" help:"Compare ways to hold a tenant's rate over many nodes, in simulated time."`
 	Worth      worth.Command      `cmd:"" help:"Show from reports where played days lost worth, or compare the days of two builds in pairs."`
 	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random faults, over seeds, and check the rules."`
 }
