rehearsalkit shares: a holder that is cut off can't write, and its successor is elsewhere

Cause: holders in the zone that is cut off still wrote to their groups, which favoured escrow: it refused nothing there. Now writes need a majority, a partition's answers wait for its writes, and leaders that are cut off have successors after 0.7 s.

--- a/rehearsalkit/shares/approximate.go
+++ b/rehearsalkit/shares/approximate.go
@@ -44,8 +44,10 @@
 	}
 }
 
-// leaderChanged forgets the counts; nodes report them again.
-func (a *approximate) leaderChanged(partition int) {
+func (a *approximate) leaderMoved(partition int) { a.leaderLost(partition) }
+
+// leaderLost forgets the counts; nodes report them again.
+func (a *approximate) leaderLost(partition int) {
 	for t := range a.reports {
 		if a.partitionOf(t) == partition {
 			clear(a.reports[t])
@@ -87,7 +89,7 @@
 	a.call(&call{
 		node:      node,
 		partition: partition,
-		zone:      a.leaderZone(partition),
+		zone:      func() int { return a.leaderZone(a.now, partition) },
 		size:      frameBytes + countBytes*len(tenants),
 		until:     a.now + reportInterval,
 		serve: func() reply {
--- a/rehearsalkit/shares/counted.go
+++ b/rehearsalkit/shares/counted.go
@@ -68,7 +68,9 @@
 	}
 }
 
-func (c *central) leaderChanged(partition int) {
+func (c *central) leaderMoved(partition int) { c.leaderLost(partition) }
+
+func (c *central) leaderLost(partition int) {
 	for t, counter := range c.counters {
 		if c.partitionOf(t) == partition {
 			counter.restore(c.now)
@@ -78,11 +80,11 @@
 
 func (c *central) admit(req *request) {
 	partition := c.partitionOf(req.tenant)
-	c.ask(req, c.leaderZone(partition), c.counters[req.tenant], nil)
+	c.ask(req, func() int { return c.leaderZone(c.now, partition) }, c.counters[req.tenant], nil)
 }
 
 // ask asks a counter at a leader about one request. Repeated calls have the first one's answer.
-func (w *world) ask(req *request, zone int, c *counter, asked func()) {
+func (w *world) ask(req *request, zone func() int, c *counter, asked func()) {
 	var ok, counted bool
 	w.call(&call{
 		node:      req.node,
@@ -120,7 +122,9 @@
 	}
 }
 
-func (i *ideal) leaderChanged(int) {}
+func (i *ideal) leaderLost(int) {}
+
+func (i *ideal) leaderMoved(int) {}
 
 func (i *ideal) admit(req *request) {
 	ok, _ := i.counters[req.tenant].admit(i.now)
--- a/rehearsalkit/shares/escrow.go
+++ b/rehearsalkit/shares/escrow.go
@@ -43,18 +43,21 @@
 	}
 }
 
-// leaderChanged replaces the holder in the zone of the partition's leader. Shares are durable.
-func (e *escrow) leaderChanged(partition int) {
+// leaderMoved does nothing: a zone's holder stays in it, and can't write while it is cut off.
+func (e *escrow) leaderMoved(int) {}
+
+// leaderLost replaces the holder in the zone of the partition's leader. Shares are durable.
+func (e *escrow) leaderLost(partition int) {
 	for t, counters := range e.zoneCounters {
 		if e.partitionOf(t) == partition {
-			counters[e.leaderZone(partition)].restore(e.now)
+			counters[e.firstLeaderZone(partition)].restore(e.now)
 		}
 	}
 }
 
 func (e *escrow) admit(req *request) {
 	c := e.zoneCounters[req.tenant][e.zoneOf(req.node)]
-	e.ask(req, c.zone, &c.counter, func() { e.askForUnits(c) })
+	e.ask(req, func() int { return c.zone }, &c.counter, func() { e.askForUnits(c) })
 }
 
 func (e *escrow) askForUnits(c *zoneCounter) {
--- a/rehearsalkit/shares/leased.go
+++ b/rehearsalkit/shares/leased.go
@@ -91,7 +91,9 @@
 	}
 }
 
-func (l *leased) leaderChanged(partition int) {
+func (l *leased) leaderMoved(partition int) { l.leaderLost(partition) }
+
+func (l *leased) leaderLost(partition int) {
 	for t := range l.tenants {
 		if l.partitionOf(t) == partition {
 			l.ledgers[t] = rate.Restore(l.now, l.ledgers[t].DurableState, leaseDuration)
@@ -228,7 +230,7 @@
 	l.call(&call{
 		node:      node,
 		partition: partition,
-		zone:      l.leaderZone(partition),
+		zone:      func() int { return l.leaderZone(l.now, partition) },
 		size:      frameBytes + len(message.Pack(command)),
 		until:     sentAt + leaseDuration,
 		serve: func() reply {
--- a/rehearsalkit/shares/scenario.go
+++ b/rehearsalkit/shares/scenario.go
@@ -38,6 +38,7 @@
 	frozenUntil      = frozenFrom + 3*time.Second
 	cutFrom          = 48 * time.Second
 	cutUntil         = cutFrom + 4*time.Second
+	leadersMovedAt   = cutFrom + 700*time.Millisecond
 	scenarioDuration = 60 * time.Second
 )
 
@@ -137,7 +138,21 @@
 
 func (s *scenario) partitionOf(tenant int) int { return tenant % partitions }
 
-func (s *scenario) leaderZone(partition int) int { return partition % s.zones }
+func (s *scenario) firstLeaderZone(partition int) int { return partition % s.zones }
+
+// leaderZone is the zone of a partition's leader, which moves out of the zone that is cut off.
+func (s *scenario) leaderZone(now time.Duration, partition int) int {
+	zone := s.firstLeaderZone(partition)
+	if zone == s.cutZone && now >= leadersMovedAt {
+		return (zone + 1) % s.zones
+	}
+	return zone
+}
+
+// canWrite reports whether a process in a zone reaches a majority of its group.
+func (s *scenario) canWrite(now time.Duration, zone int) bool {
+	return zone != s.cutZone || now < cutFrom || now >= cutUntil
+}
 
 // up reports whether a node runs.
 func (s *scenario) up(now time.Duration, node int) bool {
@@ -156,7 +171,7 @@
 
 // holderUp reports whether the process in a zone runs that counts for a partition.
 func (s *scenario) holderUp(now time.Duration, partition, zone int) bool {
-	return partition != s.partitionOf(s.hot) || zone != s.leaderZone(partition) || now < leaderLostAt || now >= leaderBackAt
+	return partition != s.partitionOf(s.hot) || zone != s.firstLeaderZone(partition) || now < leaderLostAt || now >= leaderBackAt
 }
 
 func (s *scenario) connected(now time.Duration, a, b int) bool {
--- a/rehearsalkit/shares/world.go
+++ b/rehearsalkit/shares/world.go
@@ -32,8 +32,11 @@
 	name() string
 	start(w *world)
 	admit(req *request)
-	// leaderChanged tells that the partition's new leader has only what was written.
-	leaderChanged(partition int)
+	// leaderLost tells that the successor of the partition's leader, or of another process in its
+	// place and zone, has only what was written.
+	leaderLost(partition int)
+	// leaderMoved tells that a partition's leader was cut off and has a successor elsewhere.
+	leaderMoved(partition int)
 }
 
 type request struct {
@@ -49,16 +52,28 @@
 	events eventqueue.Queue
 	random *rand.Rand
 	record record
+	// blocked has the holders that could not write: all later answers of a partition wait for a write.
+	blocked map[holder]bool
 }
 
+// holder is the process in a zone that counts for a partition.
+type holder struct{ partition, zone int }
+
 func run(s *scenario, way way) *measures {
-	w := &world{scenario: s, way: way, random: rand.New(rand.NewPCG(s.seed, 2))}
+	w := &world{scenario: s, way: way, random: rand.New(rand.NewPCG(s.seed, 2)), blocked: map[holder]bool{}}
 	w.record = newRecord(len(s.tenants))
 	way.start(w)
 	for _, a := range s.arrivals {
 		w.events.Add(a.at, func() { w.arrive(a) })
 	}
-	w.events.Add(leaderBackAt, func() { way.leaderChanged(s.partitionOf(s.hot)) })
+	w.events.Add(leaderBackAt, func() { way.leaderLost(s.partitionOf(s.hot)) })
+	w.events.Add(leadersMovedAt, func() {
+		for partition := range partitions {
+			if s.firstLeaderZone(partition) == s.cutZone {
+				way.leaderMoved(partition)
+			}
+		}
+	})
 	w.events.Run(scenarioDuration, &w.now)
 	return w.record.measure(s)
 }
@@ -129,8 +144,8 @@
 // idempotent; the apply of one reply runs at the node.
 type call struct {
 	node, partition int
-	// zone is that of the leader.
-	zone    int
+	// zone is that of the leader at the time of an attempt.
+	zone    func() int
 	size    int
 	until   time.Duration
 	serve   func() reply
@@ -147,18 +162,20 @@
 		c.failed()
 		return
 	}
-	w.deliver(w.zoneOf(c.node), c.zone, c.size, func() { w.serve(c) })
+	zone := c.zone()
+	w.deliver(w.zoneOf(c.node), zone, c.size, func() { w.serve(c, zone) })
 	w.events.Add(w.now+min(callRetry, c.until-w.now), func() { w.call(c) })
 }
 
-func (w *world) serve(c *call) {
-	if !w.holderUp(w.now, c.partition, c.zone) {
+func (w *world) serve(c *call, zone int) {
+	if !w.holderUp(w.now, c.partition, zone) || zone != c.zone() ||
+		w.blocked[holder{c.partition, zone}] && !w.canWrite(w.now, zone) {
 		return
 	}
 	answer := c.serve()
 	back := func() {
-		if w.holderUp(w.now, c.partition, c.zone) {
-			w.deliver(c.zone, w.zoneOf(c.node), answer.size, func() { w.receive(c, answer) })
+		if w.holderUp(w.now, c.partition, zone) {
+			w.deliver(zone, w.zoneOf(c.node), answer.size, func() { w.receive(c, answer) })
 		}
 	}
 	if answer.writeBytes == 0 {
@@ -169,6 +186,10 @@
 		w.record.sent(answer.writeBytes)
 		w.record.sent(frameBytes)
 	}
+	if !w.canWrite(w.now, zone) {
+		w.blocked[holder{c.partition, zone}] = true
+		return
+	}
 	w.events.Add(w.now+2*w.crossDelay+syncDelay, back)
 }
 
