saffronfall shares and keys: who holds what of rates, and stored operation keys

Operators could not see what of a tenant's rate is out, nor what is stored of an operation key. New read commands ReadShares, CountKeys and ReadKey (outer names of their own; golden files with additions only), calls GET /v1/shares, /v1/keys and /v1/key at cores, and two commands like status. Keys are counted at the leaders, so no stored response is sent. docs/operators.md lists the causes and the invariant of operation keys. Tested on a single core's rules, on a running core's HTTP calls, and against a stand-in for what is printed.

--- a/peer/core/messages_relay.go
+++ b/peer/core/messages_relay.go
@@ -167,5 +167,8 @@
 	case DrawRates:
 		return c.Partition, true
 	}
-	return keyTargetPartition(partitions, command)
+	if n, ok := keyTargetPartition(partitions, command); ok {
+		return n, true
+	}
+	return inspectTargetPartition(partitions, command)
 }
--- a/peer/core/registered.go
+++ b/peer/core/registered.go
@@ -74,6 +74,12 @@
 		"core.ClaimKey":     ClaimKey{},
 		"core.EndKey":       EndKey{},
 		"core.KeyResult":    KeyResult{},
+		"core.ReadShares":   ReadShares{},
+		"core.RateShares":   Shares{},
+		"core.CountKeys":    CountKeys{},
+		"core.KeyCounts":    KeyCounts{},
+		"core.ReadKey":      ReadKey{},
+		"core.KeyRecord":    KeyRecord{},
 	})
 }
 
--- a/peer/core/rules_relay.go
+++ b/peer/core/rules_relay.go
@@ -56,6 +56,9 @@
 		t, _ := read[CurrentTable](tx, TableKey)
 		return t
 	}
+	if answer, ok := r.applyInspect(tx, command); ok {
+		return answer
+	}
 	return Done{OK: true}
 }
 
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -119,7 +119,7 @@
 
 // Handler returns the operators' HTTP API of a core.
 func Handler(p Process, key string, drain chan<- struct{}) http.Handler {
-	mux := http.NewServeMux()
+	mux := newSharedStateMux(p)
 	mux.HandleFunc("POST /v1/drain", DrainHandler(drain))
 	mux.HandleFunc("GET /v1/identity", func(w http.ResponseWriter, r *http.Request) {
 		inspect(w, r, p, func(m *core.Machine, now time.Duration) any {
--- a/rule/rate/ledger.go
+++ b/rule/rate/ledger.go
@@ -11,8 +11,8 @@
 
 // Limit is the maximum number of requests in any window of the given length.
 type Limit struct {
-	Window time.Duration `msgpack:"w"`
-	Max    int64         `msgpack:"m"`
+	Window time.Duration `json:"window" msgpack:"w"`
+	Max    int64         `json:"max" msgpack:"m"`
 }
 
 // DurableState is the part of a ledger in stable storage. Outstanding includes requests that may
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -378,6 +378,8 @@
 	Plan     planCommand     `cmd:"" help:"Show what a configuration would change and which requests it would refuse; change nothing."`
 	Drain    drainCommand    `cmd:"" help:"Drain and stop a node or core, as SIGTERM does."`
 	Status   statusCommand   `cmd:"" help:"Show the state of the fleet."`
+	Shares   sharesCommand   `cmd:"" help:"Show who holds what of tenants' rates, and until when."`
+	Keys     keysCommand     `cmd:"" help:"Show the stored operation keys by tenant and state, or the record of one."`
 	Settings settingsCommand `cmd:"" help:"List all settings with type, default and meaning."`
 }
 
