A claim that another attempt shares is not released: the operation ran again elsewhere

Callers would have seen: an operation that ran twice, at a service with a record of keys of its own and then at another one. Cause: two attempts with one key; the first claims it, the second is handed to the service under that claim and arrives there first. The first gets "in progress, not run" and releases the claim, as it has not run itself. The key is free while the second attempt runs; its response finds no entry. When a configuration has then moved the route, a repeat claims the key for the new service. The class is a holder that speaks for others: it can only know of its own sendings. Change: an attempt names the deduplicating services it may be sent to. The core marks the claim as shared, durably, before it answers, and only then is the operation handed on; the release of a shared claim leaves it uncertain. Evidence: TestSharedClaimIsNotReleased of the relay failed before (the repeat was sent to the new service) and passes; one of the same name holds the rule at the core.

--- a/peer/core/messages_keys.go
+++ b/peer/core/messages_keys.go
@@ -22,6 +22,9 @@
 		Working time.Duration `msgpack:"w"`
 		// Window is how long after the last possible sending the key is stored.
 		Window time.Duration `msgpack:"u"`
+		// Deduplicating lists the services that run each key only once themselves and that this
+		// attempt may be sent to under an earlier claim.
+		Deduplicating []string `msgpack:"d"`
 	}
 	// EndKey stores the outcome of a claim, or releases one whose operation certainly did not run
 	// and will not.
@@ -41,6 +44,8 @@
 		Response KeyResponse `msgpack:"r"`
 		// Working is how much longer the holder may be at work.
 		Working time.Duration `msgpack:"w"`
+		// Shared: attempts other than the claim's may send the operation to Service.
+		Shared bool `msgpack:"h"`
 	}
 	// KeyResponse is the response of the attempt that ran. Header lists names and values.
 	KeyResponse struct {
@@ -88,6 +93,9 @@
 	Response     KeyResponse   `msgpack:"r"`
 	WorkingUntil time.Duration `msgpack:"w"`
 	Until        time.Duration `msgpack:"u"`
+	// Shared is set before another attempt may send the operation. The claim's holder then cannot
+	// know that the operation did not run.
+	Shared bool `msgpack:"h"`
 }
 
 const operationKeyPrefix = "operation/"
--- a/peer/core/rules_keys.go
+++ b/peer/core/rules_keys.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"saffronfall/rule/partition"
 )
 
@@ -46,6 +48,11 @@
 func (r *rules) claimKey(tx *partition.Tx, c ClaimKey) KeyResult {
 	name := operationKey(c.Tenant, c.Key)
 	if stored, ok := read[storedKey](tx, name); ok {
+		mayShare := c.Claim != stored.Claim && stored.State != KeyDone && slices.Contains(c.Deduplicating, stored.Service)
+		if mayShare && !stored.Shared {
+			stored.Shared = true
+			write(tx, name, stored)
+		}
 		return stored.result(tx)
 	}
 	if r.keys.released.has(c.Claim) {
@@ -80,6 +87,9 @@
 	if stored.Claim != c.Claim || stored.State == KeyDone || stored.State == KeyNotStored {
 		return stored.result(tx)
 	}
+	if c.State == KeyReleased && stored.Shared {
+		c.State = KeyUncertain
+	}
 	switch c.State {
 	case KeyReleased:
 		if stored.State != KeyClaimed {
@@ -109,6 +119,7 @@
 		Claim:    s.Claim,
 		Service:  s.Service,
 		Response: s.Response,
+		Shared:   s.Shared,
 		Working:  max(s.WorkingUntil-tx.Clock(), 0),
 	}
 }
--- a/peer/core/rules_keys_test.go
+++ b/peer/core/rules_keys_test.go
@@ -136,3 +136,28 @@
 		t.Fatalf("a key that is stored already: %+v", result)
 	}
 }
+
+func TestSharedClaimIsNotReleased(t *testing.T) {
+	single := newSingleCore(t)
+	share := func(claim string, services ...string) KeyResult {
+		return single.run(ClaimKey{Tenant: "t", Key: "k", Claim: claim, Service: "x", Working: testKeyWorking, Window: testKeyWindow, Deduplicating: services}).(KeyResult)
+	}
+	single.claim("t", "k", "a")
+	if again := share("a", "s"); again.Shared {
+		t.Fatalf("the holder shares its own claim: %+v", again)
+	}
+	if other := share("b", "x"); other.Shared {
+		t.Fatalf("an attempt that cannot be sent to the claim's service shares it: %+v", other)
+	}
+	if shared := share("c", "x", "s"); !shared.Shared || shared.State != KeyClaimed || shared.Claim != "a" {
+		t.Fatalf("shared claim: %+v", shared)
+	}
+	single.end("k", "a", KeyReleased, "")
+	if next := share("d", "s"); next.State != KeyUncertain || next.Claim != "a" {
+		t.Fatalf("after the holder's release: %+v", next)
+	}
+	single.end("k", "a", KeyDone, "first")
+	if next := single.claim("t", "k", "e"); next.State != KeyDone {
+		t.Fatalf("after the sharing attempt's response: %+v", next)
+	}
+}
--- a/peer/relay/operation.go
+++ b/peer/relay/operation.go
@@ -58,6 +58,11 @@
 		Working: req.deadline - now,
 		Window:  m.params.KeyWindow,
 	}
+	for _, target := range req.route.Targets {
+		if m.deduplicates(req, target.Service) {
+			command.Deduplicating = append(command.Deduplicating, target.Service)
+		}
+	}
 	m.caller.Call(now, command, req.admissionDeadline, func(now time.Duration, o core.Outcome) {
 		if req.completed {
 			// The claim was released when the request ended.
@@ -90,7 +95,7 @@
 			Status:    result.Response.Status,
 			KeyedStep: KeyedStep{Response: &result.Response},
 		})
-	case m.deduplicates(req, result.Service):
+	case result.Shared && m.deduplicates(req, result.Service):
 		req.service, req.sharedClaim = result.Service, result.Claim
 		m.sendWhenReady(now, req)
 	case result.State == core.KeyClaimed && result.Working > 0:
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -326,3 +326,24 @@
 		}
 	}
 }
+
+// The service that another attempt was handed to must stay the only one that the operation is sent to.
+func TestSharedClaimIsNotReleased(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 3, true)
+	first := nodes[0].keyed("k")
+	second := nodes[1].keyed("k")
+	nodes[1].expect(second, StepSend, 0)
+	nodes[0].outcome(first, Outcome{Kind: OutcomeNotRun, InProgress: true})
+	nodes[0].expect(first, StepRefuse, 409)
+	moved := tableJSON(2, func(t *route.Table) {
+		t.Services = append(t.Services, route.Service{Name: "ledger", Connections: 10, TokensPerEvent: 1})
+		t.Services[1].Deduplicates = true
+		t.Routes = append(t.Routes, route.Route{Name: "pay", Host: "h", Prefix: "/pay/", Mode: route.Keyed, TimeoutMS: 1500, MaxAttempts: 3,
+			Targets: []route.Target{{Service: "ledger", Weight: 1}}})
+	})
+	nodes[2].update("d1:1", listings("ledger", "l1"), 2, moved)
+	nodes[2].expect(nodes[2].keyed("k"), StepAbort, 502)
+	nodes[1].outcome(second, completeResponse("receipt"))
+	nodes[1].expect(second, StepDeliver, 0)
+	nodes[2].expectReplay(nodes[2].keyed("k"), "receipt")
+}
