relaysim: operation keys with requesters, a recording service and a judge

Keyed routes to services without a record of keys and to ledgers, which keep one; requesters repeat operations under their keys after failures, good answers, the closing fault and the window's end, and at two nodes at one moment. New rules: an operation runs once in its window, a repeat gets the first run's answer, no 409 after the first attempt's time with two seconds of grace, repeats and first attempts are answered in undisturbed times. At most once by attempt is judged by operation at a service with a record, where a run that broke off does not count.

--- a/rehearsalkit/relaysim/activerequest.go
+++ b/rehearsalkit/relaysim/activerequest.go
@@ -18,6 +18,10 @@
 	output   []byte
 	dispatch *dispatch
 	ended    bool
+	// requesterLeft: the requester disconnected while its operation runs to its end.
+	requesterLeft bool
+	// keyed is the response to an operation with a key.
+	keyed keyedResponse
 	// requesterAt is when the last message to the requester arrives, to keep them in order.
 	requesterAt time.Duration
 }
@@ -31,6 +35,7 @@
 	events    int64
 	respondAt time.Duration
 	waiting   []func()
+	keyed     keyedResponse
 }
 
 // sendRequest sends one attempt to a node. done is called once with the outcome.
@@ -60,7 +65,7 @@
 				Key:         request.Key,
 				HasKey:      request.Key != "",
 				Attempt:     request.Attempt,
-				Operation:   relay.Operation{Program: request.Program},
+				Operation:   relay.Operation{OperationKey: request.Operation, Program: request.Program},
 				Previous:    request.Previous,
 				TokenBudget: request.Budget,
 				MaxTokens:   request.MaxTokens,
@@ -73,9 +78,15 @@
 			}
 			n.applyNodeOutput(n.node.HandleRequest(n.now(), active.ticket, arrival))
 			w.after(max(remaining, 0)+disconnectDelay, active.requesterGone)
+			if request.leaveAfter > 0 {
+				w.after(max(request.At+request.leaveAfter-w.now, 0)+disconnectDelay, active.requesterGone)
+			}
 		})
 	})
 	w.after(request.Deadline+giveUpDelay, func() { w.endRequest(request, GaveUp, 0, done) })
+	if request.leaveAfter > 0 {
+		w.after(request.leaveAfter, func() { w.endRequest(request, GaveUp, 0, done) })
+	}
 }
 
 func (w *World) endRequest(r *Request, outcome string, status int, done func(r *Request)) {
@@ -117,7 +128,12 @@
 	begun := a.events > 0
 	a.toRequester(func() {
 		switch {
+		case s.Kind == relay.StepReplay:
+			a.deliverReplay(s)
 		case s.Kind == relay.StepDeliver:
+			if r.Operation != "" && r.Ended < 0 {
+				r.Output = a.keyed.body
+			}
 			w.endRequest(r, r.answer(), 200, a.done)
 		case begun, s.Kind == relay.StepAbort && s.Status == 499:
 			w.endRequest(r, Closed, 0, a.done)
@@ -128,6 +144,17 @@
 	})
 }
 
+// deliverReplay answers with the stored response of an earlier attempt.
+func (a *activeRequest) deliverReplay(s relay.Step) {
+	r, w := a.request, a.world()
+	if r.Ended >= 0 {
+		return
+	}
+	w.Counts["keyed: answered from the store"]++
+	r.Replayed, r.Output, r.failed = true, string(s.Response.Body), s.Response.Status >= 300
+	w.endRequest(r, r.answer(), 200, a.done)
+}
+
 func (r *Request) answer() string {
 	if r.failed {
 		return Failed
@@ -159,6 +186,10 @@
 			return
 		}
 		if current := a.dispatch; current != nil && !current.done {
+			if current.step.RunToEnd {
+				a.requesterLeft = true
+				return
+			}
 			current.done = true
 			if current.job != nil {
 				a.world().after(a.world().delay(), current.job.cancel)
@@ -275,6 +306,10 @@
 	a, n := s.request, s.request.node
 	s.done = true
 	o.Events, o.Started = s.events, a.events > 0
+	o.RequesterDisconnected = o.RequesterDisconnected || a.requesterLeft
+	if s.step.RunToEnd && o.Kind == relay.OutcomeComplete {
+		a.keyed, o.Response = s.keyed, s.keyed.stored()
+	}
 	if s.step.ReturnOutput {
 		o.Output = append([]byte(nil), a.output...)
 	}
--- a/rehearsalkit/relaysim/fault.go
+++ b/rehearsalkit/relaysim/fault.go
@@ -349,6 +349,7 @@
 	back := w.now + longest
 	w.after(longest, func() { w.Record.RestoredAt = w.now })
 	w.after(longest+w.Record.Limits.Contact, end)
+	w.repeatRecentOperations(longest, longest+recoveryTime+judgedRecovery/2)
 	for i := len(w.keptTurns) - 1; i >= 0 && i >= len(w.keptTurns)-30; i -= 3 {
 		k := w.keptTurns[i]
 		if k.at < w.now-4*time.Second {
--- a/rehearsalkit/relaysim/params.go
+++ b/rehearsalkit/relaysim/params.go
@@ -37,10 +37,7 @@
 	// rate limit per window.
 	Overshoot float64
 	Slack     int64
-	// Runaways continue until their budget is spent, Callers call tools, and Flooders exceed
-	// their tenant's rate limit.
-	Conversations, Runaways, Callers, Flooders int
-	Operators                                  int
+	Workload
 	// WrapNode, WrapRegistry and Alter, unless nil, let tests inject defects. Alter replaces a
 	// message, or drops it by returning false.
 	WrapNode     func(n Node) Node
@@ -49,24 +46,37 @@
 	Logf         func(format string, args ...any)
 }
 
+// Workload is how many requesters and operators of each kind there are.
+type Workload struct {
+	// Runaways continue until their budget is spent, Callers call tools, and Flooders exceed
+	// their tenant's rate limit.
+	Conversations, Runaways, Callers, Flooders int
+	// KeyedRequesters attempt operations with keys.
+	KeyedRequesters int
+	Operators       int
+}
+
 // Defaults are the parameters of a small fleet under all faults.
 func Defaults(seed uint64) Params {
 	p := Params{
-		Seed:          seed,
-		Cores:         3 + int(seed%2),
-		Registries:    2 + int(seed/2%2),
-		Nodes:         4 + int(seed/4%3),
-		Zones:         3,
-		FaultPeriod:   20 * time.Second,
-		Faults:        true,
-		Loss:          0.002,
-		Overshoot:     0.1,
-		Slack:         4,
-		Conversations: 8,
-		Runaways:      2,
-		Callers:       3,
-		Flooders:      3,
-		Operators:     2,
+		Seed:        seed,
+		Cores:       3 + int(seed%2),
+		Registries:  2 + int(seed/2%2),
+		Nodes:       4 + int(seed/4%3),
+		Zones:       3,
+		FaultPeriod: 20 * time.Second,
+		Faults:      true,
+		Loss:        0.002,
+		Overshoot:   0.1,
+		Slack:       4,
+		Workload: Workload{
+			Conversations:   8,
+			Runaways:        2,
+			Callers:         3,
+			Flooders:        3,
+			KeyedRequesters: 3,
+			Operators:       2,
+		},
 	}
 	if seed%5 == 4 {
 		p.Loss = 0.02
@@ -141,5 +151,6 @@
 		MaxRequests:        2000,
 		CacheBytes:         1 << 20,
 		BudgetRetention:    10 * time.Minute,
+		KeyParams:          relay.KeyParams{KeyWindow: keyWindow, MaxKeyResponse: maxKeyResponse},
 	}
 }
--- a/rehearsalkit/relaysim/record.go
+++ b/rehearsalkit/relaysim/record.go
@@ -37,16 +37,21 @@
 	Budget      int64
 	MaxTokens   int64
 	Deadline    time.Duration
-	// Status goes with a refusal; Check is for diagnosis only.
-	Outcome    string
-	Status     int
-	Check      string
-	RetryAfter time.Duration
+	// Status goes with a refusal.
+	Outcome string
+	Status  int
 	// Tokens and Output are what the requester received.
 	Tokens int64
 	Output string
+	KeyedCall
+	AnswerDetails
+}
 
-	failed bool
+// AnswerDetails say more of a request's answer. Check is for diagnosis only.
+type AnswerDetails struct {
+	Check      string
+	RetryAfter time.Duration
+	failed     bool
 }
 
 // Arrival is a request that reached a replica, run or not. Misdirected means that it was meant for
@@ -135,6 +140,8 @@
 	Apply, Contact, ApplyWithoutStores, Revert, Drain, Settlement, Window, Retention, Recovery time.Duration
 	// FinalStep is the time within which a request that arrived must get its final step.
 	FinalStep time.Duration
+	// KeyWindow is how long after it was sent an operation must not run again.
+	KeyWindow time.Duration
 	Overshoot float64
 	Slack     float64
 }
--- a/rehearsalkit/relaysim/world.go
+++ b/rehearsalkit/relaysim/world.go
@@ -55,6 +55,7 @@
 	lastID      int
 	newestAcked uint64
 	keptTurns   []keptTurn
+	operations  []*operation
 }
 
 type schedule struct {
@@ -69,6 +70,8 @@
 	stores    []*store
 	nodes     []*process
 	replicas  map[string]*replica
+	// keyRecords are the records of services that keep one, by operation.
+	keyRecords map[recordedKey]*keyRecord
 }
 
 type faultState struct {
@@ -94,7 +97,7 @@
 		Counts:   map[string]int64{},
 		schedule: schedule{random: rand.New(rand.NewPCG(p.Seed, 0x5affe1))},
 		network:  network{cut: map[[2]string]int{}, lastArrival: map[[2]string]time.Duration{}},
-		fleet:    fleet{processes: map[string]*process{}, replicas: map[string]*replica{}},
+		fleet:    fleet{processes: map[string]*process{}, replicas: map[string]*replica{}, keyRecords: map[recordedKey]*keyRecord{}},
 	}
 	for i := 0; i < p.Cores; i++ {
 		w.addStore(i < p.Registries)
@@ -117,6 +120,7 @@
 		Slack:              float64(p.Slack),
 		Retention:          keepDuration,
 		Recovery:           recoveryTime,
+		KeyWindow:          keyWindow,
 		FinalStep:          10 * time.Second,
 	}
 	return w
