relaysim: scenario keyloss loses nodes and leaders between an operation's steps

Kills and freezes of the operation's node, kills, freezes and power losses of the leader that stores its key and a power loss of all, each when the claim is sent or answered, when the operation runs or has run and when its outcome is sent. Requests without a key on keyed routes are part of the ordinary run.

--- a/rehearsalkit/relaysim/keyed_requester.go
+++ b/rehearsalkit/relaysim/keyed_requester.go
@@ -17,6 +17,8 @@
 	repeatSoonRate      = 0.2
 	repeatLateRate      = 0.1
 	repeatAbandonedRate = 0.4
+	// noKeyRate is the fraction of requests to a keyed route that have no operation key.
+	noKeyRate = 0.1
 	// firstKeyOffset separates the operation names of two requesters of one tenant.
 	firstKeyOffset = 1_000_000
 	// recentOperations are repeated after the closing fault.
@@ -51,6 +53,9 @@
 	if number%2 == 1 {
 		o.kind, o.path = "ledger", ledgerPrefix+"x"
 	}
+	if w.chance(noKeyRate) {
+		w.callService("tool", keyedPrefix+"x", key, "", 0)
+	}
 	w.operations = append(w.operations, o)
 	o.attempt()
 	w.after(w.between(60*time.Millisecond, 400*time.Millisecond), func() { w.runKeyedRequester(key, number+1) })
--- a/rehearsalkit/relaysim/keyed_service.go
+++ b/rehearsalkit/relaysim/keyed_service.go
@@ -100,10 +100,17 @@
 	}
 }
 
+func (j *job) observe(moment string) {
+	if seen := j.replica.world.observers.operation; seen != nil {
+		seen(moment, j.dispatch.request)
+	}
+}
+
 // runKeyed runs a started job of an operation with a key. run is the index of its execution.
 func (r *replica) runKeyed(j *job, run int) {
 	w, s := r.world, j.dispatch
 	w.Counts["keyed: runs"]++
+	j.observe(momentRun)
 	took := w.between(3*time.Millisecond, 40*time.Millisecond)
 	if w.chance(longKeyedRate) {
 		took = w.between(200*time.Millisecond, longestKeyedRun)
@@ -117,6 +124,7 @@
 		if !r.finish(j) {
 			return
 		}
+		j.observe(momentAnswer)
 		s.keyed = keyedResponse{body: body, failed: failed}
 		w.Record.Runs[run].Output, w.Record.Runs[run].Complete = body, true
 		if record, ok := w.keyRecords[j.recordedKey()]; ok {
--- a/rehearsalkit/relaysim/network.go
+++ b/rehearsalkit/relaysim/network.go
@@ -27,12 +27,13 @@
 	observers   observers
 }
 
-// observers are a scenario's callbacks, called for each message sent or delivered and each disk
-// sync. Each may be nil.
+// observers are a scenario's callbacks, called for each message sent or delivered, each disk sync
+// and each moment of an operation with a key. Each may be nil.
 type observers struct {
 	sent      func(from *process, to string, body any)
 	delivered func(from string, to *process, body any)
 	synced    func(p *process, batches [][]core.Change)
+	operation func(moment string, request *activeRequest)
 }
 
 func (w *World) isCut(from, to string) bool {
--- a/rehearsalkit/relaysim/run.go
+++ b/rehearsalkit/relaysim/run.go
@@ -89,6 +89,17 @@
 	}
 	w.after(w.Record.End-windDownTime-w.now, w.readFinalTable)
 	w.runUntil(w.Record.End)
+	return w.judge()
+}
+
+// judge judges a finished run and counts what came about with keys.
+func (w *World) judge() []Breach {
+	index := w.Record.index()
+	for _, o := range index.keyedOperations() {
+		if len(o.runs) > 1 && o.runs[len(o.runs)-1].At >= o.runs[0].Sent+w.Record.Limits.KeyWindow {
+			w.Counts["keyed: ran again after the window"]++
+		}
+	}
 	return w.Record.Judge()
 }
 
--- a/rehearsalkit/relaysim/scenario.go
+++ b/rehearsalkit/relaysim/scenario.go
@@ -23,6 +23,7 @@
 		{Name: "orders", Params: ordersParams, Play: playOrders},
 		{Name: "secondloss", Params: secondLossParams, Play: playSecondLoss(3)},
 		{Name: "secondloss5", Params: secondLossParams, Play: playSecondLoss(5)},
+		{Name: "keyloss", Params: keyLossParams, Play: playKeyLoss},
 		{Name: "manychanges", Params: manyChangesParams, Play: playManyChanges},
 	}
 }
