--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -270,8 +270,9 @@
 	Rule    int    `help:"Only the breaks of this rule; 0: all." default:"0"`
 	Checker bool   `help:"The breaks that the model checker must find, instead of those of rules."`
 	Soak    bool   `help:"The breaks that the soak of real processes must find."`
+	Relay   bool   `help:"The breaks of operation keys that the simulator of the relaying tier must find."`
 	Jobs    int    `help:"With --soak: how many breaks are tried in parallel." default:"3"`
-	Only    string `help:"With --checker or --soak: only the breaks whose description contains this text."`
+	Only    string `help:"With --checker, --soak or --relay: only the breaks whose description contains this text."`
 }
 
 func (c *breaksCommand) runChecker() error {
@@ -294,6 +295,26 @@
 	return nil
 }
 
+func (c *breaksCommand) runRelay() error {
+	unseen := 0
+	for _, b := range breaks.Relay {
+		if !strings.Contains(b.What, c.Only) {
+			continue
+		}
+		found, err := b.Run(c.Root)
+		if err != nil {
+			unseen++
+			fmt.Printf("UNSEEN within %d seeds: %s: %v\n", b.Seeds, b.What, err)
+			continue
+		}
+		fmt.Printf("within %d seeds: %s: %s\n", b.Seeds, b.What, found)
+	}
+	if unseen > 0 {
+		return errors.Newf("%d breaks unseen", unseen)
+	}
+	return nil
+}
+
 type soakResult struct {
 	target breaks.SoakBreak
 	found  string
@@ -342,6 +363,8 @@
 		return c.runChecker()
 	case c.Soak:
 		return c.runSoak()
+	case c.Relay:
+		return c.runRelay()
 	}
 	unseen := 0
 	for _, b := range breaks.Simulator {
