soak: operations with keys, their faults, and rules that judge them

The soak had no keyed routes. The table now has one to a service without a record of keys, one to a service whose replicas share a record, and one that moves between the two with the number of the table. Requesters repeat operations at other nodes, at two nodes at once, after good answers and much later, over connections that they use until these break. Three faults freeze, kill or end a relaying node that has just been sent operations.

--- a/rehearsalkit/soak/command.go
+++ b/rehearsalkit/soak/command.go
@@ -26,6 +26,7 @@
 	For       time.Duration `help:"How long faults are injected." default:"12s"`
 	Settle    time.Duration `help:"How long requesters run after the last fault." default:"3s"`
 	FaultRate float64       `name:"troubles" help:"Mean number of faults a second." default:"1.2"`
+	Nodes     int           `help:"How many relaying nodes a seed's fleet has." default:"3"`
 	Verbose   bool          `help:"Print each fault when it ends."`
 	Stop      bool          `help:"Stop at the first seed with a breach."`
 }
@@ -116,6 +117,7 @@
 		Length:     c.For,
 		Settle:     c.Settle,
 		FaultRate:  c.FaultRate,
+		Nodes:      c.Nodes,
 	}
 	if c.Verbose {
 		options.Logf = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
--- a/rehearsalkit/soak/faults.go
+++ b/rehearsalkit/soak/faults.go
@@ -239,6 +239,7 @@
 
 func (f *Fleet) kinds() []faultKind {
 	kinds := append(append([]faultKind(nil), processFaults...), linkFaults...)
+	kinds = append(kinds, operationFaults...)
 	if f.DiskBinary != "" {
 		kinds = append(kinds, diskFaults...)
 	}
@@ -281,7 +282,12 @@
 func (f *Fleet) settle(ctx context.Context) {
 	pause(ctx, contactTimeout+time.Second)
 	done := make(chan struct{})
-	leaving := []*endpoint{f.replicas.endpoints[0], f.replicas.endpoints[len(f.replicas.endpoints)-1]}
+	var leaving []*endpoint
+	for i, p := range f.replicas.endpoints {
+		if i == 0 || p.service != f.replicas.endpoints[i-1].service {
+			leaving = append(leaving, p)
+		}
+	}
 	for i, p := range leaving {
 		go func() {
 			p.leave(ctx, i == 0)
--- a/rehearsalkit/soak/fleet.go
+++ b/rehearsalkit/soak/fleet.go
@@ -45,6 +45,8 @@
 	Calm, Length, Settle time.Duration
 	// FaultRate is the mean number of faults a second.
 	FaultRate float64
+	// Nodes is the number of relaying nodes.
+	Nodes int
 	// Logf prints each fault when it ends; it may be nil.
 	Logf func(format string, args ...any)
 }
@@ -70,6 +72,14 @@
 
 func (b Breach) String() string { return b.Rule + ": " + b.Text }
 
+// keyWindow returns the window of operation keys. With every other seed keys expire.
+func (o Options) keyWindow() time.Duration {
+	if o.Seed%2 == 1 {
+		return 8 * time.Second
+	}
+	return time.Minute
+}
+
 // host returns a loopback address. Seeds that run in parallel use different networks.
 func (o Options) host(kind, number int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 64+o.Seed%128, kind, number)
@@ -91,7 +101,11 @@
 		client:   &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	f.replicas, f.operator = newReplicas(f), &tableOperator{fleet: f}
-	for i, name := range []string{"core1", "core2", "core3", "desk1", "desk2", "node1", "node2", "node3"} {
+	names := []string{"core1", "core2", "core3", "desk1", "desk2"}
+	for i := range options.Nodes {
+		names = append(names, fmt.Sprint("node", i+1))
+	}
+	for i, name := range names {
 		p := &process{
 			fleet:  f,
 			name:   name,
@@ -148,6 +162,7 @@
 		"not_ready_ms":      700,
 		"cold_start":        true,
 		"strict_invariants": true,
+		"key_window_ms":     f.keyWindow().Milliseconds(),
 	}
 	switch p.role {
 	case roleCore:
@@ -271,6 +286,7 @@
 	<-ended
 	f.checkReleased(ctx, base)
 	all := f.snapshot()
+	all.KeyWindow = options.keyWindow()
 	report := Report{
 		Seed:     options.Seed,
 		Breaches: all.judge(),
--- a/rehearsalkit/soak/judge.go
+++ b/rehearsalkit/soak/judge.go
@@ -41,7 +41,7 @@
 	list := r.Breaches
 	for _, rule := range []func(runs map[string][]run) []Breach{
 		r.judgeRuns, r.judgeAnswers, r.judgeRequested, r.judgeBudgets, r.judgeHistory, r.judgeRate,
-		r.judgeTables, r.judgeLeaving, r.judgeDeadlines, r.judgeServed,
+		r.judgeTables, r.judgeLeaving, r.judgeDeadlines, r.judgeServed, r.judgeKeys,
 	} {
 		list = append(list, rule(runs)...)
 	}
@@ -60,6 +60,7 @@
 	http.StatusTooManyRequests:    true,
 	http.StatusServiceUnavailable: true,
 	http.StatusRequestTimeout:     true,
+	http.StatusConflict:           true,
 }
 
 // judgeRuns finds once-only requests that ran twice and refused requests that ran.
@@ -83,7 +84,8 @@
 // judgeAnswers finds successful answers that differ from what a replica sent.
 func (r *record) judgeAnswers(runs map[string][]run) (list []Breach) {
 	for _, req := range r.Requests {
-		if !req.Whole || req.Status != http.StatusOK {
+		// judgeRepeats checks the answers to requests with operation keys.
+		if !req.Whole || req.Status != http.StatusOK || req.OperationKey != "" {
 			continue
 		}
 		given := false
@@ -117,14 +119,24 @@
 	for _, req := range r.Requests {
 		requested[requestKey(req.Tenant, req.Attempt)] = req
 	}
-	services := map[string]string{kindAlert: serviceApp, kindOnce: serviceApp, kindChat: serviceModel, kindKept: serviceModel}
+	services := map[string][]string{
+		kindAlert:    {serviceApp},
+		kindOnce:     {serviceApp},
+		kindChat:     {serviceModel},
+		kindKept:     {serviceModel},
+		kindKeyed:    {serviceApp},
+		kindRecorded: {serviceRecorded},
+		kindMoved:    {serviceApp, serviceRecorded},
+	}
 	for _, ran := range r.Runs {
 		req := requested[requestKey(ran.Tenant, ran.Attempt)]
 		switch {
 		case req == nil:
 			list = append(list, breach(RuleRequested, "%s of tenant %q ran at %s and was never requested", ran.Attempt, ran.Tenant, ran.Replica))
-		case req.Method != ran.Method || req.Path != ran.Path || services[req.Kind] != ran.Service:
+		case req.Method != ran.Method || req.Path != ran.Path || !slices.Contains(services[req.Kind], ran.Service):
 			list = append(list, breach(RuleRequested, "%s ran as %s %s at %s", req.Attempt, ran.Method, ran.Path, ran.Service))
+		case req.OperationKey != ran.OperationKey:
+			list = append(list, breach(RuleRequested, "%s of operation %q ran as %q", req.Attempt, req.OperationKey, ran.OperationKey))
 		case ran.Got != req.Before+req.Body && ran.Got != unread:
 			rule := RuleRequested
 			if req.Kind == kindKept {
@@ -289,14 +301,19 @@
 // because replicas still misbehave.
 const servedShare = 0.5
 
-func (r *record) judgeServed(map[string][]run) (list []Breach) {
-	var lastFault time.Duration
+func (r *record) lastFault() (last time.Duration) {
 	for _, t := range r.Faults {
-		lastFault = max(lastFault, t.To)
+		last = max(last, t.To)
 	}
+	return last
+}
+
+func (r *record) judgeServed(map[string][]run) (list []Breach) {
+	lastFault := r.lastFault()
 	requested, served := map[string]int{}, map[string]int{}
 	for _, req := range r.Requests {
-		if req.Misbehaving || req.Tenant == tenantLimited || req.Began < lastFault+contactTimeout ||
+		// judgeRepeatsServed checks the repeats.
+		if req.Misbehaving || req.Repeat || req.Tenant == tenantLimited || req.Began < lastFault+contactTimeout ||
 			req.Ended < 0 || req.Status == http.StatusPaymentRequired {
 			continue
 		}
--- a/rehearsalkit/soak/operator.go
+++ b/rehearsalkit/soak/operator.go
@@ -43,6 +43,18 @@
 	return newRoute(routeName(number), route.Repeatable, serviceApp, 2)
 }
 
+// tablesBetweenMoves is how many numbers of tables the route of kindMoved stays at a service.
+const tablesBetweenMoves = 4
+
+// movedRoute is the route of kindMoved in the table with a number.
+func movedRoute(number uint64) route.Route {
+	moved := newRoute(kindMoved, route.Keyed, serviceApp, 3)
+	app, recorded := route.Target{Service: serviceApp, Weight: 1}, route.Target{Service: serviceRecorded, Weight: 1}
+	targets := [][]route.Target{{app}, {recorded}, {app, recorded}, {recorded}}
+	moved.Targets = targets[number/tablesBetweenMoves%uint64(len(targets))]
+	return moved
+}
+
 // tableText encodes the table with a number. No two are equal, since each has its own route.
 func tableText(number uint64) []byte {
 	tenant := func(name string, rate, burst float64) route.Tenant {
@@ -56,11 +68,15 @@
 			newRoute(kindOnce, route.Once, serviceApp, 3),
 			chat,
 			kept,
+			newRoute(kindKeyed, route.Keyed, serviceApp, 3),
+			newRoute(kindRecorded, route.Keyed, serviceRecorded, 3),
+			movedRoute(number),
 			numberedRoute(number),
 		},
 		Services: []route.Service{
 			{Name: serviceModel, Connections: 100, TokensPerEvent: tokensPerEvent, Slots: 8},
 			{Name: serviceApp, Connections: 100, TokensPerEvent: 1, Slots: 8},
+			{Name: serviceRecorded, Connections: 100, TokensPerEvent: 1, Slots: 8, Deduplicates: true},
 		},
 		Tenants: []route.Tenant{tenant(tenantFirst, 0, 0), tenant(tenantSecond, 0, 0), tenant(tenantLimited, limitedRate, limitedBurst)}}
 	raw, err := json.Marshal(table)
@@ -83,7 +99,7 @@
 func (t *tableOperator) amend(ctx context.Context, registry *process, base, number uint64) int {
 	amendment := route.Amendment{
 		Number: number,
-		Set:    route.SetItems{Routes: []route.Route{numberedRoute(number)}},
+		Set:    route.SetItems{Routes: []route.Route{movedRoute(number), numberedRoute(number)}},
 		Remove: route.RemovedNames{Routes: []string{routeName(base)}},
 	}
 	body, err := json.Marshal(amendment)
--- a/rehearsalkit/soak/record.go
+++ b/rehearsalkit/soak/record.go
@@ -13,17 +13,22 @@
 	kindOnce  = "once"
 	kindChat  = "chat"
 	kindKept  = "kept"
+	// Requests of these kinds have operation keys: kindKeyed goes to a service without a record of
+	// keys, kindRecorded to one with a record, and kindMoved to either, depending on the table.
+	kindKeyed    = "keyed"
+	kindRecorded = "recorded"
+	kindMoved    = "moved"
 )
 
+var keyedKinds = []string{kindKeyed, kindRecorded, kindMoved}
+
 type request struct {
 	Attempt, Kind, Tenant, Node string
 	Method, Path, Body          string
-	// Before is the history that a replica must receive before the body.
-	Before string
-	// Previous is the attempt id of the turn that this one continues.
-	Previous string
-	Program  string
-	Budget   int64
+	continuation
+	operationUse
+	Program string
+	Budget  int64
 	// Misbehaving requests need not be served or answered in time.
 	Misbehaving bool
 	// Repeats marks an attempt id that is used more than once.
@@ -33,6 +38,21 @@
 	result
 }
 
+// continuation is empty for requests that continue no turn.
+type continuation struct {
+	// Before is the history that a replica must receive before the body.
+	Before string
+	// Previous is the attempt id of the turn that this one continues.
+	Previous string
+}
+
+// operationUse is empty for requests without an operation key.
+type operationUse struct {
+	OperationKey string
+	// Repeat marks all but the first attempt at the operation.
+	Repeat bool
+}
+
 type result struct {
 	// Ended is negative until the request has ended.
 	Ended time.Duration
@@ -40,6 +60,7 @@
 	Status int
 	Whole  bool
 	Answer string
+	Seal   string
 }
 
 // run is one request that a replica ran.
@@ -47,7 +68,10 @@
 	At                                                   time.Duration
 	Replica, Service, Attempt, Tenant, Method, Path, Got string
 	// Gave is the complete answer that the replica intended to send.
-	Gave string
+	Gave         string
+	OperationKey string
+	// BrokenOff: the service's record of operation keys does not have this run. It may run again.
+	BrokenOff bool
 }
 
 type tableUpdate struct {
@@ -87,6 +111,10 @@
 	TableReads   []tableRead
 	Departures   []departure
 	Faults       []fault
+	// Operations is the record of operation keys that the replicas of one service share.
+	Operations map[string]*recordedOperation
+	// KeyWindow is the window of operation keys.
+	KeyWindow time.Duration
 	// Breaches were detected during the run.
 	Breaches []Breach
 }
@@ -101,7 +129,7 @@
 func newRecorder(ctx context.Context) *recorder {
 	c := &recorder{updates: make(chan func(r *record), 256), ctx: ctx, start: time.Now()}
 	go func() {
-		var all record
+		all := record{Operations: map[string]*recordedOperation{}}
 		for {
 			select {
 			case update := <-c.updates:
--- a/rehearsalkit/soak/replica.go
+++ b/rehearsalkit/soak/replica.go
@@ -18,6 +18,8 @@
 const (
 	serviceModel = "model"
 	serviceApp   = "app"
+	// serviceRecorded has a record of operation keys.
+	serviceRecorded = "recorded"
 )
 
 // eventsOfTurn and eventsOfLarge are the events of complete streams.
@@ -57,11 +59,8 @@
 
 func newReplicas(f *Fleet) *replicas {
 	r := &replicas{fleet: f}
-	for i := range 5 {
-		service := serviceModel
-		if i >= 3 {
-			service = serviceApp
-		}
+	services := []string{serviceModel, serviceModel, serviceModel, serviceApp, serviceApp, serviceRecorded, serviceRecorded}
+	for i, service := range services {
 		p := &endpoint{fleet: f, service: service, address: f.host(hostReplica, i+1) + ":7900", busy: make(chan struct{}, 1)}
 		p.listenAddress = p.address
 		if i%2 == 0 {
@@ -272,6 +271,10 @@
 		return
 	}
 	how := pickBehavior()
+	if r.endpoint.service == serviceRecorded {
+		r.serveRecorded(w, req, how)
+		return
+	}
 	if how == behaviorFull {
 		w.Header().Set("Saffronfall-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -296,6 +299,8 @@
 		Path:    req.URL.Path,
 		Got:     string(got),
 		Gave:    r.answer(req, stream),
+
+		OperationKey: req.Header.Get(operationKeyHeader),
 	}
 	if how == behaviorEarly {
 		ran.Got = unread
@@ -314,7 +319,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		io.WriteString(w, "failed "+attempt)
 	default:
-		r.misbehave(w, req, ran, how, stream)
+		r.misbehave(w, req, ran, how)
 	}
 }
 
@@ -359,8 +364,8 @@
 	}
 }
 
-func (r *replica) misbehave(w http.ResponseWriter, req *http.Request, ran run, how behavior, stream bool) {
-	head := "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: " + ran.Attempt + "\r\nSaffronfall-Seal: seal-" + ran.Attempt + "\r\n"
+func (r *replica) misbehave(w http.ResponseWriter, req *http.Request, ran run, how behavior) {
+	head := "HTTP/1.1 200 OK\r\nSaffronfall-Attempt: " + req.Header.Get("Saffronfall-Attempt") + "\r\nSaffronfall-Seal: seal-" + ran.Attempt + "\r\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(ran.Gave))
 	hijacker, ok := w.(http.Hijacker)
 	if !ok {
--- a/rehearsalkit/soak/requester.go
+++ b/rehearsalkit/soak/requester.go
@@ -35,6 +35,8 @@
 	net.Conn
 	reader *bufio.Reader
 	node   *process
+	// untilGone: the connection is used although an answer announced its end.
+	untilGone bool
 }
 
 func dialNode(node *process) (*connection, error) {
@@ -60,6 +62,9 @@
 	if req.Previous != "" {
 		fmt.Fprintf(&b, "Saffronfall-Previous: %s\r\n", req.Previous)
 	}
+	if req.OperationKey != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", operationKeyHeader, req.OperationKey)
+	}
 	for _, line := range more {
 		b.WriteString(line + "\r\n")
 	}
@@ -75,9 +80,9 @@
 	f.update(func(r *record) { r.Requests = append(r.Requests, req) })
 }
 
-func (f *Fleet) recordEnd(req *request, status int, whole bool, answer string) {
-	at := f.now()
-	f.update(func(*record) { req.Ended, req.Status, req.Whole, req.Answer = at, status, whole, answer })
+func (f *Fleet) recordEnd(req *request, end result) {
+	end.Ended = f.now()
+	f.update(func(*record) { req.result = end })
 }
 
 // ask reports whether the connection can be reused.
@@ -85,7 +90,7 @@
 	f.recordStart(req, c.node)
 	c.SetDeadline(time.Now().Add(deadline + answerGrace + time.Second))
 	if _, err := io.WriteString(c, req.head(keyOf(req.Tenant))+req.Body); err != nil {
-		f.recordEnd(req, 0, false, "")
+		f.recordEnd(req, result{})
 		return false
 	}
 	return f.answer(c, req)
@@ -95,18 +100,20 @@
 func (f *Fleet) answer(c *connection, req *request) bool {
 	got, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 	if err != nil {
-		f.recordEnd(req, 0, false, "")
+		f.recordEnd(req, result{})
 		return false
 	}
 	body, err := io.ReadAll(got.Body)
-	if seal := got.Header.Get("Saffronfall-Seal"); err == nil && got.StatusCode == http.StatusOK && seal != "seal-"+req.Attempt {
+	// judgeRepeats checks the seals of requests with operation keys.
+	seal := got.Header.Get("Saffronfall-Seal")
+	if err == nil && got.StatusCode == http.StatusOK && req.OperationKey == "" && seal != "seal-"+req.Attempt {
 		f.recordBreach(RuleAnswers, "attempt %s at %s got a success with seal %q", req.Attempt, req.Node, seal)
 	}
 	if id := got.Header.Get("Saffronfall-Attempt"); id != "" && id != req.Attempt {
 		f.recordBreach(RuleAnswers, "attempt %s at %s got the answer to %s", req.Attempt, req.Node, id)
 	}
-	f.recordEnd(req, got.StatusCode, err == nil, string(body))
-	return err == nil && !got.Close
+	f.recordEnd(req, result{Status: got.StatusCode, Whole: err == nil, Answer: string(body), Seal: seal})
+	return err == nil && (c.untilGone || !got.Close)
 }
 
 func (f *Fleet) anyNode() *process {
@@ -234,6 +241,13 @@
 			start(func() { conversations.run(ctx, conversations.conversation, 100*time.Millisecond) })
 		}
 	}
+	for _, tenant := range []string{tenantFirst, tenantSecond} {
+		for _, kind := range keyedKinds {
+			// The tenants share operation keys, which are unique within a tenant only.
+			operations := newOperationRequester(f, kind, tenant, kind)
+			start(func() { operations.run(ctx) })
+		}
+	}
 	for i := range 3 {
 		flood := &requester{fleet: f, tenant: tenantLimited, name: fmt.Sprint("l", i), keepAlive: true}
 		start(func() { flood.run(ctx, flood.alert, 20*time.Millisecond) })
