--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -74,6 +74,15 @@
 		From: "-max(age, 0).Seconds() / timeConstant.Seconds()", To: "0 * age.Seconds()"},
 	{What: "an overload admits no new programs", File: "rule/admission/admission.go", Seeds: 1, Elsewhere: "TestRefusalOrder; the soak does not overload its replicas",
 		From: "FirstTurn:       {from: 0.1, to: 0.9, max: 0.85}", To: "FirstTurn:       {from: 0.1, to: 0.9, max: 1}"},
+	{What: "an operation is sent before its key is claimed", File: "peer/relay/request.go", Seeds: 1,
+		From: "req.fetchingHistory || req.claiming ||", To: "req.fetchingHistory ||"},
+	{What: "an operation that may have run is sent again", File: "peer/relay/operation.go", Seeds: 2,
+		From: "		m.abort(now, req, CauseKeyUncertain)\n", To: "		req.ownsClaim = true\n		m.sendWhenReady(now, req)\n"},
+	{What: "a lost answer releases the operation's key", File: "peer/relay/operation.go", Seeds: 2,
+		From: "	case req.mayHaveRun:\n		command.State = core.KeyUncertain\n", To: ""},
+	{What: "a claim ends with its holder's time", File: "peer/core/rules_keys.go", Seeds: 3,
+		From: "	if stored, ok := read[storedKey](tx, name); ok {\n		return stored.result(tx)\n	}\n	if r.keys.released",
+		To:   "	if stored, ok := read[storedKey](tx, name); ok && (stored.State != KeyClaimed || stored.WorkingUntil > tx.Clock()) {\n		return stored.result(tx)\n	}\n	if r.keys.released"},
 }
 
 // locate returns the path and the broken content of the file. The text must occur exactly once.
