--- a/rehearsalkit/soak/judge_keys.go
+++ b/rehearsalkit/soak/judge_keys.go
@@ -54,16 +54,17 @@
 			op.runs = append(op.runs, ran)
 		}
 	}
-	repeats, answered := map[string]int{}, map[string]int{}
+	repeats, answered, failed := map[string]int{}, map[string]int{}, map[string][]string{}
 	for name, op := range operations {
 		list = append(list, r.judgeOperationRuns(name, op)...)
 		list = append(list, judgeRepeats(name, op)...)
 		list = append(list, r.judgeProgress(name, op)...)
-		r.countRepeats(op, repeats, answered)
+		r.countRepeats(op, repeats, answered, failed)
 	}
 	for kind, count := range repeats {
 		if count >= leastRepeats && float64(answered[kind]) < answeredShare*float64(count) {
-			list = append(list, breach(RuleKeyServed, "%d of %d repeats of answered operations of kind %s were answered", answered[kind], count, kind))
+			list = append(list, breach(RuleKeyServed, "%d of %d repeats of answered operations of kind %s were answered; the others: %s",
+				answered[kind], count, kind, strings.Join(failed[kind], ", ")))
 		}
 	}
 	return list
@@ -161,8 +162,8 @@
 )
 
 // countRepeats counts repeats after the faults of operations that had been answered, and those of
-// them that were answered too.
-func (r *record) countRepeats(op *operationRecord, repeats, answered map[string]int) {
+// them that were answered too. It lists the others.
+func (r *record) countRepeats(op *operationRecord, repeats, answered map[string]int, failed map[string][]string) {
 	calm := r.lastFault() + contactTimeout
 	for _, req := range op.requests {
 		if req.Ended < 0 || req.Began < calm || !r.answeredBefore(op, req) {
@@ -171,7 +172,9 @@
 		repeats[req.Kind]++
 		if req.Whole && req.Status == http.StatusOK {
 			answered[req.Kind]++
+			continue
 		}
+		failed[req.Kind] = append(failed[req.Kind], fmt.Sprintf("%s at %s %d", req.Attempt, req.Node, req.Status))
 	}
 }
 
