--- a/rehearsalkit/relaysim/judge_keys.go
+++ b/rehearsalkit/relaysim/judge_keys.go
@@ -22,6 +22,8 @@
 	// inProgressGrace is how long after the first attempt's deadline an operation may be reported
 	// as in progress: a run goes on when its node is lost, and a claim takes time to be stored.
 	inProgressGrace = 2 * time.Second
+	// electionGrace is the time after a disruption in which the cores elect leaders.
+	electionGrace = time.Second
 	// settledAnswer is the time after an answer in which its outcome is stored.
 	settledAnswer = time.Second
 )
@@ -137,13 +139,10 @@
 		}
 		justified, latest := false, time.Duration(0)
 		for _, other := range o.attempts {
-			if other == q || other.At > q.Ended || other.Outcome == Refused && other.Status == statusKeyInProgress {
+			if other == q || other.At > q.Ended || !mayHoldKey(other) {
 				continue
 			}
-			until := other.At + other.Deadline + inProgressGrace
-			if !b.contactUndisturbed(AnyStore, other.At, q.Ended) {
-				until += b.Limits.Recovery
-			}
+			until := other.At + other.Deadline + inProgressGrace + b.storeDisruption(other.At, q.Ended)
 			justified, latest = justified || q.Ended <= until, max(latest, until)
 		}
 		if !justified {
@@ -154,6 +153,30 @@
 	return list
 }
 
+// mayHoldKey reports whether an attempt may have claimed its key.
+func mayHoldKey(q *Request) bool {
+	if !q.Arrived || q.Outcome != Refused {
+		return q.Arrived
+	}
+	return q.Status == statusKeyUncertain || q.Status == 503
+}
+
+// storeDisruption is how long the cores' clock may have stood still in an interval: while stores
+// were disrupted, and the time of an election after each disruption.
+func (b *recordIndex) storeDisruption(from, until time.Duration) (sum time.Duration) {
+	for _, d := range b.Disruptions {
+		if d.Machine != AnyStore && d.Machine != AllMachines {
+			continue
+		}
+		end := until
+		if d.Until >= 0 {
+			end = min(until, d.Until+electionGrace)
+		}
+		sum += max(0, end-max(from, d.From))
+	}
+	return sum
+}
+
 // checkKeyedServed checks that at least a quarter of the first attempts in undisturbed times is
 // served, of each kind, not counting those beyond their tenant's rate.
 func (b *recordIndex) checkKeyedServed(operations []*keyedOperation) (list []Breach) {
--- a/rehearsalkit/relaysim/keyed_requester.go
+++ b/rehearsalkit/relaysim/keyed_requester.go
@@ -126,3 +126,13 @@
 		w.after(w.between(from, until), o.attempt)
 	}
 }
+
+// operationNamed returns a tenant's operation, or nil.
+func (w *World) operationNamed(tenant, name string) *operation {
+	for _, o := range w.operations {
+		if o.name == name && tenantOf(o.key) == tenant {
+			return o
+		}
+	}
+	return nil
+}
--- a/rehearsalkit/relaysim/keyloss.go
+++ b/rehearsalkit/relaysim/keyloss.go
@@ -39,6 +39,8 @@
 	longestKeyLoss  = 2 * time.Second
 	// keyLossRecovery is the time between a loss and the next.
 	keyLossRecovery = 1500 * time.Millisecond
+	// repeatsAtWindowEnd is how often an operation is repeated at the end of its key's window.
+	repeatsAtWindowEnd = 5
 )
 
 // keyLoss injects one loss after the other, each at a moment of some operation.
@@ -97,11 +99,11 @@
 	if err != nil {
 		return
 	}
-	switch opened.(type) {
+	switch claim := opened.(type) {
 	case core.ClaimKey:
-		k.inject(momentClaim, from, command.Partition)
+		k.inject(momentClaim, from, command.Partition, k.world.operationNamed(claim.Tenant, claim.Key))
 	case core.EndKey:
-		k.inject(momentStore, from, command.Partition)
+		k.inject(momentStore, from, command.Partition, k.world.operationNamed(claim.Tenant, claim.Key))
 	}
 }
 
@@ -117,7 +119,7 @@
 	}
 	if key, ok := opened.(core.KeyResult); ok && key.State == core.KeyClaimed {
 		// The partition is not in the result; any leader's loss does.
-		k.inject(momentClaimed, to, k.world.random.IntN(max(k.world.partitions(), 1)))
+		k.inject(momentClaimed, to, k.world.random.IntN(max(k.world.partitions(), 1)), nil)
 	}
 }
 
@@ -125,12 +127,13 @@
 	r := request.request
 	claim := core.ClaimKey{Tenant: r.Tenant, Key: r.Operation}
 	if partitions := k.world.partitions(); k.armed && partitions > 0 {
-		k.inject(moment, request.node, core.TargetPartition(partitions, claim))
+		k.inject(moment, request.node, core.TargetPartition(partitions, claim), k.world.operationNamed(r.Tenant, r.Operation))
 	}
 }
 
-// inject injects the armed loss if this is its moment, at once or within a message's delay.
-func (k *keyLoss) inject(moment string, node *process, partition int) {
+// inject injects the armed loss if this is its moment, at once or within a message's delay. The
+// operation is repeated around the end of its window, if it is known.
+func (k *keyLoss) inject(moment string, node *process, partition int, o *operation) {
 	w := k.world
 	if moment != k.moment {
 		return
@@ -147,6 +150,11 @@
 	} else {
 		w.after(delay, lose)
 	}
+	for range repeatsAtWindowEnd {
+		if o != nil {
+			w.after(keyWindow+w.between(-length, length), o.attempt)
+		}
+	}
 	w.after(delay+length+keyLossRecovery, func() {
 		k.injected++
 		k.plan()
--- a/rehearsalkit/relaysim/params.go
+++ b/rehearsalkit/relaysim/params.go
@@ -74,7 +74,7 @@
 			Runaways:        2,
 			Callers:         3,
 			Flooders:        3,
-			KeyedRequesters: 3,
+			KeyedRequesters: 4,
 			Operators:       2,
 		},
 	}
--- a/rehearsalkit/relaysim/run.go
+++ b/rehearsalkit/relaysim/run.go
@@ -50,8 +50,9 @@
 		w.after(w.between(0, time.Second), func() { w.flood(key, i) })
 	}
 	for i := 0; i < p.KeyedRequesters; i++ {
-		key := keys[i%len(keys)]
-		w.after(w.between(0, time.Second), func() { w.runKeyedRequester(key, 1+i/2*firstKeyOffset) })
+		// Three tenants give their operations the same names.
+		key := []string{"k-1a", "k-2a", "k-3a", "k-2a"}[i%4]
+		w.after(w.between(0, time.Second), func() { w.runKeyedRequester(key, 1+i/3*firstKeyOffset) })
 	}
 	for i := 0; i < p.Operators; i++ {
 		w.after(w.between(0, 2*time.Second), w.runOperator)
