--- a/rehearsalkit/breaks/soak.go
+++ b/rehearsalkit/breaks/soak.go
@@ -81,8 +81,10 @@
 	{What: "a lost answer releases the operation's key", File: "peer/relay/operation.go", Seeds: 2,
 		From: "	case req.mayHaveRun:\n		command.State = core.KeyUncertain\n", To: ""},
 	{What: "a claim ends with its holder's time", File: "peer/core/rules_keys.go", Seeds: 3,
-		From: "	if stored, ok := read[storedKey](tx, name); ok {\n		return stored.result(tx)\n	}\n	if r.keys.released",
-		To:   "	if stored, ok := read[storedKey](tx, name); ok && (stored.State != KeyClaimed || stored.WorkingUntil > tx.Clock()) {\n		return stored.result(tx)\n	}\n	if r.keys.released"},
+		From: "	if stored, ok := read[storedKey](tx, name); ok {\n		mayShare",
+		To:   "	if stored, ok := read[storedKey](tx, name); ok && (stored.State != KeyClaimed || stored.WorkingUntil > tx.Clock()) {\n		mayShare"},
+	{What: "a shared claim is released", File: "peer/core/rules_keys.go", Seeds: 6,
+		From: "	if c.State == KeyReleased && stored.Shared {\n		c.State = KeyUncertain\n	}\n", To: ""},
 }
 
 // locate returns the path and the broken content of the file. The text must occur exactly once.
