Count and log routing tables that a node or registry cannot read

Cause: a node dropped a table that it could not parse without any sign, and a registry counted it among bad_messages only. A rolling upgrade meets this when the stored table has a new word. Change: both machines count tables_unreadable and report the table with its faults in their Output. The processes log each number once.

--- a/peer/registry/currenttable.go
+++ b/peer/registry/currenttable.go
@@ -78,7 +78,8 @@
 	return differences
 }
 
-// installText installs a table if it is newer; a table that is already known is not parsed.
+// installText installs a table if it is newer; a table that is already known is not parsed. One that
+// this version cannot read is reported and dropped.
 func (m *Machine) installText(now time.Duration, number uint64, digest string, text []byte) {
 	if number <= m.table.number() {
 		return
@@ -86,6 +87,8 @@
 	parsed, faults := route.Parse(text)
 	if faults != nil {
 		m.Counters.BadMessages++
+		m.Counters.TablesUnreadable++
+		m.out.UnreadableTable = &Refusal{Number: number, Faults: faults}
 		return
 	}
 	m.install(now, parsed, digest)
--- a/peer/registry/currenttable_test.go
+++ b/peer/registry/currenttable_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -30,6 +31,24 @@
 	return m.Receive(now, "c:1", core.Update{Partition: core.ConfigurationPartition, UpTo: at, Entries: []partition.Entry{{Key: core.TableKey, Value: value, Version: at}}})
 }
 
+// TestUnreadableTableIsReported guards against a table of a newer version that is dropped silently.
+func TestUnreadableTableIsReported(t *testing.T) {
+	m := newRegistry(nil)
+	foundFleet(m)
+	deliverTable(m, 0, 2)
+	newer := bytes.Replace(largeTable(3), []byte(`"once"`), []byte(`"lazily"`), 1)
+	dropped := m.Receive(0, "d2:1", Update{Incarnation: "l", TableNumber: 3, Table: newer}).UnreadableTable
+	if dropped == nil || dropped.Number != 3 || dropped.Cause() != CauseUnknownWord || dropped.Faults[0].Value != "lazily" {
+		t.Errorf("reported %+v", dropped)
+	}
+	if count := m.Status(0)["tables_unreadable"]; count != 1 || m.TableNumber() != 2 {
+		t.Errorf("%d unreadable tables, table %d", count, m.TableNumber())
+	}
+	if again := deliverTable(m, 0, 4).UnreadableTable; again != nil || m.TableNumber() != 4 {
+		t.Errorf("reported %+v, table %d", again, m.TableNumber())
+	}
+}
+
 // TestSubscribersGetDifferences checks that only subscribers with a recent table get differences,
 // and none the table's source.
 func TestSubscribersGetDifferences(t *testing.T) {
--- a/peer/registry/machine.go
+++ b/peer/registry/machine.go
@@ -232,17 +232,18 @@
 // sent, "followers" subscribers.
 func (m *Machine) Status(now time.Duration) map[string]int64 {
 	return map[string]int64{
-		"messages":       m.Counters.Messages,
-		"beats":          m.Counters.Heartbeats,
-		"bulletins":      m.Counters.Updates,
-		"changes":        m.Counters.Changes,
-		"tables_applied": m.Counters.TablesApplied,
-		"tables_refused": m.Counters.TablesRefused,
-		"bad_messages":   m.Counters.BadMessages,
-		"replicas":       int64(len(m.replicas)),
-		"followers":      int64(len(m.subscribers)),
-		"desks":          int64(len(m.registries)),
-		"table":          int64(m.table.number()),
-		"cores":          int64(len(m.topology.Cores)),
+		"messages":          m.Counters.Messages,
+		"beats":             m.Counters.Heartbeats,
+		"bulletins":         m.Counters.Updates,
+		"changes":           m.Counters.Changes,
+		"tables_applied":    m.Counters.TablesApplied,
+		"tables_refused":    m.Counters.TablesRefused,
+		"bad_messages":      m.Counters.BadMessages,
+		"tables_unreadable": m.Counters.TablesUnreadable,
+		"replicas":          int64(len(m.replicas)),
+		"followers":         int64(len(m.subscribers)),
+		"desks":             int64(len(m.registries)),
+		"table":             int64(m.table.number()),
+		"cores":             int64(len(m.topology.Cores)),
 	}
 }
--- a/peer/registry/types.go
+++ b/peer/registry/types.go
@@ -124,9 +124,14 @@
 	Peers           *Peers
 	Sends           []Send
 	Answers         []Answer
+	// UnreadableTable is an accepted table that was dropped, because this version cannot read it;
+	// nil if there is none.
+	UnreadableTable *Refusal
 }
 
 // Counters are a registry's event counts since it started.
 type Counters struct {
 	Messages, Heartbeats, Updates, Changes, TablesApplied, TablesRefused, BadMessages int64
+	// TablesUnreadable counts accepted tables that were received and dropped.
+	TablesUnreadable int64
 }
--- a/peer/relay/table.go
+++ b/peer/relay/table.go
@@ -21,6 +21,8 @@
 	tenants     map[string]*route.Tenant
 	// noTableConfirmed: a registry has confirmed that there is no table yet.
 	noTableConfirmed bool
+	// unreadable counts the tables that were received and dropped.
+	unreadable int64
 }
 
 // staleHeartbeats is the validity of a confirmation in heartbeat intervals.
@@ -53,14 +55,19 @@
 	}
 }
 
-// parseTable parses a newer table once, as every registry sends it to a new node.
+// parseTable parses a newer table once, as every registry sends it to a new node. One that
+// this version cannot read is reported and dropped.
 func (m *Machine) parseTable(update registry.Update) {
 	if m.pending != nil && update.TableNumber <= m.pending.Number {
 		return
 	}
-	if parsed, faults := route.Parse(update.Table); faults == nil {
-		m.pending, m.digest = parsed, update.TableDigest
+	parsed, faults := route.Parse(update.Table)
+	if faults != nil {
+		m.unreadable++
+		m.out.UnreadableTable = &registry.Refusal{Number: update.TableNumber, Faults: faults}
+		return
 	}
+	m.pending, m.digest = parsed, update.TableDigest
 }
 
 func (m *Machine) installTable(now time.Duration) {
--- a/peer/relay/table_test.go
+++ b/peer/relay/table_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,27 @@
 	return registry.Subscribe{}
 }
 
+// TestUnreadableTableIsReported guards against a table of a newer version that is dropped silently.
+func TestUnreadableTableIsReported(t *testing.T) {
+	h := newHarness(t)
+	newer := strings.Replace(string(tableJSON(4, nil)), `"mode":"once"`, `"mode":"lazily"`, 1)
+	send := func(number uint64, text string) Output {
+		h.version++
+		return h.node.Receive(h.now, "d1:1", registry.Update{Incarnation: "l", Version: h.version, TableNumber: number, Table: []byte(text), NodeCount: 1})
+	}
+	send(3, string(tableJSON(3, nil)))
+	dropped := send(4, newer).UnreadableTable
+	if dropped == nil || dropped.Number != 4 || dropped.Cause() != registry.CauseUnknownWord || dropped.Faults[0].Value != "lazily" {
+		t.Errorf("reported %+v", dropped)
+	}
+	if count := h.node.Status(h.now)["tables_unreadable"]; count != 1 || h.node.TableNumber() != 3 {
+		t.Errorf("%d unreadable tables, table %d", count, h.node.TableNumber())
+	}
+	if again := send(5, string(tableJSON(5, nil))).UnreadableTable; again != nil || h.node.TableNumber() != 5 {
+		t.Errorf("reported %+v, table %d", again, h.node.TableNumber())
+	}
+}
+
 // TestNodeAppliesTableDifferences: a difference to another base is ignored, and one whose base has
 // other content makes the node ask for the full table.
 func TestNodeAppliesTableDifferences(t *testing.T) {
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -170,6 +170,9 @@
 	Sends       []Send
 	Steps       []TicketStep
 	Completions []Completion
+	// UnreadableTable is an accepted table that was dropped, because this version cannot read it;
+	// nil if there is none.
+	UnreadableTable *registry.Refusal
 }
 
 // Params are the intervals, limits and policies of a node.
--- a/rehearsalkit/sizes/larger_test.go
+++ b/rehearsalkit/sizes/larger_test.go
@@ -47,5 +47,5 @@
 	"struct saffronfall/coreprocess/process.go process":                        25,
 	"struct saffronfall/nodeprocess/process.go process":                        25,
 	"struct saffronfall/params/params.go Params":                               30,
-	"struct saffronfall/relayprocess/process.go process":                       20,
+	"struct saffronfall/relayprocess/process.go process":                       19,
 }
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -45,6 +45,7 @@
 	traffic     trafficCounts
 	refusals    *refusalLog
 	tableNumber uint64
+	unreadable  telemetry.UnreadableTables
 	// dataDir is nil if nothing is stored.
 	dataDir *disk.Store
 }
@@ -227,6 +228,7 @@
 
 // apply stores changes before it sends messages and answers.
 func (s *process) apply(o registry.Output) {
+	s.unreadable.Record(o.UnreadableTable, s.log)
 	s.store(o.ChangedReplicas, o.Peers)
 	for _, send := range o.Sends {
 		s.traffic.sent++
--- a/saffronfall/registryprocess/process_test.go
+++ b/saffronfall/registryprocess/process_test.go
@@ -3,9 +3,11 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"saffronfall/peer/core"
 	"saffronfall/peer/registry"
@@ -95,3 +97,15 @@
 	}
 	dataDir.Close()
 }
+
+// TestUnreadableTableIsLogged guards against a registry that drops a table silently.
+func TestUnreadableTableIsLogged(t *testing.T) {
+	var lines []string
+	s := &process{log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
+	for range 3 {
+		s.apply(registry.Output{UnreadableTable: &registry.Refusal{Number: 9}})
+	}
+	if len(lines) != 1 || !strings.Contains(lines[0], `"number"=9`) {
+		t.Fatalf("logged %q", lines)
+	}
+}
--- a/saffronfall/relayprocess/observe_test.go
+++ b/saffronfall/relayprocess/observe_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"saffronfall/peer/registry"
 	"saffronfall/peer/relay"
 )
 
@@ -89,3 +90,15 @@
 		})
 	}
 }
+
+// TestUnreadableTableIsLogged guards against a node that drops a table silently.
+func TestUnreadableTableIsLogged(t *testing.T) {
+	var lines []string
+	s := &process{log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
+	for range 3 {
+		s.apply(relay.Output{UnreadableTable: &registry.Refusal{Number: 9}})
+	}
+	if len(lines) != 1 || !strings.Contains(lines[0], `"number"=9`) {
+		t.Fatalf("logged %q", lines)
+	}
+}
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -79,10 +79,16 @@
 	pools      map[string]*pool
 	lastTicket uint64
 	messageCounts
-	observer    *observer
-	violations  *invariant.Counter
-	tableNumber uint64
-	ready       bool
+	observer   *observer
+	violations *invariant.Counter
+	loggedState
+}
+
+// loggedState is what was last logged.
+type loggedState struct {
+	tableNumber      uint64
+	unreadableTables telemetry.UnreadableTables
+	ready            bool
 }
 
 type messageCounts struct{ sent, dropped, badStreams int64 }
@@ -260,6 +266,7 @@
 }
 
 func (s *process) apply(o relay.Output) {
+	s.unreadableTables.Record(o.UnreadableTable, s.log)
 	for _, send := range o.Sends {
 		s.sent++
 		if !s.streams.Send(send.To, send.Body) {
