Allow groups of up to 13 cores, for tolerance.machineLosses up to 6

Cause: group_seats was bounded by 9 since its introduction, without a stated reason, and the translation derives it as 2 x losses + 1: five losses kept every role from starting. Nothing in rule/partition or peer/core depends on the bound; only the takeover takes longer by a quarter of a lease for each earlier member that is lost. Change: the bound is 13. Seven losses stay refused. Measured: TestManyMachineLossesAreAccepted failed for 5 and 6 losses before (group_seats: 11 is not allowed). TestLargeGroupsTolerateTheirLosses (1 to 13 members; the loss of the largest tolerated number, and of one more) and TestEmptiedCoreRejoins, now also with groups of 9, 11 and 13, passed with the old and the new bound: they show that the code holds. go test of the touched packages passes. Not changed: a fleet is founded only when as many cores as seats have come, so one with fewer cores than 2 x losses + 1 starts and is never founded; this was so for fewer losses, too.

--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -91,6 +91,10 @@
 	return next, applied, restart, nil
 }
 
+// maxGroupSize tolerates six losses. A takeover takes longer in larger groups, as a member waits
+// for those before it.
+const maxGroupSize = 13
+
 // Settings is the table of all settings of a process.
 var Settings = []configuration.Setting{
 	{Path: "id", Type: "text", Required: true, Check: checkName, Help: "name of this process, unique in the fleet"},
@@ -121,7 +125,7 @@
 	{Path: "cold_start", Type: "bool", Default: false, Help: "this core may take part in founding a fleet when its data directory is empty and no fleet is found"},
 	{Path: "core_gone_ms", Type: "int", Default: 0, Min: 0, Max: 3600000, Help: "silence after which a core's group memberships move to other cores; 0: three leases of a node"},
 	{Path: "order_keep_hours", Type: "int", Default: 24, Min: 1, Max: 8760, Help: "how long a repeated operator command is recognised and acknowledged"},
-	{Path: "group_seats", Type: "int", Default: 3, Min: 1, Max: 9, Help: "number of cores that hold each partition of a newly founded fleet; 3 tolerate the loss of one, 5 of two"},
+	{Path: "group_seats", Type: "int", Default: 3, Min: 1, Max: maxGroupSize, Help: "number of cores that hold each partition of a newly founded fleet; 3 tolerate the loss of one, 5 of two"},
 	{Path: "log_verbosity", Type: "int", Default: 0, Min: 0, Max: 4, Help: "log level; 0 logs state changes only"},
 }
 
