Refuse operators' text that is not valid Unicode, with its path

Cause: encoding/json replaces invalid bytes, and escaped surrogates without their half, by U+FFFD when it decodes a string. Text that is kept as bytes in one place (the amended item) and decoded in another (the table's source) becomes two different texts, and two different names may become one.

--- a/rule/configuration/settings.go
+++ b/rule/configuration/settings.go
@@ -81,6 +81,9 @@
 // Read checks a JSON text against settings, fills in defaults and decodes it into target, which must
 // be a pointer.
 func Read(text []byte, settings []Setting, target any) Faults {
+	if faults := CheckUnicode(text); faults != nil {
+		return faults
+	}
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.UseNumber()
 	var tree any
