Refuse tenants' names and replicas' ids that a header cannot carry unchanged

Callers saw: a tenant named with a line break in a configuration, or a replica that reports an id with one, put lines of its choice into the heads of requests that nodes send to replicas (the tenant's and the target's header are written as they are).

--- a/peer/registry/handler.go
+++ b/peer/registry/handler.go
@@ -169,13 +169,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/replicas/{id}", func(w http.ResponseWriter, r *http.Request) {
 		var replica Replica
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReplicaBytes)).Decode(&replica); err != nil ||
-			replica.Service == "" || replica.Address == "" {
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReplicaBytes)).Decode(&replica)
+		replica.ID = r.PathValue("id")
+		if err != nil || !replica.Valid() {
 			operator.WriteJSON(w, http.StatusBadRequest,
-				operator.ErrorResponse{Code: "malformed", Reason: "a replica with its service and address", Executed: "no"})
+				operator.ErrorResponse{Code: "malformed", Reason: "a replica with its service and address, and an id without control characters", Executed: "no"})
 			return
 		}
-		replica.ID = r.PathValue("id")
 		writeAck(w, api.Heartbeat(r.Context(), replica))
 	})
 	mux.HandleFunc("DELETE /v1/replicas/{id}",
--- a/peer/registry/types.go
+++ b/peer/registry/types.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"saffronfall/peer/core"
+	"saffronfall/rule/configuration"
 	"saffronfall/rule/message"
 	"saffronfall/rule/route"
 )
@@ -32,6 +33,12 @@
 	Sequence int64 `msgpack:"q" json:"call"`
 }
 
+// Valid reports whether a replica can be listed: it has a service and an address, and an ID that can be
+// sent to it in a header.
+func (r Replica) Valid() bool {
+	return r.Service != "" && r.Address != "" && r.ID != "" && configuration.ValidHeaderValue(r.ID)
+}
+
 // ReplicaEntry is a replica in a registry's list. A Removed one gets no requests; its entry
 // stays listed for a while so that all nodes learn of the removal.
 type ReplicaEntry struct {
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -187,7 +187,13 @@
 		Default: false,
 		Help:    "whether the replicas share a record of operation keys and run each key only once",
 	},
-	{Path: "tenants.[].name", Type: "text", Required: true, Help: "name of the tenant"},
+	{
+		Path:     "tenants.[].name",
+		Type:     "text",
+		Required: true,
+		Check:    checkHeaderValue,
+		Help:     "name of the tenant, sent to replicas in a header",
+	},
 	{Path: "tenants.[].keys", Type: "texts", Default: []any{}, Check: checkDigests, Help: "SHA-256 of each key, in hex"},
 	{Path: "tenants.[].rate", Type: "number", Default: 0.0, Min: 0, Max: maxNumber, Help: "requests per second over all nodes; 0: no limit"},
 	{Path: "tenants.[].burst", Type: "number", Default: 0.0, Min: 0, Max: maxNumber, Help: "requests beyond the rate in a window"},
@@ -204,6 +210,13 @@
 	return ""
 }
 
+func checkHeaderValue(value any) string {
+	if text, _ := value.(string); !configuration.ValidHeaderValue(text) {
+		return "a text without control characters, and without space at its ends"
+	}
+	return ""
+}
+
 func checkDigests(value any) string {
 	list, _ := value.([]any)
 	for _, digest := range list {
--- a/rule/route/table_test.go
+++ b/rule/route/table_test.go
@@ -57,6 +57,8 @@
 func TestParseFaults(t *testing.T) {
 	for name, change := range map[string][2]string{
 		"same host in other case": {`"host":"a.example","prefix":"/x/"`, `"host":"a.EXAMPLE","prefix":"/"`},
+		"tenant with a new line":  {`{"name":"one"`, `{"name":"one\r\nX-Other: a"`},
+		"tenant ends in a space":  {`{"name":"one"`, `{"name":"one "`},
 		"unknown service":         {`{"service":"t"}]}],`, `{"service":"u"}]}],`},
 		"duplicate service name":  {`{"name":"t"}`, `{"name":"s"}`},
 		"no targets":              {`[{"service":"s"}]`, `[]`},
