--- a/rehearsalkit/sizes/larger_test.go
+++ b/rehearsalkit/sizes/larger_test.go
@@ -8,7 +8,6 @@
 	"function peer/relay/rate.go Machine.drawRates":                            78,
 	"function peer/replica/pool.go Pool.Do":                                    64,
 	"function peer/requester/handler.go Handler":                               77,
-	"function platform/settings.go translate":                                  67,
 	"function rehearsalkit/capacity/command.go Command.Run":                    72,
 	"function rehearsalkit/capacity/measure.go world.figures":                  85,
 	"function rehearsalkit/judge/limits.go Record.sessionStarts":               100,
