Sharing a claim extends its key, and needs a record kept since the claim was made

Callers would have seen: an operation that ran twice. (1) An attempt that shares a claim late in the window runs then, and its key was forgotten by the first claim's time. (2) A service that began to keep its record while a key was under way has no entry for a run before; the asking node's table alone decided that the service could tell. Cause: the entry knew only what its holder knew at first. Change: each sharing extends the entry by the sharer's time and the window; the claim stores whether its service kept a record then, and only such a claim is shared.

--- a/peer/core/messages_keys.go
+++ b/peer/core/messages_keys.go
@@ -23,7 +23,7 @@
 		// Window is how long after the last possible sending the key is stored.
 		Window time.Duration `msgpack:"u"`
 		// Deduplicating lists the services that run each key only once themselves and that this
-		// attempt may be sent to under an earlier claim.
+		// attempt may be sent to.
 		Deduplicating []string `msgpack:"d"`
 	}
 	// EndKey stores the outcome of a claim, or releases one whose operation certainly did not run
@@ -96,6 +96,9 @@
 	// Shared is set before another attempt may send the operation. The claim's holder then cannot
 	// know that the operation did not run.
 	Shared bool `msgpack:"h"`
+	// Deduplicated: the service kept a record of keys when the claim was made, as far as its holder
+	// knew.
+	Deduplicated bool `msgpack:"d"`
 }
 
 const operationKeyPrefix = "operation/"
--- a/peer/core/rules_keys.go
+++ b/peer/core/rules_keys.go
@@ -48,9 +48,9 @@
 func (r *rules) claimKey(tx *partition.Tx, c ClaimKey) KeyResult {
 	name := operationKey(c.Tenant, c.Key)
 	if stored, ok := read[storedKey](tx, name); ok {
-		mayShare := c.Claim != stored.Claim && stored.State != KeyDone && slices.Contains(c.Deduplicating, stored.Service)
-		if mayShare && !stored.Shared {
+		if c.Claim != stored.Claim && stored.mayShare(c) {
 			stored.Shared = true
+			stored.Until = max(stored.Until, tx.Clock()+c.Working+c.Window)
 			write(tx, name, stored)
 		}
 		return stored.result(tx)
@@ -61,6 +61,7 @@
 	stored := storedKey{
 		Claim:        c.Claim,
 		Service:      c.Service,
+		Deduplicated: slices.Contains(c.Deduplicating, c.Service),
 		State:        KeyClaimed,
 		WorkingUntil: tx.Clock() + c.Working,
 		Until:        tx.Clock() + c.Working + c.Window,
@@ -113,6 +114,12 @@
 	return stored.result(tx)
 }
 
+// mayShare reports whether the attempt of a claim may send the operation under the stored claim: its
+// service has recorded the key if it ran.
+func (s storedKey) mayShare(c ClaimKey) bool {
+	return s.Deduplicated && s.State != KeyDone && slices.Contains(c.Deduplicating, s.Service)
+}
+
 func (s storedKey) result(tx *partition.Tx) KeyResult {
 	return KeyResult{
 		State:    s.State,
--- a/peer/core/rules_keys_test.go
+++ b/peer/core/rules_keys_test.go
@@ -142,7 +142,7 @@
 	share := func(claim string, services ...string) KeyResult {
 		return single.run(ClaimKey{Tenant: "t", Key: "k", Claim: claim, Service: "x", Working: testKeyWorking, Window: testKeyWindow, Deduplicating: services}).(KeyResult)
 	}
-	single.claim("t", "k", "a")
+	single.run(ClaimKey{Tenant: "t", Key: "k", Claim: "a", Service: "s", Working: testKeyWorking, Window: testKeyWindow, Deduplicating: []string{"s"}})
 	if again := share("a", "s"); again.Shared {
 		t.Fatalf("the holder shares its own claim: %+v", again)
 	}
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -96,6 +96,12 @@
 	return Outcome{Kind: OutcomeComplete, Status: 200, Response: &core.KeyResponse{Status: 200, Header: [][2]string{{"Seal", "s1"}}, Body: []byte(body)}}
 }
 
+func (h *harness) outcomeUntilEnd(ticket uint64, outcome Outcome) {
+	for h.lastStep(ticket).Kind == StepSend {
+		h.outcome(ticket, outcome)
+	}
+}
+
 func (h *harness) expectReplay(ticket uint64, body string) {
 	h.t.Helper()
 	if s := h.lastStep(ticket); s.Kind != StepReplay || s.Response == nil || string(s.Response.Body) != body || s.Response.Status != 200 {
@@ -347,3 +353,63 @@
 	nodes[1].expect(second, StepDeliver, 0)
 	nodes[2].expectReplay(nodes[2].keyed("k"), "receipt")
 }
+
+// movedTable sends the keyed route to another deduplicating service, which has no record of the
+// first one's keys.
+func movedTable(number uint64) []byte {
+	return tableJSON(number, func(t *route.Table) {
+		t.Services = append(t.Services, route.Service{Name: "ledger", Connections: 10, TokensPerEvent: 1, Deduplicates: true})
+		t.Services[1].Deduplicates = true
+		t.Routes = append(t.Routes, route.Route{Name: "pay", Host: "h", Prefix: "/pay/", Mode: route.Keyed, TimeoutMS: 1500, MaxAttempts: 3,
+			Targets: []route.Target{{Service: "ledger", Weight: 1}}})
+	})
+}
+
+// The holder's release must not forget that another attempt was sent under the same claim.
+func TestReleaseKeepsKeyOfSharedRun(t *testing.T) {
+	released := map[string]Outcome{"replicas full": {Kind: OutcomeNotRun}, "in progress": {Kind: OutcomeNotRun, InProgress: true}}
+	ended := map[string]Outcome{"interrupted": {Kind: OutcomeInterrupted}, "complete": completeResponse("receipt")}
+	for releasedBy, release := range released {
+		for endedBy, end := range ended {
+			t.Run(releasedBy+", "+endedBy, func(t *testing.T) {
+				_, nodes := newKeyedNodes(t, 2, true)
+				first := nodes[0].keyed("k")
+				nodes[0].expect(first, StepSend, 0)
+				second := nodes[1].keyed("k")
+				nodes[1].expect(second, StepSend, 0)
+				nodes[0].outcomeUntilEnd(first, release)
+				nodes[1].outcomeUntilEnd(second, end)
+				nodes[1].update("d1:1", listings("ledger", "l1"), 2, movedTable(2))
+				third := nodes[1].keyed("k")
+				if s := nodes[1].lastStep(third); s.Kind == StepSend {
+					t.Fatalf("the key ran at service app and is sent to %s", s.Service)
+				}
+			})
+		}
+	}
+}
+
+// The window counts from the last possible sending, which may be that of another attempt.
+func TestSharedRunExtendsWindow(t *testing.T) {
+	shared, nodes := newKeyedNodes(t, 2, true)
+	first := nodes[0].keyed("k")
+	nodes[0].outcomeUntilEnd(first, Outcome{Kind: OutcomeInterrupted})
+	shared.advance(20 * time.Second)
+	second := nodes[1].keyed("k")
+	nodes[1].expect(second, StepSend, 0)
+	nodes[1].outcome(second, completeResponse("receipt"))
+	nodes[1].expect(second, StepDeliver, 0)
+	shared.advance(16 * time.Second)
+	nodes[0].update("d1:1", listings("ledger", "l1"), 2, movedTable(2))
+	nodes[0].expectReplay(nodes[0].keyed("k"), "receipt")
+}
+
+// A record that a service began to keep only after the run does not have the run's key.
+func TestRunBeforeServiceKeptRecordIsNotSentAgain(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 2, false)
+	first := nodes[0].keyed("k")
+	nodes[0].outcome(first, Outcome{Kind: OutcomeInterrupted})
+	nodes[0].expect(first, StepAbort, 502)
+	nodes[1].update("d1:1", nil, 2, keyedTable(2, true))
+	nodes[1].expect(nodes[1].keyed("k"), StepAbort, 502)
+}
