Operation keys count on once-only routes too: a change of mode ran one twice

Callers would have seen: a keyed operation that ran again after a configuration had made its route "once", or at a node that had that configuration first. Cause: whether a key counts was decided by the mode in the asking node's table. Change: a key counts on every route whose requests may run only once; repeatable routes and streams have no keys. Evidence: TestKeyRunsOnceWhenModeChanges failed before and passes.

--- a/peer/relay/operation.go
+++ b/peer/relay/operation.go
@@ -27,9 +27,13 @@
 }
 
 // usesKey reports whether a request's operation runs once in its key's window. A request without a
-// key runs at most once itself.
+// key runs at most once itself. Keys count on routes of mode Once too, as the mode may change while
+// they are stored.
 func (req *activeRequest) usesKey() bool {
-	return req.route != nil && req.route.Mode == route.Keyed && req.spec.OperationKey != ""
+	if req.route == nil || req.spec.OperationKey == "" {
+		return false
+	}
+	return req.route.Mode == route.Keyed || req.route.Mode == route.Once
 }
 
 // mayRunAgain reports whether a request that may have run may be sent again.
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -413,3 +413,16 @@
 	nodes[1].update("d1:1", nil, 2, keyedTable(2, true))
 	nodes[1].expect(nodes[1].keyed("k"), StepAbort, 502)
 }
+
+func TestKeyRunsOnceWhenModeChanges(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 2, false)
+	first := nodes[0].keyed("k")
+	nodes[0].outcome(first, completeResponse("receipt"))
+	nodes[1].update("d1:1", nil, 2, tableJSON(2, func(t *route.Table) {
+		t.Routes = append(t.Routes, route.Route{Name: "pay", Host: "h", Prefix: "/pay/", Mode: route.Once, TimeoutMS: 1500, MaxAttempts: 3,
+			Targets: []route.Target{{Service: "app", Weight: 1}}})
+	}))
+	if s := nodes[1].lastStep(nodes[1].keyed("k")); s.Kind == StepSend {
+		t.Fatal("the key ran and is sent again")
+	}
+}
--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -21,7 +21,7 @@
 	// Once requests are executed at most once per attempt of the requester.
 	Once = "once"
 	// Keyed requests are executed at most once per operation key of a tenant. Without a key they
-	// are like Once.
+	// are like Once; with one, those of Once are like Keyed.
 	Keyed = "keyed"
 	// Stream requests are answered with events. They run at most once unless resumable.
 	Stream = "stream"
