The window of an operation key allows for a fast clock

Callers would have seen: on a core whose clock runs fast within the bound on drift, a key forgotten before its window had passed by a correct clock, and an operation that ran twice. Cause: leases count drift, the time of a key's entry did not; the partition's clock never runs ahead of its leader's clock, but that one may be fast. Change: the holder's time and the window are stored longer by the bound on drift. Evidence: TestWindowCountsClockDrift failed before and passes; TestKeyIsStoredForHolderAndWindow holds both parts of an entry's time exactly. TestFirstClaimOfKeyWins wants at least the holder's time now.

--- a/peer/core/rules_keys.go
+++ b/peer/core/rules_keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"saffronfall/rule/partition"
 )
@@ -50,7 +51,7 @@
 	if stored, ok := read[storedKey](tx, name); ok {
 		if c.Claim != stored.Claim && stored.mayShare(c) {
 			stored.Shared = true
-			stored.Until = max(stored.Until, tx.Clock()+c.Working+c.Window)
+			stored.Until = max(stored.Until, tx.Clock()+r.withDrift(c.Working+c.Window))
 			write(tx, name, stored)
 		}
 		return stored.result(tx)
@@ -58,13 +59,14 @@
 	if r.keys.released.has(c.Claim) {
 		return KeyResult{State: KeyReleased, Claim: c.Claim}
 	}
+	working, window := r.withDrift(c.Working), r.withDrift(c.Window)
 	stored := storedKey{
 		Claim:        c.Claim,
 		Service:      c.Service,
 		Deduplicated: slices.Contains(c.Deduplicating, c.Service),
 		State:        KeyClaimed,
-		WorkingUntil: tx.Clock() + c.Working,
-		Until:        tx.Clock() + c.Working + c.Window,
+		WorkingUntil: tx.Clock() + working,
+		Until:        tx.Clock() + working + window,
 	}
 	if r.keys.bytes+stored.size(name) > r.params.maxKeyBytes() {
 		return KeyResult{State: KeyRejected}
@@ -114,6 +116,11 @@
 	return stored.result(tx)
 }
 
+// withDrift returns the time that passes on the fastest clock while d passes on a correct one.
+func (r *rules) withDrift(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + r.params.Partition.Drift))
+}
+
 // mayShare reports whether the attempt of a claim may send the operation under the stored claim: its
 // service has recorded the key if it ran.
 func (s storedKey) mayShare(c ClaimKey) bool {
