One tenant's operation keys take at most a quarter of the memory for keys

Callers would have seen: while one tenant sends many operations, 503 (keys_full) for the operations of all others in a partition, and 502 for their repeats as responses were no longer stored. Cause: the memory for a partition's keys had one bound for all tenants together. Change: a tenant may use a quarter of it, and of the part for responses. Evidence: TestKeysOfTenantsAreIndependent failed before (20 of 20 claims of another tenant rejected) and passes. TestMemoryForKeysIsBounded plays eight tenants, as one can no longer fill a partition, and holds the bound of each as well.

--- a/peer/core/expiry.go
+++ b/peer/core/expiry.go
@@ -74,7 +74,8 @@
 		} else if k, ok := readWithPrefix[storedKey](tx, planned.key, operationKeyPrefix); ok {
 			until = k.Until
 			if clock >= until {
-				r.keys.bytes -= k.size(planned.key)
+				tenant, _, _ := ParseOperationKey(planned.key)
+				r.keys.add(tenant, -k.size(planned.key))
 			}
 		} else {
 			continue
--- a/peer/core/rules_keys.go
+++ b/peer/core/rules_keys.go
@@ -14,6 +14,8 @@
 	// responseFraction is the part of the memory for keys that may be used when a response is
 	// stored. The rest is for claims.
 	responseFraction = 0.75
+	// tenantFraction is the part of the memory for keys that one tenant may use.
+	tenantFraction = 0.25
 )
 
 func (p Params) maxKeyBytes() int {
@@ -25,22 +27,39 @@
 
 // keyUsage is the leader's volatile state about the stored keys of a partition.
 type keyUsage struct {
-	bytes int
+	bytes    int
+	byTenant map[string]int
 	// released has the claims that were released. A delayed claim of these must not be stored,
 	// since its holder has given it up.
 	released *recentKeys
 }
 
 func loadKeyUsage(tx *partition.Tx) keyUsage {
-	usage := keyUsage{released: newRecentKeys()}
+	usage := keyUsage{byTenant: map[string]int{}, released: newRecentKeys()}
 	for _, name := range tx.Keys(operationKeyPrefix) {
 		if stored, ok := read[storedKey](tx, name); ok {
-			usage.bytes += stored.size(name)
+			tenant, _, _ := ParseOperationKey(name)
+			usage.add(tenant, stored.size(name))
 		}
 	}
 	return usage
 }
 
+func (u *keyUsage) add(tenant string, bytes int) {
+	u.bytes += bytes
+	u.byTenant[tenant] += bytes
+	if u.byTenant[tenant] == 0 {
+		delete(u.byTenant, tenant)
+	}
+}
+
+// hasRoom reports whether a tenant may use more bytes while at most a fraction of the memory for
+// keys is used.
+func (r *rules) hasRoom(tenant string, bytes int, fraction float64) bool {
+	limit := fraction * float64(r.params.maxKeyBytes())
+	return float64(r.keys.bytes+bytes) <= limit && float64(r.keys.byTenant[tenant]+bytes) <= tenantFraction*limit
+}
+
 func (s storedKey) size(name string) int { return keyOverheadBytes + len(name) + s.Response.Size() }
 
 // claimKey stores a claim unless the key is stored already. The entry outlasts the window of the
@@ -68,11 +87,11 @@
 		WorkingUntil: tx.Clock() + working,
 		Until:        tx.Clock() + working + window,
 	}
-	if r.keys.bytes+stored.size(name) > r.params.maxKeyBytes() {
+	if !r.hasRoom(c.Tenant, stored.size(name), 1) {
 		return KeyResult{State: KeyRejected}
 	}
 	write(tx, name, stored)
-	r.keys.bytes += stored.size(name)
+	r.keys.add(c.Tenant, stored.size(name))
 	r.expiries.add(name, stored.Until)
 	return stored.result(tx)
 }
@@ -99,13 +118,13 @@
 			return stored.result(tx)
 		}
 		tx.Delete(name)
-		r.keys.bytes -= stored.size(name)
+		r.keys.add(c.Tenant, -stored.size(name))
 		return KeyResult{State: KeyReleased, Claim: c.Claim}
 	case KeyDone:
 		stored.State = KeyNotStored
-		if float64(r.keys.bytes+c.Response.Size()) <= responseFraction*float64(r.params.maxKeyBytes()) {
+		if r.hasRoom(c.Tenant, c.Response.Size(), responseFraction) {
 			stored.State, stored.Response = KeyDone, c.Response
-			r.keys.bytes += c.Response.Size()
+			r.keys.add(c.Tenant, c.Response.Size())
 		}
 	case KeyNotStored, KeyUncertain:
 		stored.State = c.State
