A replica whose service is running the operation already has not failed

Callers would have seen: replicas avoided by all nodes after answering repeats with "in progress". Cause: the answer counted as a rejection, which counts as a failure where the replica has room. Change: it counts as an attempt that ended without a result. Evidence: TestKeyInProgressIsNoFailureOfReplica failed before and passes.

--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -426,3 +426,16 @@
 		t.Fatal("the key ran and is sent again")
 	}
 }
+
+// A sound replica that answers that its service is running the key has not failed.
+func TestKeyInProgressIsNoFailureOfReplica(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 2, true)
+	nodes[0].expect(nodes[0].keyed("k"), StepSend, 0)
+	second := nodes[1].keyed("k")
+	nodes[1].expect(second, StepSend, 0)
+	asked := nodes[1].lastStep(second).Replica.ID
+	nodes[1].outcome(second, Outcome{Kind: OutcomeNotRun, InProgress: true, Load: &Load{Running: 1, Slots: 4}})
+	if outcomes := nodes[1].node.replicas[asked].estimate.TakeOutcomes(); outcomes.Failed != 0 {
+		t.Fatalf("the replica counts as failed: %+v", outcomes)
+	}
+}
--- a/peer/relay/replicas.go
+++ b/peer/relay/replicas.go
@@ -247,6 +247,8 @@
 		return placement.Moved
 	case outcome.Unreachable:
 		return placement.Failed
+	case outcome.InProgress:
+		return placement.Canceled
 	case outcome.Kind == OutcomeNotRun:
 		return placement.Rejected
 	case outcome.Kind == OutcomeInterrupted && outcome.RequesterDisconnected:
