A response is not held past its deadline to be stored

Callers would have seen: a response that came shortly before the deadline and was delivered after it, while the cores were silent. Cause: storing it was bounded by a retry interval alone. Change: it takes at most half of the time that is left. Evidence: TestResponseIsDeliveredByDeadline failed before and passes.

--- a/peer/relay/operation.go
+++ b/peer/relay/operation.go
@@ -145,6 +145,9 @@
 	return command, true
 }
 
+// storeTimeDivisor divides the time left for a request into the part for storing its response.
+const storeTimeDivisor = 2
+
 // completeOperation stores the response before it delivers it, so that a repeat after the response
 // gets the same one. The response is delivered without that if the cores do not answer soon.
 func (m *Machine) completeOperation(now time.Duration, req *activeRequest, cause Cause, last Step) {
@@ -154,7 +157,8 @@
 		return
 	}
 	req.state = stateStoring
-	m.caller.Call(now, command, now+m.params.Core.AttemptTimeout, func(now time.Duration, o core.Outcome) {
+	storeUntil := min(now+m.params.Core.AttemptTimeout, now+(req.deadline-now)/storeTimeDivisor)
+	m.caller.Call(now, command, storeUntil, func(now time.Duration, o core.Outcome) {
 		_, req.keyEnded = o.Answer.(core.KeyResult)
 		m.finish(now, req, cause, last)
 	})
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -439,3 +439,15 @@
 		t.Fatalf("the replica counts as failed: %+v", outcomes)
 	}
 }
+
+// A response must not be held back beyond the request's deadline to store it.
+func TestResponseIsDeliveredByDeadline(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 1, false)
+	first := nodes[0].keyed("k")
+	nodes[0].expect(first, StepSend, 0)
+	nodes[0].coresSilent = true
+	nodes[0].advance(1450 * time.Millisecond)
+	nodes[0].outcome(first, completeResponse("receipt"))
+	nodes[0].advance(50 * time.Millisecond)
+	nodes[0].expect(first, StepDeliver, 0)
+}
