refusals: assess 409 for an operation in progress

TestEveryCauseHasAssessment failed since the cause came: a refusal with status 409 is due only while an earlier attempt with its key is at work, which is what to check.

--- a/rehearsalkit/refusals/refusals.go
+++ b/rehearsalkit/refusals/refusals.go
@@ -105,6 +105,7 @@
 	"history_unknown": {Check: "that the turn was never answered whole"},
 	"history_foreign": {Justified: true},
 	"history_expired": {Check: "that the turn's time was over"},
+	"key_in_progress": {Check: "that an earlier attempt with the key was at work"},
 }
 
 // Assess returns the assessment of a cause. An unknown cause is not justified.
