Releases of operation keys do not pile up while the cores are silent

Operators would have seen: a node whose commands to silent cores grow with every keyed request (414 waiting after 20 s of 20 requests a second), each retried for the key's whole window. Cause: a request that was refused for silent cores had sent its claim before it looked whether they were reachable, and its release was retried as long as an outcome. Change: a node that reaches no core claims nothing; a claim that was never sent needs no release; a release is retried for two member leases after the deadline. Evidence: TestReleasesDoNotPileUpWhileCoresAreSilent holds 60 waiting commands at this load.

--- a/peer/relay/operation.go
+++ b/peer/relay/operation.go
@@ -75,8 +75,8 @@
 		req.claiming = false
 		result, ok := o.Answer.(core.KeyResult)
 		if !ok {
-			// The claim may yet be stored.
-			req.ownsClaim = true
+			// A claim that was sent may yet be stored.
+			req.ownsClaim = o.Sent
 			m.refuse(now, req, CauseKeyUnavailable)
 			return
 		}
@@ -164,13 +164,21 @@
 	})
 }
 
-// endKey ends a claim when its request has ended. It is retried until the cores confirm it or the
-// key's window has passed.
+// releaseLeases is for how many member leases after its deadline a request's release is retried.
+// Requesters have given up by then, and releases must not pile up while the cores are silent.
+const releaseLeases = 2
+
+// endKey ends a claim when its request has ended. An outcome is retried until the cores confirm it or
+// the key's window has passed.
 func (m *Machine) endKey(now time.Duration, req *activeRequest) {
 	command, ok := m.keyOutcome(req)
 	if !ok {
 		return
 	}
 	req.keyEnded = true
-	m.caller.Call(now, command, now+m.params.KeyWindow, func(time.Duration, core.Outcome) {})
+	until := now + m.params.KeyWindow
+	if command.State == core.KeyReleased {
+		until = max(req.deadline, now) + releaseLeases*m.params.Core.MemberLease
+	}
+	m.caller.Call(now, command, until, func(time.Duration, core.Outcome) {})
 }
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -451,3 +451,16 @@
 	nodes[0].advance(50 * time.Millisecond)
 	nodes[0].expect(first, StepDeliver, 0)
 }
+
+func TestReleasesDoNotPileUpWhileCoresAreSilent(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 1, false)
+	node := nodes[0]
+	node.coresSilent = true
+	for i := 0; i < 400; i++ {
+		node.keyed(fmt.Sprint("k", i))
+		node.advance(50 * time.Millisecond)
+	}
+	if waiting := node.node.caller.Pending(); waiting > 60 {
+		t.Fatalf("%d commands wait after 20 s without an answer", waiting)
+	}
+}
--- a/peer/relay/request.go
+++ b/peer/relay/request.go
@@ -154,13 +154,14 @@
 			m.fetchHistory(now, req)
 		}
 	}
-	if req.usesKey() && !req.completed {
-		m.claimKey(now, req)
-	}
-	if req.needsCores() && !req.completed && m.coresUnreachable(now) {
+	needsCores := req.needsCores() || req.usesKey()
+	if needsCores && !req.completed && m.coresUnreachable(now) {
 		m.refuseCoresUnreachable(now, req)
 		return
 	}
+	if req.usesKey() && !req.completed {
+		m.claimKey(now, req)
+	}
 	m.sendWhenReady(now, req)
 }
 
