--- a/rehearsalkit/relaysim/judge_keys.go
+++ b/rehearsalkit/relaysim/judge_keys.go
@@ -142,7 +142,12 @@
 			if other == q || other.At > q.Ended || !mayHoldKey(other) {
 				continue
 			}
-			until := other.At + other.Deadline + inProgressGrace + b.storeDisruption(other.At, q.Ended)
+			until := other.At + other.Deadline
+			if other.Outcome == Refused && other.Status == 429 {
+				// It released its claim when it got no unit of its tenant's rate.
+				until = other.Ended
+			}
+			until += inProgressGrace + b.storeDisruption(other.At, q.Ended)
 			justified, latest = justified || q.Ended <= until, max(latest, until)
 		}
 		if !justified {
@@ -158,7 +163,7 @@
 	if !q.Arrived || q.Outcome != Refused {
 		return q.Arrived
 	}
-	return q.Status == statusKeyUncertain || q.Status == 503
+	return q.Status == statusKeyUncertain || q.Status == 429 || q.Status == 503
 }
 
 // storeDisruption is how long the cores' clock may have stood still in an interval: while stores
