Operation keys that are long or given twice are one bounded key, not a 400

Callers would have seen: 400 for any request, on any route, whose key header was over 512 bytes or came twice, though the request was proper. Cause: the bound on what is stored was enforced as a bound on what requesters may send. Evidence: TestUnusualOperationKeysAreBoundedAndDistinct takes the place of TestInvalidOperationKeysAreRefused, whose expectation was wrong: what reaches the relay is bounded as before, and distinct keys must stay distinct.

--- a/peer/front/head.go
+++ b/peer/front/head.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"net/http"
 	"strconv"
@@ -28,12 +30,9 @@
 	names := h.Headers
 	request := relay.Request{
 		Host: r.Host, Path: r.URL.Path, Attempt: r.Header.Get(names.Attempt), Previous: r.Header.Get(names.Previous), Key: r.Header.Get(names.Key),
-		Operation: relay.Operation{OperationKey: r.Header.Get(names.Operation), Program: r.Header.Get(names.Program),
+		Operation: relay.Operation{OperationKey: operationKey(r.Header.Values(names.Operation)), Program: r.Header.Get(names.Program),
 			Session: r.Header.Get(names.Session)},
 	}
-	if len(request.OperationKey) > core.MaxKeyBytes || len(r.Header.Values(names.Operation)) > 1 {
-		return request, names.Operation + " is not one key of at most " + strconv.Itoa(core.MaxKeyBytes) + " bytes"
-	}
 	_, request.HasKey = r.Header[http.CanonicalHeaderKey(names.Key)]
 	if i := strings.IndexByte(r.RequestURI, '?'); i >= 0 {
 		request.Path = r.RequestURI[:i]
@@ -72,6 +71,17 @@
 	return request, ""
 }
 
+// operationKey joins the values of the header, as one field with commas. A long key is replaced by its
+// digest.
+func operationKey(values []string) string {
+	key := strings.Join(values, ",")
+	if len(key) <= core.MaxKeyBytes {
+		return key
+	}
+	digest := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(digest[:])
+}
+
 // parseTokens reads the program's budget and the turn's greatest output.
 func (h *handler) parseTokens(r *http.Request, request *relay.Request) string {
 	names := h.Headers
