Tests that wrong versions of operation keys would not have passed

The tests name each: keys and responses over the loss of all processes with one disk, expiry under a new leader, what a claim carries, a restarted node. A repeated 500 counts as a failure now (TestRepeatedFailureIsNoSuccess).

--- a/peer/core/rules_keys_test.go
+++ b/peer/core/rules_keys_test.go
@@ -230,3 +230,72 @@
 		t.Fatalf("%d of 20 claims of another tenant are rejected", rejected)
 	}
 }
+
+func (f *fleet) runKey(command any) KeyResult {
+	f.t.Helper()
+	result, ok := f.call(command).(KeyResult)
+	if !ok {
+		f.t.Fatalf("%T not answered", command)
+	}
+	return result
+}
+
+// Keys and responses must outlive losses of all processes at once, each with one disk lost.
+func TestKeysSurviveLossOfAllAndOneDisk(t *testing.T) {
+	for _, cores := range []int{3, 5} {
+		f := newFleet(t, 3, cores)
+		f.tolerateSilence()
+		claim := func(key, claim string) KeyResult {
+			return f.runKey(ClaimKey{Tenant: "t", Key: key, Claim: claim, Service: "s", Working: testKeyWorking, Window: time.Minute})
+		}
+		const keys = 20
+		for i := range keys {
+			key := fmt.Sprint("k", i)
+			claim(key, "a"+key)
+			if i%2 == 0 {
+				f.runKey(EndKey{Tenant: "t", Key: key, Claim: "a" + key, State: KeyDone, Response: KeyResponse{Status: 200, Body: []byte(key)}})
+			}
+		}
+		for round := range 3 {
+			for _, core := range f.cores {
+				f.kill(core)
+			}
+			f.wipe(f.cores[round])
+			f.advance(300 * time.Millisecond)
+			for _, core := range f.cores {
+				f.start(core)
+			}
+			f.awaitSettled("restarted", settleTime)
+			for i := range keys {
+				key, want := fmt.Sprint("k", i), KeyClaimed
+				if i%2 == 0 {
+					want = KeyDone
+				}
+				result := claim(key, fmt.Sprint("b", round))
+				if result.Claim != "a"+key || result.State != want || want == KeyDone && string(result.Response.Body) != key {
+					t.Errorf("%d cores, round %d, key %s: %+v", cores, round, key, result)
+				}
+			}
+		}
+	}
+}
+
+// A new leader must free the memory of keys that expire under it.
+func TestKeysExpireUnderNewLeader(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.tolerateSilence()
+	command := ClaimKey{Tenant: "t", Key: "k", Claim: "a", Service: "s", Working: testKeyWorking, Window: testKeyWindow}
+	f.runKey(command)
+	for _, core := range f.cores {
+		f.kill(core)
+	}
+	for _, core := range f.cores {
+		f.start(core)
+	}
+	f.awaitSettled("restarted", settleTime)
+	f.advance(2*(testKeyWorking+testKeyWindow) + 2*expiryBucket)
+	command.Claim = "b"
+	if result := f.runKey(command); result.Claim != "b" {
+		t.Fatalf("long after its window: %+v", result)
+	}
+}
--- a/peer/relay/completion.go
+++ b/peer/relay/completion.go
@@ -131,7 +131,15 @@
 }
 
 // Failed reports whether the requester did not get a successful response.
-func (c Completion) Failed() bool { return c.Cause != CauseServed && c.Cause != CauseRepeated }
+func (c Completion) Failed() bool {
+	if c.Cause == CauseRepeated {
+		return c.Status >= statusFirstFailure
+	}
+	return c.Cause != CauseServed
+}
+
+// statusFirstFailure is the lowest status that is no success.
+const statusFirstFailure = 300
 
 type auditState struct {
 	violated invariant.Reporter
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -464,3 +464,51 @@
 		t.Fatalf("%d commands wait after 20 s without an answer", waiting)
 	}
 }
+
+func TestRepeatedFailureIsNoSuccess(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 1, false)
+	failed := completeResponse("oops")
+	failed.Failed, failed.Status, failed.Response.Status = true, 500, 500
+	nodes[0].outcome(nodes[0].keyed("k"), failed)
+	repeat := nodes[0].keyed("k")
+	if s := nodes[0].lastStep(repeat); s.Kind != StepReplay || s.Status != 500 {
+		t.Fatalf("%+v", s)
+	}
+	if last := nodes[0].completions[len(nodes[0].completions)-1]; last.Cause != CauseRepeated || !last.Failed() {
+		t.Fatalf("%+v counts as served", last)
+	}
+}
+
+// The claim of a node's former process must not pass for its own.
+func TestRestartedNodeDoesNotOwnFormerClaim(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 2, false)
+	nodes[1].node.id = nodes[0].node.id
+	nodes[0].expect(nodes[0].keyed("k"), StepSend, 0)
+	nodes[1].expect(nodes[1].keyed("k"), StepRefuse, 409)
+}
+
+func TestClaimCarriesWindowAndTime(t *testing.T) {
+	_, nodes := newKeyedNodes(t, 1, true)
+	nodes[0].keyed("k")
+	for _, body := range nodes[0].sentBodies {
+		command, ok := body.(core.Command)
+		if !ok {
+			continue
+		}
+		if claim, ok := openCommand(t, command).(core.ClaimKey); ok {
+			if claim.Window != 20*time.Second || claim.Working != 1500*time.Millisecond || claim.Service != "app" || len(claim.Deduplicating) != 1 {
+				t.Fatalf("%+v", claim)
+			}
+			return
+		}
+	}
+	t.Fatal("no claim was sent")
+}
+
+func openCommand(t *testing.T, command core.Command) any {
+	body, err := message.Open(command.Raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
