Comments: reasons that the rewording had dropped are back

Most removed comments stand in other words. Eight reasons that were lost and still hold are put back: three in rule/admission, one each in rule/placement, rule/partition, peer/core, peer/replica and peer/node. rule/rate and peer/relay lacked none.

Only comment lines change.

--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -131,6 +131,7 @@
 }
 
 // topologyGossipLeases is the interval, in member leases, at which an unchanged topology is sent.
+// Cores that know a different one get it earlier, after their next announcement.
 const topologyGossipLeases = 8
 
 // topologyRepliesPerLease bounds replies to one core, per member lease.
--- a/peer/node/membership.go
+++ b/peer/node/membership.go
@@ -69,7 +69,7 @@
 }
 
 // endFormerIncarnation lets the programs of a former incarnation be taken over, also by this node,
-// before its lease expires.
+// before its lease expires. Until then only this node can know that it has ended.
 func (m *Machine) endFormerIncarnation(now time.Duration) {
 	m.renewing = true
 	former := m.formerIncarnations[0]
--- a/peer/replica/pool.go
+++ b/peer/replica/pool.go
@@ -265,6 +265,7 @@
 		if id == "" || id == q.Attempt {
 			break
 		}
+		// A surplus response to an earlier request came where this one's is due.
 		r.noReuse = true
 		if stale++; stale > maxStaleResponses {
 			return fail(errors.New("too many responses to earlier requests"))
--- a/rule/admission/admission.go
+++ b/rule/admission/admission.go
@@ -15,7 +15,8 @@
 // Class is the priority class of a request.
 type Class int
 
-// Classes of requests. Those after Exempt are in the order in which they are refused.
+// Classes of requests. Those after Exempt are in the order in which they are refused: those that
+// lose the least by it come first.
 const (
 	// Exempt requests are never refused by a Controller.
 	Exempt Class = iota
@@ -28,7 +29,8 @@
 )
 
 const (
-	// TargetQueue is the number of queued requests per slot above which refusals increase.
+	// TargetQueue is the number of queued requests per slot above which refusals increase. A queue
+	// of this size delays a request by the same fraction of its time, which programs can tolerate.
 	TargetQueue = 0.15
 	// riseRate and fallRate are the changes of the level above and below TargetQueue, per second
 	// and per queued request per slot.
@@ -85,7 +87,8 @@
 }
 
 // Admits reports whether a request is admitted. At a given level the answer depends on the
-// program alone: one that is admitted after several retries would have too little time left.
+// program alone: one that is admitted after several retries would have too little time left, and
+// would take the slot of one that has enough.
 func (c *Controller) Admits(class Class, program string) bool {
 	return hashFraction(program) >= c.RefusedFraction(class)
 }
--- a/rule/partition/election.go
+++ b/rule/partition/election.go
@@ -358,7 +358,8 @@
 	}
 	m.highestRound = max(m.highestRound, msg.Promised.Round)
 	if lead.serving {
-		// The member has promised a later term to a candidate that was not elected.
+		// The member has promised a later term to a candidate that was not elected. The leader
+		// starts an election for a higher term, without a pre-vote.
 		if lead.term.Less(msg.Promised) {
 			m.stepDown(now)
 			m.startElection(now, msg.Term)
--- a/rule/placement/policy.go
+++ b/rule/placement/policy.go
@@ -171,8 +171,9 @@
 		float64(time.Millisecond) * float64(1+running))
 }
 
-// failureCost returns the expected cost of a failure. The loss of a request that is not
-// repeatable counts as half of its remaining time.
+// failureCost returns the expected cost of a failure. A repeatable request loses about its service
+// time. One that is not repeatable is lost, which counts as half of its remaining time when
+// compared with the wait at another replica.
 func (p *Policy) failureCost(now time.Duration, request Request, r *Replica) time.Duration {
 	loss := request.ServiceTime
 	if !request.Repeatable {
