Tables without deduplicating services have no new word: old nodes dropped every table

The routing table is sent as JSON, and a node refuses a table with a setting that it does not know; the new field of services was always written. Change: it is written only where it is set, as only a table with such a service needs it. Evidence: TestTableWithoutDeduplicationHasNoNewWord failed before and passes.

--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -72,7 +72,7 @@
 	Slots       int64 `json:"slots" msgpack:"Slots"`
 	CacheTokens int64 `json:"cache_tokens" msgpack:"CacheTokens"`
 	// Deduplicates: the replicas share a record of operation keys and run each key only once.
-	Deduplicates bool `json:"deduplicates" msgpack:"Deduplicates"`
+	Deduplicates bool `json:"deduplicates,omitempty" msgpack:"Deduplicates"`
 }
 
 // Tenant is a customer with its keys and request limits.
--- a/rule/route/table_test.go
+++ b/rule/route/table_test.go
@@ -160,3 +160,19 @@
 		t.Error("a key with a digest in upper case is unknown")
 	}
 }
+
+// A node of an earlier version drops a table with a word that it does not know.
+func TestTableWithoutDeduplicationHasNoNewWord(t *testing.T) {
+	table, faults := Parse([]byte(example))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	if text := string(table.JSONWithoutSource()); strings.Contains(text, "deduplicates") {
+		t.Fatalf("a table that no service of which deduplicates: %s", text)
+	}
+	table.Services[0].Deduplicates = true
+	again, faults := Parse(table.JSONWithoutSource())
+	if faults != nil || !again.Services[0].Deduplicates || again.Services[1].Deduplicates {
+		t.Fatalf("%v, %+v", faults, again)
+	}
+}
