--- a/saffronfall/registryprocess/refusals_test.go
+++ b/saffronfall/registryprocess/refusals_test.go
@@ -29,7 +29,7 @@
 	for i := range 10 {
 		record(time.Duration(i)*300*time.Millisecond, unknownMode("lazily"))
 	}
-	record(0, registry.Refusal{Faults: configuration.Faults{{Path: "channels[0].cutoffMs", Value: 0.0, Allowed: "a number from 1"}}})
+	record(0, registry.Refusal{Faults: configuration.Faults{{Path: "routes[0].timeout_ms", Value: 0.0, Allowed: "a number from 1"}}})
 	if len(*lines) != 4 {
 		t.Fatalf("%d lines: %s", len(*lines), strings.Join(*lines, "\n"))
 	}
@@ -38,7 +38,7 @@
 			t.Errorf("the log line lacks %s: %s", part, (*lines)[0])
 		}
 	}
-	if !strings.Contains((*lines)[1], `"more_of_this_cause"=3`) || !strings.Contains((*lines)[3], "channels[0].cutoffMs: 0;") {
+	if !strings.Contains((*lines)[1], `"more_of_this_cause"=3`) || !strings.Contains((*lines)[3], "routes[0].timeout_ms: 0;") {
 		t.Errorf("logged %s", strings.Join(*lines, "\n"))
 	}
 	values := map[string]int64{}
