rehearsalkit restart: a start of all processes, and what it costs by the size of the fleet

Change: processes of the capacity world may have a share of a core and a link; `restart` takes power from all and measures reads, orders, readiness and bytes.

--- a/rehearsalkit/capacity/capacity_test.go
+++ b/rehearsalkit/capacity/capacity_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-var small = Point{Nodes: 3, Registries: 2, Cores: 3, Zones: 3, Regions: 1, Replicas: 4, Models: 2, Tenants: 4, Programs: 10, Rate: 20, Turns: 3, TurnBytes: 400, Changes: 3600}
+var small = Point{Nodes: 3, Registries: 2, Cores: 3, Zones: 3, Regions: 1, Replicas: 4, Models: 2, Tenants: 4, Programs: 10, Rate: 20, Turns: 3, TurnBytes: 400, Changes: 3600, GroupSize: 3}
 
 var short = Span{Warm: time.Second, Measured: 3 * time.Second}
 
--- a/rehearsalkit/capacity/measure.go
+++ b/rehearsalkit/capacity/measure.go
@@ -52,19 +52,8 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	w := newWorld(p, seed)
-	for !w.settled() {
-		if w.now > time.Minute {
-			return nil, errors.New("the fleet was not founded within a minute")
-		}
-		w.run(w.now + 100*time.Millisecond)
-	}
-	ok := false
-	for !ok {
-		w.applyTable(func(agreed bool) { ok = agreed })
-		w.run(w.now + time.Second)
-		if w.now > time.Minute {
-			return nil, errors.New("no table was agreed within a minute")
-		}
+	if err := w.foundWithTable(); err != nil {
+		return nil, err
 	}
 	w.run(w.now + 2*heartbeatInterval)
 	w.startPrograms()
--- a/rehearsalkit/capacity/point.go
+++ b/rehearsalkit/capacity/point.go
@@ -27,6 +27,21 @@
 	Turns     int `help:"Turns of a program." default:"4"`
 	TurnBytes int `help:"Bytes of one turn's input and output." default:"2000"`
 	Changes   int `help:"Changes of the configuration an hour." default:"0"`
+	GroupSize int `name:"group-seats" help:"Members of a consensus group." default:"3"`
+	// Machines are the resources of a process by role; none limits nothing.
+	Machines map[string]MachineClass `kong:"-"`
+}
+
+const (
+	baseGroupSize    = 3
+	baseSyncDuration = 700 * time.Microsecond
+)
+
+func (p Point) syncDuration() time.Duration {
+	if class, ok := p.Machines[coreRole]; ok && class.SyncDuration > 0 {
+		return class.SyncDuration
+	}
+	return baseSyncDuration
 }
 
 // Base is the default point that sweeps start from.
@@ -43,6 +58,7 @@
 	Rate:       200,
 	Turns:      4,
 	TurnBytes:  2000,
+	GroupSize:  baseGroupSize,
 }
 
 // Axis is one parameter of a point that is swept.
@@ -75,8 +91,8 @@
 	if p.Models < 1 || p.Models > p.Replicas {
 		return errors.New("there must be a replica of each model")
 	}
-	if p.Cores < groupSize {
-		return errors.Newf("at least %d cores are needed", groupSize)
+	if p.GroupSize < 1 || p.Cores < p.GroupSize {
+		return errors.Newf("at least %d cores are needed", max(p.GroupSize, 1))
 	}
 	return nil
 }
@@ -87,7 +103,7 @@
 	node := 200_000 + int64(p.Replicas)*(int64(p.Registries)*600+3000) + int64(p.Tenants)*2200 +
 		min(nodeCacheBytes, int64(p.Rate)*int64(p.TurnBytes)*60/int64(p.Nodes))
 	registry := 200_000 + int64(p.Replicas)*600 + int64(p.Nodes)*400 + int64(p.Tenants)*1500
-	kept := int64(p.Programs) * int64(p.Turns) * (int64(p.TurnBytes) + 40*int64(p.Turns) + 800) * 2 * groupSize
+	kept := int64(p.Programs) * int64(p.Turns) * (int64(p.TurnBytes) + 40*int64(p.Turns) + 800) * 2 * int64(p.GroupSize)
 	return 64_000_000 + 2*(int64(p.Nodes)*node+int64(p.Registries)*registry+kept)
 }
 
--- a/rehearsalkit/capacity/world.go
+++ b/rehearsalkit/capacity/world.go
@@ -28,13 +28,11 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	updateInterval    = 500 * time.Millisecond
 	rateWindow        = 5 * time.Second
-	groupSize         = 3
 	nodeCacheBytes    = 16 << 20
 	// retentionPerThink is retention over think time: 60 s for turns 41 s apart.
 	retentionPerThink = 60.0 / 41
 	serviceTime       = 150 * time.Millisecond
 	replicaSlots      = 16
-	syncDuration      = 700 * time.Microsecond
 	zoneDelay         = 200 * time.Microsecond
 	regionDelay       = 500 * time.Microsecond
 	interRegionDelay  = 12 * time.Millisecond
@@ -48,7 +46,7 @@
 		SilenceTimeout: 2200 * time.Millisecond, ColdStart: true}
 }
 
-func registryParams() registry.Params {
+func registryParams(groupSize int) registry.Params {
 	return registry.Params{Core: coreParams(), HeartbeatInterval: heartbeatInterval, GroupSize: groupSize, PartitionsPerCore: 2, OperationTimeout: 3 * time.Second}
 }
 
@@ -96,21 +94,54 @@
 	incarnation int
 	alive       bool
 	meter       meter
+	resources   resources
 
-	core     *core.Machine
+	core *core.Machine
+	coreDisk
+
+	registry     *registry.Machine
+	registryDisk registryDisk
+	pendingCalls map[uint64]func(body any)
+
+	node        *relay.Machine
+	requests    map[uint64]*turn
+	tableNumber uint64
+}
+
+// coreDisk is a core's stored state, with the changes and messages that wait for its writes.
+type coreDisk struct {
 	stored   core.Stored
 	pending  [][]core.Change
 	issued   uint64
 	synced   uint64
 	deferred []deferred
 	syncing  bool
+}
 
-	registry     *registry.Machine
-	pendingCalls map[uint64]func(body any)
+// registryDisk is what a registry has stored.
+type registryDisk struct {
+	replicas map[string]registry.ReplicaEntry
+	peers    *registry.Peers
+}
 
-	node        *relay.Machine
-	requests    map[uint64]*turn
-	tableNumber uint64
+func (d *registryDisk) apply(o registry.Output) {
+	for _, entry := range o.ChangedReplicas {
+		if d.replicas == nil {
+			d.replicas = map[string]registry.ReplicaEntry{}
+		}
+		d.replicas[entry.Replica.ID] = entry
+	}
+	if o.Peers != nil {
+		d.peers = o.Peers
+	}
+}
+
+func (d *registryDisk) knownReplicas() []registry.ReplicaEntry {
+	var entries []registry.ReplicaEntry
+	for _, id := range ordered.Keys(d.replicas) {
+		entries = append(entries, d.replicas[id])
+	}
+	return entries
 }
 
 // deferred is a message that must not be sent before the write numbered after is synced.
@@ -146,15 +177,15 @@
 func newWorld(p Point, seed uint64) *world {
 	w := &world{point: p, random: rand.New(rand.NewPCG(seed, 0xca9ac)), processes: map[string]*process{}, services: map[string]*replica{}, counts: map[string]int64{}, appliedAt: map[uint64]time.Duration{}}
 	for i := 0; i < p.Cores; i++ {
-		c := w.add("core", 2, i)
+		c := w.add(coreRole, 2, i)
 		c.stored = core.Stored{Incarnation: fmt.Sprintf("%s-%d", c.id, w.random.Uint32())}
 		w.cores = append(w.cores, c)
 	}
 	for i := 0; i < p.Registries; i++ {
-		w.registries = append(w.registries, w.add("desk", 0, i))
+		w.registries = append(w.registries, w.add(registryRole, 0, i))
 	}
 	for i := 0; i < p.Nodes; i++ {
-		w.nodes = append(w.nodes, w.add("node", 1, i))
+		w.nodes = append(w.nodes, w.add(nodeRole, 1, i))
 	}
 	for i := 0; i < p.Replicas; i++ {
 		r := &replica{address: fmt.Sprintf("10.3.%d.%d:80", i/250, i%250), service: fmt.Sprintf("model-%d", i%p.Models), zone: i % p.Zones, id: fmt.Sprintf("replica-%d", i)}
@@ -181,6 +212,7 @@
 func (w *world) add(role string, net, n int) *process {
 	p := &process{world: w, id: fmt.Sprintf("%s-%d", role, n), zone: n % w.point.Zones, address: fmt.Sprintf("10.%d.%d.%d:7000", net, n/250, n%250+1)}
 	p.meter.kinds = map[string]*kind{}
+	p.resources.class = w.point.Machines[role]
 	w.processes[p.address] = p
 	return p
 }
@@ -231,17 +263,18 @@
 	zone := fmt.Sprintf("zone-%d", p.zone)
 	interval := coreParams().PullInterval / 3
 	switch p.id[:4] {
-	case "core":
+	case coreRole:
 		p.pending, p.deferred, p.syncing, p.issued, p.synced = nil, nil, false, 0, 0
 		var image core.Stored
 		image.CopyFrom(p.stored)
 		p.core = core.New(core.Options{Params: coreParams(), ID: p.id, Zone: zone, Address: p.address, Seeds: w.seeds(),
 			Stored: image, Now: w.now, Random: w.random.Float64})
 		interval = coreParams().Partition.LeaseDuration / 20
-	case "desk":
+	case registryRole:
 		p.pendingCalls = map[uint64]func(any){}
-		p.registry = registry.New(registry.Options{Params: registryParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.incarnation),
+		p.registry = registry.New(registry.Options{Params: registryParams(w.point.GroupSize), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.incarnation),
 			Address: p.address, Seeds: w.seeds(), FoundsFleet: p == w.registries[0] && p.incarnation == 1,
+			KnownReplicas: p.registryDisk.knownReplicas(), KnownPeers: p.registryDisk.peers,
 			Now: w.now, Random: w.random.Float64})
 	default:
 		p.requests = map[uint64]*turn{}
@@ -256,6 +289,11 @@
 		return
 	}
 	w := p.world
+	if busyUntil := p.resources.processorFreeAt; busyUntil > w.now {
+		w.after(busyUntil-w.now, func() { p.tick(incarnation, interval) })
+		return
+	}
+	p.resources.process(w.now, 0)
 	switch {
 	case p.core != nil:
 		p.handleCoreOutput(timed(p, func() core.Output { return p.core.Tick(w.now) }))
@@ -274,6 +312,7 @@
 	p.alive = false
 	p.incarnation++
 	p.pending = nil
+	p.resources.restart()
 	for _, t := range ordered.Keys(p.requests) {
 		p.requests[t].end("closed")
 	}
@@ -305,12 +344,39 @@
 	if target == nil || w.disconnected(p.zone, target.zone) {
 		return
 	}
-	from := p.address
-	w.after(w.delay(p.zone, target.zone), func() {
-		if target.alive {
-			target.meter.Received++
-			target.meter.ReceivedBytes += int64(len(raw) + frameHeaderBytes)
-			target.receive(from, raw)
+	from, incarnation := p.address, target.incarnation
+	sentAt := p.resources.send(w.now, len(raw)+frameHeaderBytes)
+	w.after(sentAt-w.now+w.delay(p.zone, target.zone), func() {
+		if target.incarnation == incarnation {
+			target.arrive(from, raw)
+		}
+	})
+}
+
+// arrive delivers a message once it has passed the link and the processor has decoded it.
+func (p *process) arrive(from string, raw []byte) {
+	bytes := len(raw) + frameHeaderBytes
+	p.at(p.resources.receive(p.world.now, bytes), func() {
+		p.at(p.resources.process(p.world.now, bytes), func() {
+			p.meter.Received++
+			p.meter.ReceivedBytes += int64(bytes)
+			p.receive(from, raw)
+		})
+	})
+}
+
+// at runs an event of this incarnation, at once if it is due.
+func (p *process) at(when time.Duration, event func()) {
+	w, incarnation := p.world, p.incarnation
+	if when == w.now {
+		if p.alive {
+			event()
+		}
+		return
+	}
+	w.after(when-w.now, func() {
+		if p.alive && p.incarnation == incarnation {
+			event()
 		}
 	})
 }
@@ -404,7 +470,7 @@
 	p.meter.Syncs++
 	p.meter.Written += int64(len(raw) + writeHeaderBytes)
 	lastSynced, incarnation := p.issued, p.incarnation
-	p.world.after(syncDuration, func() {
+	p.world.after(p.world.point.syncDuration(), func() {
 		if p.incarnation != incarnation {
 			return
 		}
@@ -426,6 +492,7 @@
 }
 
 func (p *process) handleRegistryOutput(o registry.Output) {
+	p.registryDisk.apply(o)
 	for _, s := range o.Sends {
 		p.send(s.To, s.Body)
 	}
--- a/rehearsalkit/main.go
+++ b/rehearsalkit/main.go
@@ -401,22 +401,23 @@
 }
 
 var commands struct {
-	Backend    backendCommand     `cmd:"" help:"Run one stand-in back end."`
-	Fleet      fleetCommand       `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and check the rules."`
-	Capacity   capacity.Command   `cmd:"" help:"Measure the resource use of nodes, desks and cores at a size, with simplified processes in simulated time."`
-	Days       days.Command       `cmd:"" help:"Generate days for the users' bench from a seed, targeting chosen weak points."`
-	Breaks     breaksCommand      `cmd:"" help:"Break the code on purpose in scratch copies, one change at a time, and check that each break is found."`
-	Loads      loadsCommand       `cmd:"" help:"Measure alerts under overload and the use of quotas, in simulated time."`
-	Terms      termsCommand       `cmd:"" help:"Measure the effects of different lease durations of members, in simulated time."`
-	Crash      crashCommand       `cmd:"" help:"Crash each involved process after each message and around each sync of each operation, and check the rules."`
-	Modelcheck modelcheck.Command `cmd:"" help:"Explore all states of the product's partition state machine within bounds, or replay a trace."`
-	Simulate   simulateCommand    `cmd:"" help:"Run the simulator over seeds."`
-	Relaysim   relaysimCommand    `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
-	FaultyCore faultdisk.Command  `cmd:"" help:"Run the product's core role on a disk that can be full, slow or stalled or lose power, controlled over HTTP."`
-	Refusals   refusals.Command   `cmd:"" help:"List the client errors (400 to 499) in node logs by cause and route, and whether they are justified."`
-	Shares     shares.Command     `cmd:"" help:"Compare ways to hold a tenant's rate over many nodes, in simulated time."`
-	Worth      worth.Command      `cmd:"" help:"Show from reports where played days lost worth, or compare the days of two builds in pairs."`
-	Soak       soak.Command       `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random faults, over seeds, and check the rules."`
+	Backend    backendCommand          `cmd:"" help:"Run one stand-in back end."`
+	Fleet      fleetCommand            `cmd:"" help:"Run a fleet of processes with stand-in requesters and back ends, and check the rules."`
+	Capacity   capacity.Command        `cmd:"" help:"Measure the resource use of nodes, desks and cores at a size, with simplified processes in simulated time."`
+	Days       days.Command            `cmd:"" help:"Generate days for the users' bench from a seed, targeting chosen weak points."`
+	Breaks     breaksCommand           `cmd:"" help:"Break the code on purpose in scratch copies, one change at a time, and check that each break is found."`
+	Loads      loadsCommand            `cmd:"" help:"Measure alerts under overload and the use of quotas, in simulated time."`
+	Terms      termsCommand            `cmd:"" help:"Measure the effects of different lease durations of members, in simulated time."`
+	Crash      crashCommand            `cmd:"" help:"Crash each involved process after each message and around each sync of each operation, and check the rules."`
+	Modelcheck modelcheck.Command      `cmd:"" help:"Explore all states of the product's partition state machine within bounds, or replay a trace."`
+	Simulate   simulateCommand         `cmd:"" help:"Run the simulator over seeds."`
+	Restart    capacity.RestartCommand `cmd:"" help:"Measure a start of all processes at once after a loss of power, by the number of nodes, in simulated time on limited processors and links."`
+	Relaysim   relaysimCommand         `cmd:"" help:"Run the simulator of the relaying tier over seeds."`
+	FaultyCore faultdisk.Command       `cmd:"" help:"Run the product's core role on a disk that can be full, slow or stalled or lose power, controlled over HTTP."`
+	Refusals   refusals.Command        `cmd:"" help:"List the client errors (400 to 499) in node logs by cause and route, and whether they are justified."`
+	Shares     shares.Command          `cmd:"" help:"Compare ways to hold a tenant's rate over many nodes, in simulated time."`
+	Worth      worth.Command           `cmd:"" help:"Show from reports where played days lost worth, or compare the days of two builds in pairs."`
+	Soak       soak.Command            `cmd:"" help:"Run cores, desks and relaying nodes as real processes under overlapping random faults, over seeds, and check the rules."`
 }
 
 func main() {
