Log operators' calls, and what each process sent since its start, by kind

Change: a desk logs and counts each operator's call with its outcome, its time and the age of the cores' confirmation, and how long it took to its first table and confirmation; a node how long to its readiness; every role what it sent by kind, once after 5 s and as metrics.

--- a/peer/registry/reachability.go
+++ b/peer/registry/reachability.go
@@ -69,6 +69,12 @@
 	return m.lastConfirmed >= 0 && now-m.lastConfirmed < maxUnconfirmedPulls*m.params.Core.PullInterval
 }
 
+// ConfirmationAge returns the time since the cores confirmed this registry's table, or false if they
+// have not since its start.
+func (m *Machine) ConfirmationAge(now time.Duration) (time.Duration, bool) {
+	return now - m.lastConfirmed, m.lastConfirmed >= 0
+}
+
 // expireCalls answers calls as uncertain while the registry is disconnected from the cores. Their
 // commands are still retried until they time out, which is safe because they are idempotent. The
 // operator can repeat the call at another registry.
--- a/peer/stream/stream.go
+++ b/peer/stream/stream.go
@@ -14,6 +14,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"maps"
 	"net"
 	"strconv"
 	"time"
@@ -58,6 +59,9 @@
 	PeerVersion byte
 }
 
+// Traffic is the number and size of messages.
+type Traffic struct{ Messages, Bytes int64 }
+
 // Transport is a process's end of all its streams. Only one goroutine may call Send.
 type Transport struct {
 	// In has the received messages. Counts must be read too, or receiving stops.
@@ -67,6 +71,7 @@
 	params        Params
 	listener      net.Listener
 	outbound      map[string]*outbound
+	queued        map[string]Traffic
 	nextIdleCheck time.Duration
 	ctx           context.Context
 	cancel        context.CancelFunc
@@ -105,6 +110,7 @@
 		params:   p,
 		listener: listener,
 		outbound: map[string]*outbound{},
+		queued:   map[string]Traffic{},
 		ctx:      ctx,
 		cancel:   cancel,
 	}, nil
@@ -155,12 +161,25 @@
 	}
 	select {
 	case out.messages <- raw:
+		t.countQueued(body, len(raw))
 		return true
 	default:
 		return false
 	}
 }
 
+func (t *Transport) countQueued(body any, bytes int) {
+	name := message.NameOf(body)
+	total := t.queued[name]
+	total.Messages++
+	total.Bytes += int64(bytes)
+	t.queued[name] = total
+}
+
+// Queued returns the messages that Send accepted, by the outer name of their type. Only the goroutine
+// that calls Send may call it.
+func (t *Transport) Queued() map[string]Traffic { return maps.Clone(t.queued) }
+
 // closeIdle closes idle streams. Machines are replaced, mostly at new addresses, so unused
 // streams would accumulate.
 func (t *Transport) closeIdle(now time.Duration) {
--- a/rule/message/message.go
+++ b/rule/message/message.go
@@ -43,6 +43,9 @@
 // Types returns every registered type by its outer name.
 func Types() map[string]reflect.Type { return maps.Clone(types) }
 
+// NameOf returns the outer name of a value's type, or "" if the type is not registered.
+func NameOf(value any) string { return names[reflect.TypeOf(value)] }
+
 // Pack encodes the outer name of a value's type and the value. It panics if the type is not
 // registered.
 func Pack(value any) []byte {
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -71,11 +71,17 @@
 	held       []heldSend
 	answers    map[uint64]chan any
 	lastTicket uint64
-	leading    int
 	messageCounts
 	syncs    int64
 	syncTime time.Duration
-	stalled  bool
+	loggedState
+}
+
+// loggedState is what was last logged. stalled is also what the machine was told of the disk.
+type loggedState struct {
+	leading int
+	stalled bool
+	report  telemetry.StartReport
 }
 
 type messageCounts struct{ sent, dropped, received, badStreams int64 }
@@ -284,6 +290,7 @@
 		s.leading = leading
 		s.log.Info("ownership", "parts", leading)
 	}
+	s.report.Record(s.now(), s.streams.Queued, s.log)
 }
 
 // apply carries out the machine's output. A message that depends on changes is sent only once they
@@ -385,7 +392,12 @@
 		return snapshot, err
 	}
 	violations, err := s.Inspect(ctx, func(*core.Machine, time.Duration) any { return telemetry.ViolationCounts(s.violations) })
+	if err != nil {
+		return snapshot, err
+	}
 	snapshot.Violations, _ = violations.(map[invariant.Name]int64)
+	sent, err := s.Inspect(ctx, func(*core.Machine, time.Duration) any { return s.streams.Queued() })
+	snapshot.Sent, _ = sent.(map[string]stream.Traffic)
 	return snapshot, err
 }
 
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -39,17 +39,25 @@
 	start   time.Duration
 	calls   chan func(now time.Duration) registry.Output
 	// ctx ends with the run method.
-	ctx         context.Context
-	answers     map[uint64]chan any
-	lastTicket  uint64
-	traffic     trafficCounts
-	refusals    *refusalLog
-	tableNumber uint64
-	unreadable  telemetry.UnreadableTables
+	ctx        context.Context
+	answers    map[uint64]chan any
+	lastTicket uint64
+	traffic    trafficCounts
+	refusals   *refusalLog
+	operator   *operatorCalls
+	loggedState
 	// dataDir is nil if nothing is stored.
 	dataDir *disk.Store
 }
 
+// loggedState is what was last logged.
+type loggedState struct {
+	tableNumber uint64
+	confirmed   bool
+	unreadable  telemetry.UnreadableTables
+	report      telemetry.StartReport
+}
+
 // trafficCounts counts the messages to other processes, and streams that could not be read.
 type trafficCounts struct{ sent, dropped, badStreams int64 }
 
@@ -157,7 +165,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	s := &process{params: p, updates: updates, log: log, streams: streams, start: clock.Now(), ctx: runCtx,
-		calls: make(chan func(time.Duration) registry.Output, 64), answers: map[uint64]chan any{}, refusals: newRefusalLog()}
+		calls: make(chan func(time.Duration) registry.Output, 64), answers: map[uint64]chan any{}, refusals: newRefusalLog(), operator: newOperatorCalls()}
 	var replicas []registry.ReplicaEntry
 	var peers *registry.Peers
 	if p.DataDir != "" {
@@ -215,17 +223,28 @@
 		case c := <-s.streams.Counts:
 			s.traffic.badStreams += c.BadStreams
 		case <-ticker.C:
-			s.apply(s.machine.Tick(s.now()))
-			if number := s.machine.TableNumber(); number != s.tableNumber {
-				s.tableNumber = number
-				s.log.Info("received a routing table", "number", number)
-			}
+			now := s.now()
+			s.apply(s.machine.Tick(now))
+			s.logProgress(now)
 		case <-s.ctx.Done():
 			return nil
 		}
 	}
 }
 
+// logProgress logs what the registry has learned since its start, with the time that it took.
+func (s *process) logProgress(now time.Duration) {
+	if number := s.machine.TableNumber(); number != s.tableNumber {
+		s.tableNumber = number
+		s.log.Info("received a routing table", "number", number, "after_ms", now.Milliseconds())
+	}
+	if _, confirmed := s.machine.ConfirmationAge(now); confirmed && !s.confirmed {
+		s.confirmed = true
+		s.log.Info("the cores confirmed the routing table for the first time", "after_ms", now.Milliseconds())
+	}
+	s.report.Record(now, s.streams.Queued, s.log)
+}
+
 // apply stores changes before it sends messages and answers.
 func (s *process) apply(o registry.Output) {
 	s.unreadable.Record(o.UnreadableTable, s.log)
@@ -237,6 +256,8 @@
 		}
 	}
 	for _, a := range o.Answers {
+		age, _ := s.machine.ConfirmationAge(s.now())
+		s.operator.end(s.now(), a, age, s.log)
 		if answer, ok := s.answers[a.Ticket]; ok {
 			delete(s.answers, a.Ticket)
 			answer <- a.Body
@@ -246,7 +267,7 @@
 
 // call calls step on the goroutine of run and waits for the machine's answer to the ticket.
 func call[T any](
-	ctx context.Context, s *process,
+	ctx context.Context, s *process, kind callKind,
 	step func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output,
 ) (T, error) {
 	var none T
@@ -255,6 +276,7 @@
 	case s.calls <- func(now time.Duration) registry.Output {
 		s.lastTicket++
 		s.answers[s.lastTicket] = answer
+		s.operator.start(now, s.lastTicket, kind)
 		return step(s.machine, now, s.lastTicket)
 	}:
 	case <-ctx.Done():
@@ -285,33 +307,33 @@
 
 // Heartbeat records the state that a replica reports.
 func (s *process) Heartbeat(ctx context.Context, r registry.Replica) error {
-	return acknowledged(call[registry.Acknowledgment](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return acknowledged(call[registry.Acknowledgment](ctx, s, callOther, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Heartbeat(now, ticket, r)
 	}))
 }
 
 // Leave removes a replica from the list.
 func (s *process) Leave(ctx context.Context, id string) error {
-	return acknowledged(call[registry.Acknowledgment](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return acknowledged(call[registry.Acknowledgment](ctx, s, callOther, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Leave(now, ticket, id)
 	}))
 }
 
 // Apply replaces the routing table numbered base by the one in text.
 func (s *process) Apply(ctx context.Context, base uint64, text []byte, digest string) (registry.OrderResult, error) {
-	return call[registry.OrderResult](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[registry.OrderResult](ctx, s, callApply, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Apply(now, ticket, base, text, digest)
 	})
 }
 
 func (s *process) Amend(ctx context.Context, a registry.Amendment) (registry.OrderResult, error) {
-	return call[registry.OrderResult](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[registry.OrderResult](ctx, s, callAmend, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Amend(now, ticket, a)
 	})
 }
 
 func (s *process) Read(ctx context.Context) (core.CurrentTable, error) {
-	return call[core.CurrentTable](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[core.CurrentTable](ctx, s, callRead, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Read(now, ticket)
 	})
 }
@@ -329,28 +351,39 @@
 
 // Retire starts to retire a core.
 func (s *process) Retire(ctx context.Context, id string) (registry.RetirementStatus, error) {
-	return call[registry.RetirementStatus](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[registry.RetirementStatus](ctx, s, callRetire, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.Retire(now, ticket, id)
 	})
 }
 
 // RetirementStatus returns the progress of retiring a core.
 func (s *process) RetirementStatus(ctx context.Context, id string) (registry.RetirementStatus, error) {
-	return call[registry.RetirementStatus](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[registry.RetirementStatus](ctx, s, callRetirementStatus, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		return m.RetirementStatus(now, ticket, id)
 	})
 }
 
 func (s *process) snapshot(ctx context.Context) (telemetry.Snapshot, error) {
 	values, err := s.Counters(ctx)
-	return telemetry.Snapshot{Values: values}, err
+	if err != nil {
+		return telemetry.Snapshot{}, err
+	}
+	sent, err := s.sentByKind(ctx)
+	return telemetry.Snapshot{Values: values, Sent: sent}, err
+}
+
+func (s *process) sentByKind(ctx context.Context) (map[string]stream.Traffic, error) {
+	return call[map[string]stream.Traffic](ctx, s, callOther, func(_ *registry.Machine, _ time.Duration, ticket uint64) registry.Output {
+		return registry.Output{Answers: []registry.Answer{{Ticket: ticket, Body: s.streams.Queued()}}}
+	})
 }
 
 func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
-	return call[map[string]int64](ctx, s, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
+	return call[map[string]int64](ctx, s, callOther, func(m *registry.Machine, now time.Duration, ticket uint64) registry.Output {
 		counts := m.Status(now)
 		counts["messages_sent"], counts["messages_dropped"], counts["bad_streams"] = s.traffic.sent, s.traffic.dropped, s.traffic.badStreams
 		s.refusals.addMetrics(counts)
+		s.operator.addMetrics(counts)
 		return registry.Output{Answers: []registry.Answer{{Ticket: ticket, Body: counts}}}
 	})
 }
--- a/saffronfall/relayprocess/process.go
+++ b/saffronfall/relayprocess/process.go
@@ -89,6 +89,7 @@
 	tableNumber      uint64
 	unreadableTables telemetry.UnreadableTables
 	ready            bool
+	report           telemetry.StartReport
 }
 
 type messageCounts struct{ sent, dropped, badStreams int64 }
@@ -252,8 +253,9 @@
 	}
 	if ready := s.machine.Ready(now); ready != s.ready {
 		s.ready = ready
-		s.log.Info("readiness", "ready", ready, "knows", s.machine.Describe(now))
+		s.log.Info("readiness", "ready", ready, "knows", s.machine.Describe(now), "after_ms", now.Milliseconds())
 	}
+	s.report.Record(now, s.streams.Queued, s.log)
 }
 
 func (s *process) closeIdlePools(now time.Duration) {
@@ -445,6 +447,7 @@
 			Values:     s.machine.Status(now),
 			Violations: telemetry.ViolationCounts(s.violations),
 			Failures:   s.observer.failures(),
+			Sent:       s.streams.Queued(),
 		}
 		snapshot.Values["messages_sent"], snapshot.Values["messages_dropped"], snapshot.Values["bad_streams"] = s.sent, s.dropped, s.badStreams
 	})
--- a/saffronfall/telemetry/telemetry.go
+++ b/saffronfall/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
 
+	"saffronfall/peer/stream"
 	"saffronfall/rule/invariant"
 	"saffronfall/rule/ordered"
 )
@@ -25,6 +26,8 @@
 	Values map[string]int64
 	// Violations counts violations by invariant.
 	Violations map[invariant.Name]int64
+	// Sent are the messages to other processes by the name of their type.
+	Sent map[string]stream.Traffic
 	// Failures are the recent failed requests, oldest first, as JSON; nil for roles that serve
 	// none.
 	Failures any
@@ -82,6 +85,11 @@
 		fmt.Fprintf(w, "saffronfall_invariant_violations_total{invariant=%q} %d\n", name, snapshot.Violations[name])
 	}
 	fmt.Fprintf(w, "saffronfall_invariant_violations %d\n", total)
+	for _, name := range ordered.Keys(snapshot.Sent) {
+		sent := snapshot.Sent[name]
+		fmt.Fprintf(w, "saffronfall_%s_sent_messages_total{message=%q} %d\n", s.Role, name, sent.Messages)
+		fmt.Fprintf(w, "saffronfall_%s_sent_bytes_total{message=%q} %d\n", s.Role, name, sent.Bytes)
+	}
 	if s.Set != nil {
 		s.Set.WritePrometheus(w)
 	}
