Cores send changes of the topology, and whole ones only to repair a difference

Cause: gossip sent the whole topology at any change, and cores whose digests differed for a moment, as they do at every change, sent each other theirs. Change: TopologyChanges carries entries; only a partition's leader sends its term and group; a started core requests the topology from one other; whole ones are exchanged where two announcements in a row show the same difference (TopologyRepair); a pull can name the digest it knows.

--- a/peer/core/commands.go
+++ b/peer/core/commands.go
@@ -131,7 +131,9 @@
 func (m *Machine) onPullUpdates(now time.Duration, from string, pull PullUpdates) {
 	if pull.WantTopology {
 		m.refreshTopology()
-		m.send(from, m.Topology(), false)
+		if topology := m.Topology(); pull.KnownDigest == 0 || pull.KnownDigest != topology.Digest() {
+			m.send(from, topology, false)
+		}
 	}
 	for n := 0; n < m.founding.Partitions; n++ {
 		replica := m.partitions[n]
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -90,7 +90,6 @@
 	placementCores  []Core
 	placementSilent map[string]bool
 	contacts        map[string]contact
-	topologyChanged bool
 	gossipState
 	// superseded is set when the fleet knows a later incarnation of this core. claimIncrement
 	// raises the version of the next claim to its entry, because earlier claims lost a race.
@@ -149,9 +148,9 @@
 		m.cores[id] = c
 	}
 	m.mergeCoresOf(stored.Replicas[ConfigurationPartition])
+	m.changes = TopologyChanges{} // what was stored is not news
 	m.refreshSelf()
 	m.unregistered = true
-	m.topologySentAt = map[string]time.Duration{}
 	m.contacts, m.nextChangeAt, m.observedSince, m.activeAt = map[string]contact{}, map[int]time.Duration{}, now, now
 	for _, n := range ordered.Keys(stored.Replicas) {
 		m.addReplica(now, n, stored.Replicas[n])
@@ -316,6 +315,8 @@
 		m.onPullUpdates(now, from, msg)
 	case Topology:
 		m.mergeTopology(msg)
+	case TopologyChanges:
+		m.mergeChanges(msg)
 	case AnnounceCore:
 		m.onAnnounceCore(now, from, msg)
 	case Samples:
--- a/peer/core/membership.go
+++ b/peer/core/membership.go
@@ -102,7 +102,7 @@
 				m.unregistered, m.claimIncrement = false, 0
 				if m.self != claim {
 					m.self, m.cores[m.self.ID] = claim, claim
-					m.topologyChanged = true
+					m.changes.AddCore(claim)
 				}
 			}
 		}
--- a/peer/core/messages.go
+++ b/peer/core/messages.go
@@ -361,6 +361,9 @@
 		// WantFreshness requests a Freshness from the configuration partition's leader.
 		WantFreshness bool          `msgpack:"Fresh"`
 		SentAt        time.Duration `msgpack:"Sent"`
+		// KnownDigest is that of the sender's topology. WantTopology then requests it only if it
+		// differs; zero if not given.
+		KnownDigest uint64 `msgpack:"Known,omitempty"`
 	}
 	// Freshness is the version that the configuration partition has committed, as of SentAt minus
 	// Age. SentAt is when the pull was sent, by the puller's clock. A node with this version has
--- a/peer/core/registered.go
+++ b/peer/core/registered.go
@@ -52,6 +52,7 @@
 		"core.News":               Update{},
 		"core.Fresh":              Freshness{},
 		"core.Topology":           Topology{},
+		"core.TopologyChanges":    TopologyChanges{},
 	})
 }
 
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -30,6 +30,7 @@
 	}
 	current.Version++
 	m.self, m.cores[m.self.ID] = current, current
+	m.changes.AddCore(current)
 	m.unregistered = true
 }
 
@@ -57,11 +58,11 @@
 	switch {
 	case !ok || old.Version < received.Version:
 		m.cores[received.ID] = received
-		m.topologyChanged = true
+		m.changes.AddCore(received)
 	case received.Retired && !old.Retired:
 		old.Retired = true
 		m.cores[received.ID] = old
-		m.topologyChanged = true
+		m.changes.AddCore(old)
 	}
 	switch {
 	case received.ID != m.self.ID:
@@ -111,31 +112,47 @@
 func (m *Machine) refreshTopology() {
 	m.mergeStoredCores()
 	for n, replica := range m.partitions {
-		if term := replica.CurrentTerm(); m.terms[n].Less(term) {
-			m.terms[n] = term
-			m.topologyChanged = true
-		}
-		if m.groups[n].Before(replica.Group()) || m.groups[n].Epoch == 0 {
-			m.topologyChanged = m.topologyChanged || replica.Group().Epoch > 0
-			m.groups[n] = replica.Group()
-		}
+		m.refreshPartition(n, replica.CurrentTerm(), replica.Group())
 	}
 }
 
-type gossipState struct {
-	gossipAt, heartbeatAt, topologyAt time.Duration
-	// digest is the topology's at the last heartbeat. topologySentAt is by the address of a core
-	// that had reported another digest.
-	digest         uint64
-	topologySentAt map[string]time.Duration
+// refreshPartition records a partition's newer term and group. Only its leader sends them to the
+// other cores, as all members learn them at the same time.
+func (m *Machine) refreshPartition(n int, term partition.Term, group partition.Group) {
+	newTerm := m.terms[n].Less(term)
+	if newTerm {
+		m.terms[n] = term
+	}
+	newGroup := group.Epoch > 0 && (m.groups[n].Before(group) || m.groups[n].Epoch == 0)
+	if newGroup {
+		m.groups[n] = group
+	}
+	if m.terms[n].Leader != m.self.MemberID() {
+		return
+	}
+	if newTerm {
+		m.changes.AddLeader(n, term)
+	}
+	if (newTerm || newGroup) && m.groups[n].Epoch > 0 {
+		m.changes.AddGroup(n, m.groups[n])
+	}
 }
 
-// topologyGossipLeases is the interval, in member leases, at which an unchanged topology is sent.
-// Cores that know a different one get it earlier, after their next announcement.
-const topologyGossipLeases = 8
+type gossipState struct {
+	gossipAt, heartbeatAt time.Duration
+	// changes are not sent yet.
+	changes TopologyChanges
+	// digest is the topology's at the last heartbeat.
+	digest uint64
+	repair TopologyRepair
+	// topologyKnown is set once the topology was received after the start. Until then it is
+	// requested, the next time at requestAt.
+	topologyKnown bool
+	requestAt     time.Duration
+}
 
-// topologyRepliesPerLease bounds replies to one core, per member lease.
-const topologyRepliesPerLease = 4
+// topologyRequestsPerLease is how often a started core requests the topology, per member lease.
+const topologyRequestsPerLease = 8
 
 // Digest returns a hash of the topology without GroupSize.
 func (t Topology) Digest() uint64 {
@@ -180,35 +197,62 @@
 
 // sendTopologyIfDifferent is called on both cores, so that both end with the merged topology.
 func (m *Machine) sendTopologyIfDifferent(now time.Duration, to string, theirs uint64) {
-	if theirs == 0 || m.digest == 0 || theirs == m.digest || now < m.topologySentAt[to]+m.params.MemberLease/topologyRepliesPerLease {
-		return
+	if m.repair.Needed(to, m.digest, theirs) {
+		m.refreshTopology()
+		m.send(to, m.Topology(), false)
 	}
-	m.topologySentAt[to] = now
-	m.refreshTopology()
-	m.send(to, m.Topology(), false)
 }
 
+// gossip sends changes of the topology to the other cores and to the seeds, and heartbeats to the
+// other cores.
 func (m *Machine) gossip(now time.Duration) {
-	sendTopology := m.topologyChanged || now >= m.topologyAt
-	if m.superseded || (!sendTopology && now < m.heartbeatAt) {
+	if m.superseded {
+		return
+	}
+	m.sendChanges()
+	m.requestTopology(now)
+	if now < m.heartbeatAt {
 		return
 	}
 	m.heartbeatAt = now + m.heartbeatInterval()
-	topology := m.Topology()
-	m.digest = topology.Digest()
+	m.digest = m.Topology().Digest()
+	for _, address := range m.gossipTargets() {
+		m.send(address, m.announcement(), false)
+	}
+}
+
+func (m *Machine) sendChanges() {
+	if m.changes.Empty() {
+		return
+	}
+	changes := m.changes
+	changes.Fleet, changes.GroupSize, changes.Partitions = m.founding.Fleet, m.groupSize(), m.founding.Partitions
+	m.changes = TopologyChanges{}
+	for _, address := range append(m.gossipTargets(), m.seeds...) {
+		m.send(address, changes, false)
+	}
+}
+
+// requestTopology asks one other core for what changed while this one was down.
+func (m *Machine) requestTopology(now time.Duration) {
+	targets := m.gossipTargets()
+	if m.topologyKnown || now < m.requestAt || len(targets) == 0 {
+		return
+	}
+	m.requestAt = now + m.params.MemberLease/topologyRequestsPerLease
+	to := targets[int(m.random()*float64(len(targets)))%len(targets)]
+	m.send(to, PullUpdates{WantTopology: true}, false)
+}
+
+// gossipTargets returns the addresses of the other cores, without retired ones that have no replica.
+func (m *Machine) gossipTargets() []string {
+	var addresses []string
 	for _, id := range ordered.Keys(m.cores) {
-		c := m.cores[id]
-		if id == m.self.ID || c.Retired && !m.hasReplica(c) {
-			continue
+		if c := m.cores[id]; id != m.self.ID && (!c.Retired || m.hasReplica(c)) {
+			addresses = append(addresses, c.Peer)
 		}
-		m.send(c.Peer, m.announcement(), false)
-		if sendTopology {
-			m.send(c.Peer, topology, false)
-		}
-	}
-	if sendTopology {
-		m.topologyChanged, m.topologyAt = false, now+topologyGossipLeases*m.params.MemberLease
 	}
+	return addresses
 }
 
 func (m *Machine) hasReplica(c Core) bool {
@@ -259,15 +303,22 @@
 // mergeTopology merges a topology of the same fleet: for each term, group and core the later one
 // wins.
 func (m *Machine) mergeTopology(received Topology) {
-	if m.founding.Fleet != received.Fleet || len(received.Leaders) != len(m.terms) || len(received.Groups) != len(m.groups) {
+	m.topologyKnown = m.topologyKnown || received.Fleet == m.founding.Fleet
+	m.mergeChanges(received.Changes())
+}
+
+func (m *Machine) mergeChanges(received TopologyChanges) {
+	if m.founding.Fleet != received.Fleet || received.Partitions != m.founding.Partitions {
 		return
 	}
-	for n := range received.Leaders {
-		if m.terms[n].Less(received.Leaders[n]) {
-			m.terms[n] = received.Leaders[n]
+	for n, term := range received.Leaders {
+		if n >= 0 && n < len(m.terms) && m.terms[n].Less(term) {
+			m.terms[n] = term
 		}
-		if m.groups[n].Before(received.Groups[n]) {
-			m.groups[n] = received.Groups[n]
+	}
+	for n, group := range received.Groups {
+		if n >= 0 && n < len(m.groups) && m.groups[n].Before(group) {
+			m.groups[n] = group
 		}
 	}
 	for _, c := range received.Cores {
