A read or an order right after a start waits for the cores and follows their new leader

Cause: a registry that did not know the number of partitions, or had no confirmation for a pull interval, answered at once that it was unsure, and the operator's pauses grow; a command whose leader had changed waited out its interval, forgot the new leader and asked one of 36 cores at random.

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -59,12 +59,16 @@
 	deadline  time.Duration
 	retryAt   time.Duration
 	attempts  int
-	outcome   func(now time.Duration, o Outcome)
+	// sentTo is where the last attempt went.
+	sentTo  string
+	outcome func(now time.Duration, o Outcome)
 }
 
 // Call sends a command and calls outcome exactly once, at the latest in the first Tick after until.
+// While the number of partitions is not known, only operators' commands to the configuration
+// partition are sent; others end at once.
 func (c *Caller) Call(now time.Duration, command any, until time.Duration, outcome func(now time.Duration, o Outcome)) {
-	if c.Partitions() == 0 {
+	if c.Partitions() == 0 && !isConfigurationCommand(command) {
 		outcome(now, Outcome{Uncertain: true})
 		return
 	}
@@ -77,6 +81,15 @@
 	c.attempt(now, pending)
 }
 
+// isConfigurationCommand reports whether a command has the same partition in every fleet.
+func isConfigurationCommand(command any) bool {
+	switch command.(type) {
+	case ReadTable, AcceptTable, FindOrder, RetireCore:
+		return true
+	}
+	return false
+}
+
 const (
 	// fixedDelayAttempts is the number of attempts at intervals of Retry, enough to outlast an
 	// election. Each later interval is one Retry longer than the last.
@@ -104,6 +117,7 @@
 		to = addresses[int(c.Random()*float64(len(addresses)))%len(addresses)]
 	}
 	call.attempts++
+	call.sentTo = to
 	c.Attempts++
 	if !c.unanswered {
 		c.unansweredSince, c.unanswered = now, true
@@ -121,7 +135,8 @@
 	c.retryWaiting(partition, address)
 }
 
-// retryWaiting makes commands that have backed off due at once if the partition's leader is new.
+// retryWaiting makes commands whose last attempt went elsewhere due at once if the partition's leader
+// is new.
 func (c *Caller) retryWaiting(partition int, leader string) {
 	if c.leaders == nil {
 		c.leaders = map[int]string{}
@@ -131,7 +146,7 @@
 	}
 	c.leaders[partition] = leader
 	for _, k := range c.pending {
-		if k.partition == partition && k.attempts > fixedDelayAttempts {
+		if k.partition == partition && (k.sentTo != leader || k.attempts > fixedDelayAttempts) {
 			k.retryAt = 0
 		}
 	}
@@ -165,7 +180,7 @@
 			c.finish(now, call, Outcome{Uncertain: true, Sent: call.attempts > 0})
 			continue
 		}
-		delete(c.hints, call.partition)
+		c.dropHint(call.partition, call.sentTo)
 		if call.attempts == fixedDelayAttempts {
 			delete(c.leaders, call.partition)
 		}
@@ -173,6 +188,13 @@
 	}
 }
 
+// dropHint forgets an address that did not answer as the leader, unless another one became known.
+func (c *Caller) dropHint(partition int, address string) {
+	if c.hints[partition] == address {
+		delete(c.hints, partition)
+	}
+}
+
 func (c *Caller) finish(now time.Duration, call *pendingCall, result Outcome) {
 	if _, ok := c.calls.Take(call.ticket); !ok {
 		return
@@ -193,7 +215,7 @@
 			c.attempt(now, call)
 			return
 		}
-		delete(c.hints, call.partition)
+		c.dropHint(call.partition, from)
 		call.retryAt = now + c.Retry/rejectedDelayDivisor
 	case result.Uncertain:
 		call.retryAt = now + c.Retry/rejectedDelayDivisor
--- a/peer/core/caller_test.go
+++ b/peer/core/caller_test.go
@@ -80,3 +80,37 @@
 		t.Errorf("%d attempts because of a second answer", again)
 	}
 }
+
+// TestCommandFollowsANewLeaderAtOnce guards against waiting out the retry interval of an attempt at the leader before.
+func TestCommandFollowsANewLeaderAtOnce(t *testing.T) {
+	var sentTo []string
+	c := newCaller(1, &[]Command{})
+	c.Send = func(to string, _ any) { sentTo = append(sentTo, to) }
+	c.SetLeader(1, "old")
+	var commands []Command
+	c.Send = func(to string, body any) { sentTo, commands = append(sentTo, to), append(commands, body.(Command)) }
+	c.Call(0, ReadEntries{Partition: 1}, time.Second, func(time.Duration, Outcome) {})
+	c.SetLeader(1, "new")
+	c.Tick(time.Millisecond)
+	// The old leader's late answer must not make the caller forget the new one.
+	c.Receive(2*time.Millisecond, "old", CommandResult{ID: commands[0].ID, Partition: 1, NotLeader: true})
+	if len(sentTo) != 2 || sentTo[1] != "new" || c.Leader(1) != "new" {
+		t.Errorf("sent to %v, leader %q", sentTo, c.Leader(1))
+	}
+}
+
+// TestOperatorsCommandNeedsNoPartitions guards against a registry that can't read until it knows the whole fleet.
+func TestOperatorsCommandNeedsNoPartitions(t *testing.T) {
+	var sent []Command
+	c := newCaller(1, &sent)
+	c.Partitions = func() int { return 0 }
+	ended := 0
+	c.Call(0, ReadTable{}, time.Second, func(time.Duration, Outcome) { ended++ })
+	if len(sent) != 1 || sent[0].Partition != ConfigurationPartition || ended != 0 {
+		t.Errorf("%d commands sent, %d ended", len(sent), ended)
+	}
+	c.Call(0, JoinMember{}, time.Second, func(time.Duration, Outcome) { ended++ })
+	if len(sent) != 1 || ended != 1 {
+		t.Errorf("a command of an unknown partition: %d sent, %d ended", len(sent), ended)
+	}
+}
--- a/peer/registry/disconnected_test.go
+++ b/peer/registry/disconnected_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -182,3 +183,48 @@
 		t.Errorf("a node is sent %+v", b)
 	}
 }
+
+// TestRestartedRegistryWaitsForTheCores guards against answering unsure while all processes have just started:
+// the operator's pauses grow with each failure.
+func TestRestartedRegistryWaitsForTheCores(t *testing.T) {
+	saved := Peers{Fleet: "f", GroupSize: 1, Partitions: 2, Registries: []string{"d1:1"},
+		Cores: map[string]core.Core{"c1": {ID: "c1", Incarnation: "x", Peer: "c1:1", Version: 1}}}
+	for name, peers := range map[string]*Peers{"with saved peers": &saved, "of a former release": {Fleet: "f", GroupSize: 1, Cores: saved.Cores, Registries: saved.Registries}} {
+		m := newRegistry(func(o *Options) { o.KnownPeers = peers })
+		o := m.Read(0, 1)
+		sent := sentTo[core.Command](o, "c1:1")
+		if len(sent) != 1 || sent[0].Partition != core.ConfigurationPartition || len(o.Answers) != 0 {
+			t.Fatalf("%s: a read sends %+v, answers %+v", name, o.Sends, o.Answers)
+		}
+		waited, answer := tickUntilAnswered(m, 0, 1)
+		if most := (startPulls + 1) * m.params.Core.PullInterval; waited < startPulls*m.params.Core.PullInterval || waited > most {
+			t.Errorf("%s: answered %+v after %v", name, answer, waited)
+		}
+	}
+}
+
+// TestTopologyIsRequestedFromOneCore guards against the whole topology from every core at each pull.
+func TestTopologyIsRequestedFromOneCore(t *testing.T) {
+	m := newRegistry(nil)
+	changes := core.TopologyChanges{Fleet: "f", Partitions: 2}
+	for i := range 12 {
+		changes.AddCore(core.Core{ID: fmt.Sprint(i), Incarnation: "x", Peer: fmt.Sprintf("c%d:1", i), Version: 1})
+	}
+	m.Receive(0, "c0:1", changes)
+	o := m.Tick(time.Second)
+	pulls, requests := 0, 0
+	for _, s := range o.Sends {
+		if pull, ok := s.Body.(core.PullUpdates); ok {
+			pulls++
+			if pull.WantTopology {
+				requests++
+			}
+			if pull.KnownDigest != m.topology.Digest() {
+				t.Errorf("%s is told another digest", s.To)
+			}
+		}
+	}
+	if pulls != 12 || requests != 1 {
+		t.Errorf("%d of %d pulls request the topology", requests, pulls)
+	}
+}
--- a/peer/registry/reachability.go
+++ b/peer/registry/reachability.go
@@ -12,6 +12,9 @@
 	maxUnconfirmedPulls = 3
 	// disconnectedCallPulls bounds a call of a disconnected registry, in pull intervals.
 	disconnectedCallPulls = 1
+	// startPulls is how long after its start a registry without a confirmation does not yet count as
+	// disconnected, in pull intervals: all others may have started at the same moment.
+	startPulls = 4
 	// nodeRetention is in heartbeat intervals: a node silent for less counts as one that the
 	// registry should reach.
 	nodeRetention = 40
@@ -79,7 +82,7 @@
 // commands are still retried until they time out, which is safe because they are idempotent. The
 // operator can repeat the call at another registry.
 func (m *Machine) expireCalls(now time.Duration) {
-	if m.coresReachable(now) {
+	if m.coresReachable(now) || now < m.startedAt+startPulls*m.params.Core.PullInterval {
 		return
 	}
 	for _, ticket := range ordered.Keys(m.pending) {
