Leaders always send their term; repair a difference that keeps changing; fewer bytes a renewal

Found in a reread: a leader that heard of its own term in another core's topology first did not send it; while topologies change all the time, no two announcements show the same difference, so a lost change was not repaired; renewals carried a digest and updates a version that say nothing new.

--- a/peer/core/gossip_test.go
+++ b/peer/core/gossip_test.go
@@ -88,6 +88,12 @@
 	if repair.Needed("a", 5, 6) || repair.Needed("b", 5, 6) {
 		t.Error("another core's announcement counts as the second one")
 	}
+	// The topology changes all the time, and the other core lacks something.
+	for i := uint64(1); i <= maxDifferences; i++ {
+		if needed := repair.Needed("c", 10+i, 100+i); needed != (i == maxDifferences) {
+			t.Errorf("after %d different announcements: needed is %v", i, needed)
+		}
+	}
 }
 
 func randomChanges(random *rand.Rand) TopologyChanges {
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -148,7 +148,7 @@
 		m.cores[id] = c
 	}
 	m.mergeCoresOf(stored.Replicas[ConfigurationPartition])
-	m.changes = TopologyChanges{} // what was stored is not news
+	m.changes, m.announced = TopologyChanges{}, map[int]announcedPartition{} // what was stored is not news
 	m.refreshSelf()
 	m.unregistered = true
 	m.contacts, m.nextChangeAt, m.observedSince, m.activeAt = map[string]contact{}, map[int]time.Duration{}, now, now
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -116,32 +116,35 @@
 	}
 }
 
+// announcedPartition identifies the term and group of a partition that this core last sent.
+type announcedPartition struct {
+	leader, groupTerm partition.Term
+	epoch             uint64
+}
+
 // refreshPartition records a partition's newer term and group. Only its leader sends them to the
 // other cores, as all members learn them at the same time.
 func (m *Machine) refreshPartition(n int, term partition.Term, group partition.Group) {
-	newTerm := m.terms[n].Less(term)
-	if newTerm {
+	if m.terms[n].Less(term) {
 		m.terms[n] = term
 	}
-	newGroup := group.Epoch > 0 && (m.groups[n].Before(group) || m.groups[n].Epoch == 0)
-	if newGroup {
+	if m.groups[n].Before(group) || m.groups[n].Epoch == 0 {
 		m.groups[n] = group
 	}
-	if m.terms[n].Leader != m.self.MemberID() {
+	latest := announcedPartition{leader: m.terms[n], groupTerm: m.groups[n].Term, epoch: m.groups[n].Epoch}
+	if latest.leader.Leader != m.self.MemberID() || latest.epoch == 0 || m.announced[n] == latest {
 		return
 	}
-	if newTerm {
-		m.changes.AddLeader(n, term)
-	}
-	if (newTerm || newGroup) && m.groups[n].Epoch > 0 {
-		m.changes.AddGroup(n, m.groups[n])
-	}
+	m.announced[n] = latest
+	m.changes.AddLeader(n, m.terms[n])
+	m.changes.AddGroup(n, m.groups[n])
 }
 
 type gossipState struct {
 	gossipAt, heartbeatAt time.Duration
-	// changes are not sent yet.
-	changes TopologyChanges
+	// changes are not sent yet. announced has what was sent of the partitions that this core leads.
+	changes   TopologyChanges
+	announced map[int]announcedPartition
 	// digest is the topology's at the last heartbeat.
 	digest uint64
 	repair TopologyRepair
@@ -228,7 +231,13 @@
 	changes := m.changes
 	changes.Fleet, changes.GroupSize, changes.Partitions = m.founding.Fleet, m.groupSize(), m.founding.Partitions
 	m.changes = TopologyChanges{}
-	for _, address := range append(m.gossipTargets(), m.seeds...) {
+	targets := m.gossipTargets()
+	for _, seed := range m.seeds {
+		if seed != m.self.Peer && !slices.Contains(targets, seed) {
+			targets = append(targets, seed)
+		}
+	}
+	for _, address := range targets {
 		m.send(address, changes, false)
 	}
 }
--- a/peer/registry/subscribers.go
+++ b/peer/registry/subscribers.go
@@ -116,21 +116,22 @@
 	if len(m.topology.Leaders) == 0 && !sub.isRegistry {
 		return false
 	}
-	next := TopologyUpdate{Since: since, Version: m.topologyVersion}
-	update.NewTopology = &next
+	next := &TopologyUpdate{Since: since, Version: m.topologyVersion}
 	known.version = m.topologyVersion
 	switch {
 	case known.matches:
 		known.matches = false
+		update.NewTopology = next
 		return false
 	case since == 0 && !known.sendsWhole:
 		// What it has is not known. It requests the whole if it lacks something.
 		next.Since = m.topologyVersion
-		return true
 	case since == m.topologyVersion:
 		return false
+	default:
+		next.Changes = m.topologySince(since, sub.isRegistry)
 	}
-	next.Changes = m.topologySince(since, sub.isRegistry)
+	update.NewTopology = next
 	return true
 }
 
--- a/peer/registry/types.go
+++ b/peer/registry/types.go
@@ -66,9 +66,9 @@
 		// AcceptsTopologyChanges is set if NewTopology can replace Topology in an Update.
 		// Subscribers of a former release send neither this nor what follows.
 		AcceptsTopologyChanges bool `msgpack:"y,omitempty"`
-		// TopologyVersion is the registry's version up to which the subscriber lacks nothing; zero
-		// if that is not known. TopologyDigest is that of the topology it has, for nodes without
-		// groups.
+		// TopologyVersion is the registry's version up to which the subscriber lacks nothing. If that
+		// is not known it is zero, and TopologyDigest is that of the topology it has, for nodes
+		// without groups.
 		TopologyVersion uint64 `msgpack:"g,omitempty"`
 		TopologyDigest  uint64 `msgpack:"h,omitempty"`
 		// WholeOnRequest is set by a subscriber that requests a whole table or topology from one
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -247,7 +247,6 @@
 		Node:                   m.id,
 		AcceptsDifferences:     true,
 		AcceptsTopologyChanges: true,
-		TopologyDigest:         m.topologyDigest(),
 		WholeOnRequest:         true,
 		Whole:                  m.fetch.from == to,
 	}
@@ -258,6 +257,9 @@
 		subscription.Incarnation, subscription.Version = view.incarnation, view.version
 		subscription.TopologyVersion = view.topologyVersion
 	}
+	if subscription.TopologyVersion == 0 {
+		subscription.TopologyDigest = m.topologyDigest()
+	}
 	m.send(to, subscription)
 }
 
