Nodes that start together stay with the registry they asked while it answers

Cause: a fetch was given up after half an update interval, also from a registry that answered but had only just started itself. Change: one that answers is waited for three times as long; a request that is given up is withdrawn.

--- a/peer/relay/topology.go
+++ b/peer/relay/topology.go
@@ -20,11 +20,16 @@
 type fetch struct {
 	from  string
 	until time.Duration
+	// answered is set once the registry has answered, though without what this node lacks.
+	answered bool
 }
 
 const (
-	// fetchPolls is how long one registry is waited for, in update intervals.
-	fetchPolls = 0.5
+	// silentFetchPolls and fetchPolls are how long a silent registry is waited for, and one that
+	// answers but has just started itself, in update intervals. Nodes that start together would
+	// otherwise all turn to the first registry that has the table.
+	silentFetchPolls = 0.5
+	fetchPolls       = 1.5
 	// behindHeartbeats is how long a node that has a topology waits for missing changes before it
 	// requests the whole, in heartbeat intervals. It exceeds the time of an election.
 	behindHeartbeats = 2
@@ -73,9 +78,7 @@
 	lacksTopology := update.NewTopology != nil && update.NewTopology.Version > view.topologyVersion
 	if !lacksTable && !lacksTopology {
 		view.behindSince = 0
-		if m.fetch.from == from {
-			m.fetch = fetch{}
-		}
+		m.awaitFetch(now, from)
 		return
 	}
 	if view.behindSince == 0 {
@@ -86,13 +89,29 @@
 		return
 	}
 	if m.fetch.from == "" || now >= m.fetch.until {
+		previous := m.fetch.from
 		m.startFetch(now, from)
 		m.requestUpdate(from)
+		if previous != "" && previous != from {
+			m.requestUpdate(previous) // no longer for the whole
+		}
 	}
 }
 
 func (m *Machine) startFetch(now time.Duration, from string) {
-	m.fetch = fetch{from: from, until: now + time.Duration(fetchPolls*float64(m.params.UpdateInterval))}
+	m.fetch = fetch{from: from, until: now + time.Duration(silentFetchPolls*float64(m.params.UpdateInterval))}
+}
+
+// awaitFetch ends the fetch from a registry that has nothing more, unless this node knows nothing yet.
+func (m *Machine) awaitFetch(now time.Duration, from string) {
+	switch {
+	case m.fetch.from != from:
+	case m.pending != nil && len(m.topology.Leaders) > 0:
+		m.fetch = fetch{}
+	case !m.fetch.answered:
+		m.fetch.answered = true
+		m.fetch.until = now + time.Duration(fetchPolls*float64(m.params.UpdateInterval))
+	}
 }
 
 // chooseFetch lets a node that knows nothing yet request everything with its first subscriptions.
--- a/peer/relay/topology_test.go
+++ b/peer/relay/topology_test.go
@@ -52,9 +52,13 @@
 		}
 	}
 	later := h.node.fetch.until
-	if next := wholeRequests(h.node.Receive(later, others[0], ahead)); len(next) != 1 || next[0] != others[0] {
+	second := h.node.Receive(later, others[0], ahead)
+	if next := wholeRequests(second); len(next) != 1 || next[0] != others[0] {
 		t.Fatalf("after %v without an answer %v is asked", later, next)
 	}
+	if withdrawn, ok := subscriptions(second)[first[0]]; !ok || withdrawn.Whole {
+		t.Errorf("the request to %s stands", first[0])
+	}
 	topology := core.TopologyChanges{Fleet: "f", Partitions: 2}
 	topology.AddLeader(1, partition.Term{Round: 1, Leader: "c.1"})
 	h.node.Receive(later, others[0], registry.Update{Incarnation: "l", TableNumber: 3, Table: tableJSON(3, nil),
