relaysim: the fault of a node without tables also takes compressed ones

TestBreaks injects updates without a table and wants the judge to find the lag. It now empties both fields; the rule that must find it is the same.

--- a/rehearsalkit/relaysim/relaysim_test.go
+++ b/rehearsalkit/relaysim/relaysim_test.go
@@ -232,7 +232,7 @@
 		{"a node gets no table after the first", RuleTableLag, func(p *Params) {
 			p.Alter = func(from, to string, body any) (any, bool) {
 				if b, ok := body.(registry.Update); ok && to == "node1" && b.TableNumber > 1 {
-					b.Table = nil
+					b.Table, b.CompressedTable = nil, nil
 					return b, true
 				}
 				return body, true
