judge: a request under way at the end may be the one that ran its once-key

Trace: four requests with the key were refused (too_many, not run), the last at 31.33 s; a fifth had been sent and ran at 31.995 s, and the run ended at 32 s, before its answer. The record holds finished requests only, so the judge took the run for one of the four. Change: the simulator counts unfinished requests by once-key, and the rule waits for keys that have one. It is as strict as before where all requests have ended; TestRunOfAnUnfinishedRequestIsNoBreach wants both.

--- a/rehearsalkit/judge/judge.go
+++ b/rehearsalkit/judge/judge.go
@@ -119,7 +119,7 @@
 		}
 	}
 	for _, k := range ordered.Keys(total) {
-		if total[k] == refused[k] && ran[k] > 0 {
+		if total[k] == refused[k] && ran[k] > 0 && r.InFlight[k] == 0 {
 			list = append(list, breach(4, "once-key %s was always refused as not run, but it ran", k))
 		}
 	}
--- a/rehearsalkit/judge/judge_test.go
+++ b/rehearsalkit/judge/judge_test.go
@@ -152,3 +152,16 @@
 		}
 	}
 }
+
+// TestRunOfAnUnfinishedRequestIsNoBreach guards against blaming earlier refusals for a request that had no answer yet at the end.
+func TestRunOfAnUnfinishedRequestIsNoBreach(t *testing.T) {
+	r := validRecord()
+	r.Requests[2].Outcome, r.Requests[2].Ran = Refused, "no"
+	if len(r.Judge()) == 0 {
+		t.Fatal("refused as not run, but run: no breach")
+	}
+	r.InFlight = map[string]int{r.Requests[2].OnceKey: 1}
+	if b := r.Judge(); len(b) != 0 {
+		t.Errorf("another request with the key was under way: %v", b)
+	}
+}
--- a/rehearsalkit/judge/record.go
+++ b/rehearsalkit/judge/record.go
@@ -135,6 +135,8 @@
 	// Nodes are the nodes that must have the last accepted configuration at the end.
 	Nodes    []string
 	Restarts []Restart
+	// InFlight counts the unfinished requests by their once-key.
+	InFlight map[string]int
 }
 
 // Breach is a violation of a rule.
--- a/rehearsalkit/simulator/requester.go
+++ b/rehearsalkit/simulator/requester.go
@@ -10,6 +10,16 @@
 	"saffronfall/rule/program"
 )
 
+func (w *World) countInFlight(onceKey string, change int) {
+	if onceKey == "" {
+		return
+	}
+	if w.Record.InFlight == nil {
+		w.Record.InFlight = map[string]int{}
+	}
+	w.Record.InFlight[onceKey] += change
+}
+
 // submit sends a request and calls done once, with its outcome.
 func (w *World) submit(p *process, request node.Request, done func(result judge.Request, last node.Frame)) {
 	result := judge.Request{At: w.now, Kind: request.Kind, Node: p.id, Tenant: tenantOf(request.Key), User: request.User, Program: request.Program, Conversation: request.Conversation, ID: request.Prompt, Service: request.Service}
@@ -18,11 +28,13 @@
 		result.OnceKey = request.OnceKey
 	}
 	finished := false
+	w.countInFlight(result.OnceKey, 1)
 	finish := func(last node.Frame) {
 		if finished {
 			return
 		}
 		finished = true
+		w.countInFlight(result.OnceKey, -1)
 		result.Ended = w.now
 		w.Record.Requests = append(w.Record.Requests, result)
 		w.Counts["asked "+result.Kind+" "+result.Outcome]++
