--- a/rehearsalkit/simulator/requester.go
+++ b/rehearsalkit/simulator/requester.go
@@ -33,9 +33,8 @@
 		if finished {
 			return
 		}
-		finished = true
+		finished, result.Ended = true, w.now
 		w.countInFlight(result.OnceKey, -1)
-		result.Ended = w.now
 		w.Record.Requests = append(w.Record.Requests, result)
 		w.Counts["asked "+result.Kind+" "+result.Outcome]++
 		if result.Outcome == judge.Refused {
