--- a/review/standin/budget.go
+++ b/review/standin/budget.go
@@ -90,6 +90,11 @@
 	}
 	time.Sleep(4 * time.Second) // the replicas are known, and the machines are in touch
 
+	return takeTurns(f, key, trouble)
+}
+
+// takeTurns sends the program's turns, plays the change before the ninth, and judges the tokens given.
+func takeTurns(f *fleet, key string, trouble bool) int {
 	given, largest, refused, failures := 0, 0, false, 0
 	for n := 1; n <= 40 && !refused; n++ {
 		if n == 9 && trouble {
