--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,13 +33,12 @@
 		return 2
 	}
 	defer f.stop()
-	trouble := os.Getenv("TROUBLE") != "0"
-	var code int
-	switch name {
-	case "budget":
-		code = playBudget(f, trouble)
-	default:
-		code = 2
+	// TROUBLE=0 leaves out both disruptions, TROUBLE=kill and TROUBLE=disk the other one.
+	trouble := os.Getenv("TROUBLE")
+	killed, wiped := trouble != "0" && trouble != "disk", trouble != "0" && trouble != "kill"
+	code := 2
+	if name == "start" {
+		code = playStart(f, killed, wiped)
 	}
 	rec.log("exit %d", code)
 	return code
