Ask retired cores that may still have a replica, wherever cores are asked

Cause: registries, nodes and cores asked only cores that are not retired. A retired core stays a member of its groups, and may lead them, until its successor has caught up. With the configuration's partition led by one, a restarted registry never asked it for the table in force (its log: 192 pulls, one answer), so no node got a table. Only heartbeats between cores had the right rule.

Change: one rule in one place, Topology.CoreAddresses: a retired core counts while a known group has it, while it leads a partition whose group is not known, and where nothing is known.

Evidence: TestRestartedRegistryAsksARetiredLeader failed on the former code in both of its cases ("the leader was not asked for the table"). The rule can't leave out a leader: a leader is a member of its group, and a group that is not known leaves nobody out.

--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -126,14 +126,7 @@
 		Send:       func(to string, body any) { machine.send(to, body, false) },
 		Partitions: func() int { return machine.founding.Partitions },
 		Cores: func() []string {
-			var addresses []string
-			for _, c := range machine.cores {
-				if !c.Retired {
-					addresses = append(addresses, c.Peer)
-				}
-			}
-			sort.Strings(addresses)
-			return addresses
+			return Topology{Cores: machine.cores, Leaders: machine.terms, Groups: machine.groups}.CoreAddresses()
 		}}
 	if options.Stored.Founding.Partitions > 0 {
 		machine.start(options.Now, options.Stored)
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -253,21 +253,17 @@
 	m.send(to, PullUpdates{WantTopology: true}, false)
 }
 
-// gossipTargets returns the addresses of the other cores, without retired ones that have no replica.
+// gossipTargets returns the addresses of the other cores that may have a replica.
 func (m *Machine) gossipTargets() []string {
 	var addresses []string
 	for _, id := range ordered.Keys(m.cores) {
-		if c := m.cores[id]; id != m.self.ID && (!c.Retired || m.hasReplica(c)) {
+		if c := m.cores[id]; id != m.self.ID && mayHaveReplica(c, m.terms, m.groups) {
 			addresses = append(addresses, c.Peer)
 		}
 	}
 	return addresses
 }
 
-func (m *Machine) hasReplica(c Core) bool {
-	return slices.ContainsFunc(m.groups, func(g partition.Group) bool { return g.Has(c.MemberID()) })
-}
-
 // Topology returns a copy of the topology that this core knows.
 func (m *Machine) Topology() Topology {
 	topology := Topology{
--- a/peer/node/machine.go
+++ b/peer/node/machine.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"sort"
 	"time"
 
 	"saffronfall/peer/core"
@@ -169,7 +168,7 @@
 		Random:     options.Random,
 		Send:       func(to string, body any) { m.send(to, body) },
 		Partitions: func() int { return len(m.topology.Leaders) },
-		Cores:      func() []string { return m.coreAddresses() },
+		Cores:      func() []string { return m.topology.CoreAddresses() },
 		Forwarders: func() []string { return m.otherAddresses() },
 	}
 	m.clearOwned()
@@ -188,17 +187,6 @@
 	}
 }
 
-func (m *Machine) coreAddresses() []string {
-	var list []string
-	for _, c := range m.topology.Cores {
-		if !c.Retired {
-			list = append(list, c.Peer)
-		}
-	}
-	sort.Strings(list)
-	return list
-}
-
 func (m *Machine) beginStep(now time.Duration) {
 	m.now, m.out = now, &Output{}
 }
--- a/peer/node/relay.go
+++ b/peer/node/relay.go
@@ -9,7 +9,7 @@
 // relayCommand forwards a command to a core for a process that can't reach the cores.
 func (m *Machine) relayCommand(now time.Duration, from string, command core.Command) {
 	to := m.caller.Leader(command.Partition)
-	if all := m.coreAddresses(); to == "" && len(all) > 0 {
+	if all := m.topology.CoreAddresses(); to == "" && len(all) > 0 {
 		to = all[int(m.random()*float64(len(all)))%len(all)]
 	}
 	if to == "" || m.relayed.Len() >= m.params.QueueLimit || !m.hasLease(now) {
--- a/peer/node/update.go
+++ b/peer/node/update.go
@@ -35,7 +35,7 @@
 		WantFreshness: m.freshAt < m.startedAt,
 		WantTopology:  m.pullCount%pullsPerTopology == 1 || len(m.topology.Leaders) == 0,
 	}
-	targets := m.coreAddresses()
+	targets := m.topology.CoreAddresses()
 	if len(targets) == 0 {
 		targets = m.params.Seeds
 	}
--- a/peer/registry/machine.go
+++ b/peer/registry/machine.go
@@ -110,7 +110,7 @@
 		Random:     o.Random,
 		Send:       func(to string, body any) { m.addSend(to, body) },
 		Partitions: func() int { return len(m.topology.Leaders) },
-		Cores:      m.coreAddresses,
+		Cores:      func() []string { return m.topology.CoreAddresses() },
 		Forwarders: m.forwarders,
 	}
 	return m
--- a/peer/registry/table.go
+++ b/peer/registry/table.go
@@ -80,7 +80,7 @@
 		m.addSend(to, request)
 		return
 	}
-	addresses := m.coreAddresses()
+	addresses := m.topology.CoreAddresses()
 	topologyFrom := int(m.random() * float64(len(addresses)))
 	for i, to := range addresses {
 		request.WantTopology = i == topologyFrom
--- a/peer/registry/topology.go
+++ b/peer/registry/topology.go
@@ -2,28 +2,12 @@
 
 import (
 	"fmt"
-	"slices"
-	"sort"
 	"time"
 
 	"saffronfall/peer/core"
 	"saffronfall/rule/ordered"
 )
 
-func (m *Machine) coreAddresses() []string { return CoreAddresses(m.topology) }
-
-// CoreAddresses returns the sorted peer addresses of the cores that are not retired.
-func CoreAddresses(topology core.Topology) []string {
-	var addresses []string
-	for _, c := range topology.Cores {
-		if !c.Retired && c.Peer != "" && !slices.Contains(addresses, c.Peer) {
-			addresses = append(addresses, c.Peer)
-		}
-	}
-	sort.Strings(addresses)
-	return addresses
-}
-
 // forwarders can forward a command if no core answers directly.
 func (m *Machine) forwarders() []string {
 	var addresses []string
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -110,7 +110,7 @@
 	m.caller = &core.Caller{Retry: o.Params.Core.AttemptTimeout, Random: o.Random,
 		Send:       func(to string, body any) { m.send(to, body) },
 		Partitions: func() int { return len(m.topology.Leaders) },
-		Cores:      func() []string { return registry.CoreAddresses(m.topology) }}
+		Cores:      func() []string { return m.topology.CoreAddresses() }}
 	return m
 }
 
