Ask the known leader also where it is not among the known cores

A registry without a recent confirmation asked all addresses for the table but not the leader that it knew by hint, and a command whose first attempt stayed unanswered forgot a leader that is not among the cores (another address, an entry that has not arrived) and asked the others until its deadline.

Change: pulls and commands' candidates include the known leader.

--- a/peer/core/caller.go
+++ b/peer/core/caller.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"saffronfall/rule/message"
@@ -100,11 +101,21 @@
 	rejectedDelayDivisor = 4
 )
 
+// candidates returns the addresses of the cores, and of the partition's last known leader if it is
+// none of them.
+func (c *Caller) candidates(partition int) []string {
+	addresses := c.Cores()
+	if leader := c.leaders[partition]; leader != "" && !slices.Contains(addresses, leader) {
+		addresses = append(addresses, leader)
+	}
+	return addresses
+}
+
 // attempt sends a command to the presumed leader, or else to a random core or forwarder.
 func (c *Caller) attempt(now time.Duration, call *pendingCall) {
 	to := c.hints[call.partition]
 	if to == "" {
-		addresses := c.Cores()
+		addresses := c.candidates(call.partition)
 		if c.Forwarders != nil && call.attempts >= 2 && call.attempts%2 == 0 {
 			if forwarders := c.Forwarders(); len(forwarders) > 0 {
 				addresses = forwarders
--- a/peer/core/caller_test.go
+++ b/peer/core/caller_test.go
@@ -114,3 +114,20 @@
 		t.Errorf("a command of an unknown partition: %d sent, %d ended", len(sent), ended)
 	}
 }
+
+// Guards against a known leader that is never asked again after one unanswered attempt, because it
+// is not among the cores.
+func TestUnansweredLeaderIsAskedAgain(t *testing.T) {
+	var sent []Command
+	asked := map[string]int{}
+	c := newCaller(1, &sent)
+	c.Send = func(to string, body any) { asked[to]++ }
+	c.SetLeader(1, "leader")
+	c.Call(0, ReadEntries{Partition: 1}, 4*time.Second, func(time.Duration, Outcome) {})
+	for now := time.Duration(0); now < 2*time.Second; now += 50 * time.Millisecond {
+		c.Tick(now)
+	}
+	if asked["leader"] < 2 || asked["c"] < 2 {
+		t.Errorf("attempts by address: %v", asked)
+	}
+}
--- a/peer/registry/retiredleader_test.go
+++ b/peer/registry/retiredleader_test.go
@@ -45,3 +45,19 @@
 		}
 	}
 }
+
+// Guards against a leader that is known and no longer asked because no core has its address.
+func TestUnconfirmedRegistryAsksTheKnownLeader(t *testing.T) {
+	m := newRegistry(nil)
+	topology := retiredLeaderTopology()
+	topology.Leaders[0].Leader = "a.1"
+	m.Receive(0, "a:1", topology)
+	m.Receive(0, "elsewhere:1", core.Freshness{})
+	asked := 0
+	for now := 10 * time.Second; now < 11*time.Second; now += 10 * time.Millisecond {
+		asked += len(sentTo[core.PullUpdates](m.Tick(now), "elsewhere:1"))
+	}
+	if asked == 0 {
+		t.Error("the known leader was not asked for the table")
+	}
+}
--- a/peer/registry/table.go
+++ b/peer/registry/table.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"saffronfall/peer/core"
@@ -80,7 +81,7 @@
 		m.addSend(to, request)
 		return
 	}
-	addresses := m.topology.CoreAddresses()
+	addresses := m.pullTargets()
 	topologyFrom := int(m.random() * float64(len(addresses)))
 	for i, to := range addresses {
 		request.WantTopology = i == topologyFrom
@@ -88,6 +89,15 @@
 	}
 }
 
+// pullTargets returns the addresses of the cores, and of the presumed leader if it is none of them.
+func (m *Machine) pullTargets() []string {
+	addresses := m.topology.CoreAddresses()
+	if leader := m.caller.Leader(core.ConfigurationPartition); leader != "" && !slices.Contains(addresses, leader) {
+		addresses = append(addresses, leader)
+	}
+	return addresses
+}
+
 // OrderResult is the result of an operator's table or amendment.
 type OrderResult struct {
 	// Accepted is set if the table is in force and durable, Uncertain if the outcome is
