Refuse to retire a core when too few others are heard, not when too few were ever registered

Cause: retireCore counted each core that ever registered and is not retired.

Change: the leader adds to the command which cores it hears and which are lost (silent for four silence timeouts). Enough heard: accepted. Too few even with all that are not lost: refused. Between the two the answer is 'uncertain' and the caller retries, so a restart, a freeze or a leader that has just started refuses nothing and accepts nothing. PlanChange counts in the same way. No message changes; metrics retirements_refused and retirements_undecided are new.

--- a/peer/core/commands.go
+++ b/peer/core/commands.go
@@ -78,6 +78,10 @@
 			m.reply(n, sender, r)
 		}}
 	}
+	if retirement, ok := command.(RetireCore); ok && replica != nil {
+		m.proposeRetirement(now, n, retirement, origin)
+		return
+	}
 	ticket := m.tickets.Put(origin)
 	if replica == nil {
 		m.handleOutput(now, n, partition.Output{Results: []partition.Result{{RequestID: uint64(ticket), NotLeader: true}}})
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -37,6 +37,9 @@
 // Counters are a core's event counts since it started.
 type Counters struct {
 	Messages, Commands, Redirected, Uncertain, Pulls, BadMessages, Rejoins, RefusedWhileStalled int64
+	// RetirementsRefused would have left too few cores; RetirementsUndecided depended on cores that
+	// were not heard.
+	RetirementsRefused, RetirementsUndecided int64
 }
 
 // Options configure a Machine.
--- a/peer/core/messages_cores.go
+++ b/peer/core/messages_cores.go
@@ -34,8 +34,8 @@
 	RetireCore struct {
 		ID string `msgpack:"ID"`
 	}
-	// RetireCoreResult answers RetireCore. EnoughRemain is set if enough other cores are not
-	// retired.
+	// RetireCoreResult answers RetireCore. EnoughRemain is set if enough other cores are heard and
+	// not retired.
 	RetireCoreResult struct {
 		Found        bool `msgpack:"Known"`
 		EnoughRemain bool `msgpack:"Enough"`
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -177,7 +177,7 @@
 		return r.setVersionFloor(now, tx, c)
 	case PutCore:
 		return putCore(tx, c)
-	case RetireCore:
+	case observedRetirement:
 		return r.retireCore(tx, c)
 	case Sweep:
 		r.sweep(now, tx)
--- a/peer/core/rules_cores.go
+++ b/peer/core/rules_cores.go
@@ -23,31 +23,3 @@
 	write(tx, corePrefix+command.Core.ID, command.Core)
 	return Done{OK: true}
 }
-
-func (r *rules) retireCore(tx *partition.Tx, command RetireCore) any {
-	cores, enough := r.fleet()
-	for _, key := range tx.Keys(corePrefix) {
-		if core, _ := read[Core](tx, key); cores[core.ID].Version <= core.Version {
-			cores[core.ID] = core
-		}
-	}
-	core, ok := cores[command.ID]
-	remaining := 0
-	for _, other := range cores {
-		if !other.Retired && other.ID != command.ID {
-			remaining++
-		}
-	}
-	switch {
-	case !ok:
-		return RetireCoreResult{}
-	case core.Retired:
-	case remaining < enough:
-		return RetireCoreResult{Found: true}
-	default:
-		core.Retired = true
-		core.Version++
-		write(tx, corePrefix+command.ID, core)
-	}
-	return RetireCoreResult{Found: true, EnoughRemain: true, Done: true}
-}
--- a/peer/core/rules_test.go
+++ b/peer/core/rules_test.go
@@ -257,7 +257,7 @@
 	fresh := Core{ID: "new", Incarnation: "1", Zone: "z0"}
 	founding.Cores["new"] = fresh
 	added := 0
-	for _, m := range PlanChange(founding.Cores, nil, founding.Groups, 3, KindAdd, "new", "").Moves {
+	for _, m := range PlanChange(founding.Cores, Presence{}, founding.Groups, 3, KindAdd, "new", "").Moves {
 		if CoreID(m.Add) == "new" {
 			added++
 		}
--- a/peer/operator/client.go
+++ b/peer/operator/client.go
@@ -195,7 +195,7 @@
 		}
 		change.ID, topology.Cores[identity.Core.ID] = identity.Core.ID, identity.Core
 	}
-	plan := core.PlanChange(topology.Cores, nil, topology.Groups, topology.GroupSize, change.Kind, change.ID, change.By)
+	plan := core.PlanChange(topology.Cores, core.Presence{}, topology.Groups, topology.GroupSize, change.Kind, change.ID, change.By)
 	if plan.Code != "" {
 		return plan, &ResponseError{Code: plan.Code, Reason: plan.Reason}
 	}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -413,6 +413,8 @@
 			"refused_while_stalled":     m.Counters.RefusedWhileStalled,
 			"returns_with_empty_folder": m.Counters.Rejoins,
 			"bad_messages":              m.Counters.BadMessages,
+			"retirements_refused":       m.Counters.RetirementsRefused,
+			"retirements_undecided":     m.Counters.RetirementsUndecided,
 			"stands":                    p.Elections,
 			"seated":                    p.Elected,
 			"writes":                    p.Writes,
