A core that restarts before the founding still takes part in it

A storage process that was killed or stopped before the founding had a seat in every group and never took it, and nothing showed that.

Cause: whether a core may found was the word of its last start (coldStart, which is true in the first one only). A restarted core ignored FoundFleet, though the founding names its very incarnation, and nobody sent it one later: registries stop once they know the fleet.

Change: 'may found' is stored with the incarnation when a disk is first used, and ends with the disk. A core that finds itself in groups without having joined announces itself to the fleet's cores, which answer with FoundFleet as before. An emptied or damaged disk never may found. The stored field is new and absent in old ones; announcements keep their form.

A first form answered each topology with announcements at once; TestColdStart showed the two to feed each other without end, so they go with the regular announcements.

--- a/peer/core/founding.go
+++ b/peer/core/founding.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"saffronfall/rule/ordered"
@@ -57,16 +58,20 @@
 }
 
 func (m *Machine) announcement() AnnounceCore {
-	return AnnounceCore{Core: m.self, MayFound: m.params.ColdStart, Fleet: m.founding.Fleet, KnownDigest: m.digest}
+	return AnnounceCore{Core: m.self, MayFound: m.mayFound && !m.Founded(), Fleet: m.founding.Fleet, KnownDigest: m.digest}
 }
 
 func (m *Machine) announce() {
 	if m.superseded {
 		return
 	}
-	for _, seed := range m.seeds {
-		if seed != m.self.Peer {
-			m.send(seed, m.announcement(), false)
+	addresses := m.seeds
+	if !m.Founded() && m.mayFound {
+		addresses = append(slices.Clone(addresses), m.foundedCores...)
+	}
+	for _, address := range addresses {
+		if address != m.self.Peer {
+			m.send(address, m.announcement(), false)
 		}
 	}
 }
--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -62,15 +62,18 @@
 type Machine struct {
 	Counters Counters
 
-	params     Params
-	self       Core
-	founding   Founding
-	partitions map[int]*partition.Machine
-	cores      map[string]Core
-	terms      []partition.Term
-	groups     []partition.Group
-	caller     *Caller
-	tickets    slab.Slab[commandOrigin]
+	params   Params
+	self     Core
+	mayFound bool // as stored, see Stored
+	// foundedCores are the addresses of a fleet's cores whose FoundFleet this core has missed.
+	foundedCores []string
+	founding     Founding
+	partitions   map[int]*partition.Machine
+	cores        map[string]Core
+	terms        []partition.Term
+	groups       []partition.Group
+	caller       *Caller
+	tickets      slab.Slab[commandOrigin]
 	outputs
 	random     func() float64
 	sweepAt    time.Duration
@@ -112,6 +115,7 @@
 func New(options Options) *Machine {
 	machine := &Machine{
 		params:     options.Params,
+		mayFound:   options.Stored.MayFound,
 		random:     options.Random,
 		outputs:    outputs{violated: options.Violated},
 		seeds:      options.Seeds,
@@ -286,7 +290,7 @@
 		case Topology:
 			m.rejoin(now, b)
 		case FoundFleet:
-			if m.params.ColdStart {
+			if m.mayFound {
 				m.joinNewFleet(now, b.Founding)
 			}
 		}
--- a/peer/core/membership.go
+++ b/peer/core/membership.go
@@ -34,8 +34,8 @@
 }
 
 // rejoin makes a core with an empty directory join the fleet, without a vote until it is added to
-// groups. A core waits for FoundFleet if it is a member of a group, or may be because the topology
-// lacks a group. A retired core does not join.
+// groups. A core that is a member of a group, or may be because the topology lacks a group, announces
+// itself to the other cores, which answer with FoundFleet. A retired core does not join.
 func (m *Machine) rejoin(now time.Duration, topology Topology) {
 	known, ok := topology.Cores[m.self.ID]
 	if len(topology.Groups) == 0 || known.Retired {
@@ -43,6 +43,7 @@
 	}
 	for _, g := range topology.Groups {
 		if g.Epoch == 0 || g.Has(m.self.MemberID()) {
+			m.foundedCores = topology.CoreAddresses()
 			return
 		}
 	}
--- a/peer/core/membership_test.go
+++ b/peer/core/membership_test.go
@@ -63,7 +63,7 @@
 func newFleet(t *testing.T, size, cores int) *fleet {
 	testFleet := &fleet{t: t, size: size, random: rand.New(rand.NewPCG(7, uint64(cores))), answers: map[uint64]any{}, claims: map[string]string{}, sentByType: map[string]int{}, lostMembers: map[string]bool{},
 		params: Params{Partition: partition.Params{LeaseDuration: 500 * time.Millisecond, Drift: 0.1, RenewalsPerLease: 5, LeasesPerSweep: 40, LeasesBeforeTransfer: 20}, MemberLease: 2 * time.Second,
-			AttemptTimeout: 150 * time.Millisecond, PullInterval: 150 * time.Millisecond, SilenceTimeout: 2 * time.Second, ColdStart: true}}
+			AttemptTimeout: 150 * time.Millisecond, PullInterval: 150 * time.Millisecond, SilenceTimeout: 2 * time.Second}}
 	var founders []Core
 	for i := 0; i < cores; i++ {
 		added := testFleet.addCore(fmt.Sprintf("c%d", i+1))
@@ -107,11 +107,10 @@
 
 func (f *fleet) start(core *testCore) {
 	var image Stored
+	core.stored.MayFound = core.cold
 	image.CopyFrom(core.stored)
-	params := f.params
-	params.ColdStart = core.cold
 	core.pending, core.inbox, core.frozen, core.lost, core.tickAt = nil, nil, false, false, 0
-	core.m = New(Options{Params: params, ID: core.id, Zone: core.zone, Address: core.address, Seeds: []string{"a0", "a1", "a2", "a3", "a4"}, Stored: image, Now: f.now, Random: f.random.Float64})
+	core.m = New(Options{Params: f.params, ID: core.id, Zone: core.zone, Address: core.address, Seeds: []string{"a0", "a1", "a2", "a3", "a4"}, Stored: image, Now: f.now, Random: f.random.Float64})
 }
 
 // kill stops a core; changes that were not synced are lost.
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -28,8 +28,6 @@
 	PullInterval   time.Duration
 	// SilenceTimeout is when other cores replace a silent core; zero means three member leases.
 	SilenceTimeout time.Duration
-	// ColdStart allows a core with an empty data folder to found a fleet.
-	ColdStart bool
 	// OrderRetention is how long accepted orders are recorded; zero means defaultOrderRetention.
 	OrderRetention time.Duration
 	// MaxKeyBytes bounds the memory for the operation keys of a partition; zero means
--- a/peer/core/stored.go
+++ b/peer/core/stored.go
@@ -6,9 +6,12 @@
 
 // Stored is the contents of a core's disk. Replicas are by partition number.
 type Stored struct {
-	Incarnation string                  `msgpack:"i"`
-	Founding    Founding                `msgpack:"f"`
-	Replicas    map[int]partition.State `msgpack:"c"`
+	Incarnation string `msgpack:"i"`
+	// MayFound is set if the disk was first used in the first start of a fleet. Until it has joined
+	// one, its core may take part in the founding, after a restart too.
+	MayFound bool                    `msgpack:"m,omitempty"`
+	Founding Founding                `msgpack:"f"`
+	Replicas map[int]partition.State `msgpack:"c"`
 }
 
 // Change is one change of Stored to write to disk.
@@ -41,7 +44,7 @@
 
 // CopyFrom makes s a copy of o that shares no entries map with it.
 func (s *Stored) CopyFrom(o Stored) {
-	s.Incarnation, s.Founding, s.Replicas = o.Incarnation, o.Founding, map[int]partition.State{}
+	s.Incarnation, s.MayFound, s.Founding, s.Replicas = o.Incarnation, o.MayFound, o.Founding, map[int]partition.State{}
 	for n, state := range o.Replicas {
 		entries := make(map[string]partition.Entry, len(state.Entries))
 		for k, e := range state.Entries {
--- a/rehearsalkit/capacity/world.go
+++ b/rehearsalkit/capacity/world.go
@@ -40,7 +40,7 @@
 func coreParams() core.Params {
 	return core.Params{Partition: partition.Params{LeaseDuration: contactTimeout / 6, Drift: 0.1, RenewalsPerLease: 5, LeasesPerSweep: 40,
 		LeasesBeforeTransfer: 20}, MemberLease: contactTimeout / 2, AttemptTimeout: contactTimeout / 24, PullInterval: contactTimeout / 20,
-		SilenceTimeout: 2200 * time.Millisecond, ColdStart: true}
+		SilenceTimeout: 2200 * time.Millisecond}
 }
 
 func registryParams(groupSize int) registry.Params {
@@ -91,7 +91,7 @@
 	w := &world{point: p, random: rand.New(rand.NewPCG(seed, 0xca9ac)), processes: map[string]*process{}, services: map[string]*replica{}, counts: map[string]int64{}, appliedAt: map[uint64]time.Duration{}}
 	for i := 0; i < p.Cores; i++ {
 		c := w.add(coreRole, 2, i)
-		c.stored = core.Stored{Incarnation: fmt.Sprintf("%s-%d", c.id, w.random.Uint32())}
+		c.stored = core.Stored{Incarnation: fmt.Sprintf("%s-%d", c.id, w.random.Uint32()), MayFound: true}
 		w.cores = append(w.cores, c)
 	}
 	for i := 0; i < p.Registries; i++ {
--- a/rehearsalkit/relaysim/disk.go
+++ b/rehearsalkit/relaysim/disk.go
@@ -29,7 +29,10 @@
 }
 
 func (w *World) emptyDisk(id string) *disk {
-	return &disk{stored: core.Stored{Incarnation: fmt.Sprintf("%s-%d", id, w.random.Uint32())}}
+	return &disk{stored: core.Stored{
+		Incarnation: fmt.Sprintf("%s-%d", id, w.random.Uint32()),
+		MayFound:    w.now == 0, // the first start of the fleet
+	}}
 }
 
 func (p *process) applyCoreOutput(o core.Output) {
--- a/rehearsalkit/relaysim/params.go
+++ b/rehearsalkit/relaysim/params.go
@@ -112,7 +112,6 @@
 		AttemptTimeout: contactTimeout / 24,
 		PullInterval:   contactTimeout / 20,
 		SilenceTimeout: catchUpTime / 2,
-		ColdStart:      true,
 	}
 }
 
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -103,7 +103,7 @@
 	if p.DataDir == "" {
 		return errors.New("a core needs a data directory: the setting folder is missing")
 	}
-	store, stored, err := load(files, p.DataDir, log)
+	store, stored, err := load(files, p.DataDir, p.ColdStart, log)
 	if err != nil {
 		return err
 	}
@@ -160,11 +160,13 @@
 	ticksPerLease = 20
 )
 
-// load opens the data directory and gives an empty one a new incarnation. If it is damaged, it is
-// set aside, and the core starts without a vote, because it has lost what it promised.
-func load(files disk.FileSystem, path string, log logr.Logger) (*disk.Store, core.Stored, error) {
+// load opens the data directory and gives an empty one a new incarnation. In a cold start, one that
+// belongs to no fleet may found one, which is stored. If it is damaged, it is set aside, and the core
+// starts without a vote, because it has lost what it promised.
+func load(files disk.FileSystem, path string, coldStart bool, log logr.Logger) (*disk.Store, core.Stored, error) {
 	store, found, err := disk.OpenIn(files, path)
 	if errors.Is(err, disk.ErrDamaged) {
+		coldStart = false // what is lost may be that of a fleet's core
 		log.Info("stored state is damaged and was set aside; the core starts as a new one without a vote", "cause", err.Error())
 		if err := disk.SetAside(path); err != nil {
 			return nil, core.Stored{}, err
@@ -180,7 +182,7 @@
 		if _, err := crypto.Read(raw); err != nil {
 			return nil, core.Stored{}, err
 		}
-		stored.Incarnation = hex.EncodeToString(raw)
+		stored.Incarnation, stored.MayFound = hex.EncodeToString(raw), coldStart
 		return store, stored, store.Replace(message.Marshal(stored))
 	}
 	if err := message.Unmarshal(found.State, &stored); err != nil {
@@ -195,6 +197,10 @@
 			stored.Apply(c)
 		}
 	}
+	if coldStart && !stored.MayFound && stored.Founding.Partitions == 0 {
+		stored.MayFound = true
+		return store, stored, store.Replace(message.Marshal(stored))
+	}
 	return store, stored, nil
 }
 
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -216,7 +216,6 @@
 		PullInterval:   ms(p.PullMS),
 		SilenceTimeout: ms(p.CoreLossTimeoutMS),
 		OrderRetention: time.Duration(p.CommandRetentionHours) * time.Hour,
-		ColdStart:      p.ColdStart,
 		MaxKeyBytes:    int(p.KeyMemoryBytes),
 	}
 }
