A registry that restarts while it founds the fleet goes on founding it

Cause: 'founds' was read from the settings of the last start, and the plan was in memory only.

Change: the one registry that is told to found stores this duty first, and its plan before it is sent for the first time; a restart goes on with the same plan, so there is never a second one. A plan that can't be stored is not sent. A registry that hears of a fleet plans none. Founding needs cores for a whole group, of which a majority may found; the others join without a vote and fill the groups, so one core whose disk was not yet written no longer holds the founding up for good.

Storage of a registry has a file of its own.

Not held: a process that dies before the first write to its empty disk, a few milliseconds after its start, can't be told from one that lost its disk; if the founding registry is one, nobody founds.

--- a/peer/registry/machine.go
+++ b/peer/registry/machine.go
@@ -16,8 +16,8 @@
 	Incarnation string
 	Address     string
 	Seeds       []string
-	// FoundsFleet is set at the one registry that may found a new fleet.
-	FoundsFleet bool
+	// FoundingDuty is what the one registry that may found a fleet has stored of it.
+	FoundingDuty FoundingDuty
 	// KnownReplicas is the list that an earlier incarnation of this registry saved. It serves
 	// nodes after a restart; entries without a new heartbeat soon expire.
 	KnownReplicas []ReplicaEntry
@@ -35,7 +35,6 @@
 	registryID, incarnation string
 	address                 string
 	seeds                   []string
-	foundsFleet             bool
 	random                  func() float64
 	out                     *Output
 	caller                  *core.Caller
@@ -45,15 +44,13 @@
 	registries              map[string]time.Duration
 	registryCursors         map[string]registryCursor // by address
 	topologyLog
-	repair                 core.TopologyRepair
-	notifier               notifier
-	foundingCores          map[string]core.Core
-	foundingCoresChangedAt time.Duration
-	startedAt              time.Duration
-	table                  *currentTable
+	repair    core.TopologyRepair
+	notifier  notifier
+	founding  founding
+	startedAt time.Duration
+	table     *currentTable
 	confirmation
 	timers
-	founding *core.Founding
 	reachability
 	loads    loadState
 	tickedAt time.Duration
@@ -69,7 +66,7 @@
 
 // timers are when the regular work is next due.
 type timers struct {
-	pullAt, subscribeAt, expireAt, sendFoundingAt time.Duration
+	pullAt, subscribeAt, expireAt time.Duration
 }
 
 // New returns a registry without subscriptions to other registries.
@@ -80,7 +77,6 @@
 		incarnation:     o.Incarnation,
 		address:         o.Address,
 		seeds:           o.Seeds,
-		foundsFleet:     o.FoundsFleet,
 		random:          o.Random,
 		registryCursors: map[string]registryCursor{},
 		replicas:        map[string]*trackedReplica{},
@@ -88,7 +84,7 @@
 		reachability:    reachability{pending: map[uint64]pendingCall{}},
 		registries:      map[string]time.Duration{o.Address: o.Now},
 		loads:           loadState{reports: map[string]nodeReport{}, histories: map[string]*replicaHistory{}},
-		foundingCores:   map[string]core.Core{},
+		founding:        founding{duty: o.FoundingDuty, unfounded: map[string]unfoundedCore{}},
 		startedAt:       o.Now,
 		confirmation:    confirmation{lastConfirmed: -1},
 		topologyLog:     newTopologyLog(),
--- a/peer/registry/machine_test.go
+++ b/peer/registry/machine_test.go
@@ -127,7 +127,7 @@
 			m.Receive(now, id+":1", core.AnnounceCore{Core: core.Core{ID: id, Incarnation: "i", Zone: id, Peer: id + ":1"}, MayFound: true})
 		}
 	}
-	m := newRegistry(func(o *Options) { o.FoundsFleet = true })
+	m := newRegistry(func(o *Options) { o.FoundingDuty.MayFound = true })
 	announce(m, 0, "a", "b")
 	if o := m.Tick(5 * heartbeat); len(sentTo[core.FoundFleet](o, "a:1")) != 0 {
 		t.Fatal("founded with two of three")
--- a/peer/registry/topology.go
+++ b/peer/registry/topology.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"fmt"
 	"time"
 
 	"saffronfall/peer/core"
@@ -21,12 +20,7 @@
 
 func (m *Machine) onAnnounceCore(now time.Duration, from string, announced core.AnnounceCore) {
 	if len(m.topology.Leaders) == 0 {
-		if _, ok := m.foundingCores[announced.Core.ID]; !ok || m.foundingCores[announced.Core.ID].Incarnation != announced.Core.Incarnation {
-			m.foundingCoresChangedAt = now
-		}
-		if announced.MayFound {
-			m.foundingCores[announced.Core.ID] = announced.Core
-		}
+		m.founding.recordUnfounded(now, announced)
 	}
 	if known, ok := m.topology.Cores[announced.Core.ID]; !ok || known.Version < announced.Core.Version ||
 		(known.Version == announced.Core.Version && known.Incarnation != announced.Core.Incarnation &&
@@ -70,34 +64,3 @@
 		}
 	}
 }
-
-// foundingRetriesPerSettleTime is how often a founding is sent per settle time.
-const foundingRetriesPerSettleTime = 4
-
-// sendFounding founds the fleet once enough cores have announced themselves and no new one has
-// appeared for a heartbeat interval.
-func (m *Machine) sendFounding(now time.Duration) {
-	settleTime := m.params.HeartbeatInterval
-	if !m.foundsFleet || len(m.topology.Leaders) > 0 || len(m.foundingCores) < m.params.GroupSize ||
-		now < m.sendFoundingAt || now < m.foundingCoresChangedAt+settleTime {
-		return
-	}
-	m.sendFoundingAt = now + settleTime/foundingRetriesPerSettleTime
-	if m.founding == nil {
-		// It is planned once, so that every retry sends the same founding.
-		var cores []core.Core
-		for _, id := range ordered.Keys(m.foundingCores) {
-			cores = append(cores, m.foundingCores[id])
-		}
-		founding := core.PlanFleet(
-			fmt.Sprintf("%s-%s", m.registryID, m.incarnation),
-			1+m.params.PartitionsPerCore*len(cores),
-			m.params.GroupSize,
-			cores,
-		)
-		m.founding = &founding
-	}
-	for _, id := range ordered.Keys(m.founding.Cores) {
-		m.addSend(m.founding.Cores[id].Peer, core.FoundFleet{Founding: *m.founding})
-	}
-}
--- a/peer/registry/types.go
+++ b/peer/registry/types.go
@@ -147,11 +147,13 @@
 	Body   any
 }
 
-// Output lists the effects of a step, in this order: ChangedReplicas and Peers (if not nil) are
-// written to the disk, if any; then messages are sent; then calls are answered.
+// Output lists the effects of a step, in this order: ChangedReplicas, Peers and FoundingDuty (if not
+// nil) are written to the disk, if any; then messages are sent; then calls are answered. If the
+// FoundingDuty can't be written, the step's messages must not be sent.
 type Output struct {
 	ChangedReplicas []ReplicaEntry
 	Peers           *Peers
+	FoundingDuty    *FoundingDuty
 	Sends           []Send
 	Answers         []Answer
 	// UnreadableTable is an accepted table that was dropped, because this version cannot read it;
--- a/rehearsalkit/capacity/process.go
+++ b/rehearsalkit/capacity/process.go
@@ -122,7 +122,7 @@
 	case registryRole:
 		p.pendingCalls = map[uint64]func(any){}
 		p.registry = registry.New(registry.Options{Params: registryParams(w.point.GroupSize), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.incarnation),
-			Address: p.address, Seeds: w.seeds(), FoundsFleet: p == w.registries[0] && p.incarnation == 1,
+			Address: p.address, Seeds: w.seeds(), FoundingDuty: registry.FoundingDuty{MayFound: p == w.registries[0] && p.incarnation == 1},
 			KnownReplicas: p.registryDisk.knownReplicas(), KnownPeers: p.registryDisk.peers,
 			Now: w.now, Random: w.random.Float64})
 	default:
--- a/rehearsalkit/relaysim/fault.go
+++ b/rehearsalkit/relaysim/fault.go
@@ -164,7 +164,6 @@
 	w.after(w.between(200*time.Millisecond, 1500*time.Millisecond), func() {
 		newStore := w.addStore(s.registry != nil)
 		for _, p := range newStore.processes() {
-			p.foundsFleet = false
 			if !w.closing {
 				p.boot()
 			}
--- a/rehearsalkit/relaysim/process.go
+++ b/rehearsalkit/relaysim/process.go
@@ -49,7 +49,8 @@
 	knownReplicas map[string]registry.ReplicaEntry
 	pendingCalls  map[uint64]func(body any)
 	lastTicket    uint64
-	foundsFleet   bool
+	// foundingDuty is on the registry's disk.
+	foundingDuty registry.FoundingDuty
 }
 
 type nodeProcess struct {
@@ -107,7 +108,7 @@
 		p.pendingCalls = map[uint64]func(any){}
 		p.registry = registry.New(registry.Options{
 			Params: w.registryParams(), ID: p.id, Incarnation: fmt.Sprintf("%s.%d", p.id, p.incarnation),
-			Address: p.address, Seeds: p.seedList(), FoundsFleet: p.foundsFleet,
+			Address: p.address, Seeds: p.seedList(), FoundingDuty: p.foundingDuty,
 			KnownReplicas: known, Now: p.now(), Random: w.random.Float64,
 		})
 		if w.Params.WrapRegistry != nil {
@@ -212,7 +213,7 @@
 		p.disk = p.world.emptyDisk(p.id)
 	}
 	if p.isRegistry {
-		p.knownReplicas = map[string]registry.ReplicaEntry{}
+		p.knownReplicas, p.foundingDuty = map[string]registry.ReplicaEntry{}, registry.FoundingDuty{}
 	}
 }
 
@@ -248,11 +249,14 @@
 	p.applyRegistryOutput(step(p.lastTicket))
 }
 
-// applyRegistryOutput stores changed replicas before any message or answer leaves.
+// applyRegistryOutput stores changed replicas and the founding before any message or answer leaves.
 func (p *process) applyRegistryOutput(o registry.Output) {
 	for _, l := range o.ChangedReplicas {
 		p.knownReplicas[l.Replica.ID] = l
 	}
+	if o.FoundingDuty != nil {
+		p.foundingDuty = *o.FoundingDuty
+	}
 	for _, s := range o.Sends {
 		p.world.send(p, s.To, s.Body)
 	}
--- a/rehearsalkit/relaysim/scenario.go
+++ b/rehearsalkit/relaysim/scenario.go
@@ -25,6 +25,7 @@
 		{Name: "secondloss5", Params: secondLossParams, Play: playSecondLoss(5)},
 		{Name: "keyloss", Params: keyLossParams, Play: playKeyLoss},
 		{Name: "manychanges", Params: manyChangesParams, Play: playManyChanges},
+		{Name: "founding", Params: foundingParams, Play: playFounding},
 		{Name: "storechanges", Params: storeChangesParams, Play: playStoreChanges},
 	}
 }
--- a/rehearsalkit/relaysim/storechanges.go
+++ b/rehearsalkit/relaysim/storechanges.go
@@ -152,7 +152,6 @@
 	end := w.beginDisruption(AnyStore)
 	added := w.addStore(true)
 	for _, p := range added.processes() {
-		p.foundsFleet = false
 		p.boot()
 	}
 	w.after(catchUpTime, end)
--- a/rehearsalkit/relaysim/world.go
+++ b/rehearsalkit/relaysim/world.go
@@ -132,7 +132,8 @@
 	s.core.disk = w.emptyDisk(s.core.id)
 	if withRegistry {
 		s.registry = w.add(fmt.Sprintf("desk%d", n), n, fmt.Sprintf("10.0.0.%d:0", n))
-		s.registry.isRegistry, s.registry.knownReplicas, s.registry.foundsFleet = true, map[string]registry.ReplicaEntry{}, n == 1
+		s.registry.isRegistry, s.registry.knownReplicas = true, map[string]registry.ReplicaEntry{}
+		s.registry.foundingDuty.MayFound = n == 1
 	}
 	w.stores = append(w.stores, s)
 	return s
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -24,8 +24,6 @@
 	"saffronfall/peer/disk"
 	"saffronfall/peer/registry"
 	"saffronfall/peer/stream"
-	"saffronfall/rule/message"
-	"saffronfall/rule/ordered"
 	"saffronfall/saffronfall/params"
 	"saffronfall/saffronfall/telemetry"
 )
@@ -48,6 +46,8 @@
 	loggedState
 	// dataDir is nil if nothing is stored.
 	dataDir *disk.Store
+	// storedFounding is what the data directory has of the founding; nil if nothing.
+	storedFounding *foundingRecord
 }
 
 // loggedState is what was last logged.
@@ -61,64 +61,7 @@
 // trafficCounts counts the messages to other processes, and streams that could not be read.
 type trafficCounts struct{ sent, dropped, badStreams int64 }
 
-// record is a stored state of a registry, or the changes to one. Records of a former version are a
-// bare list of replicas.
-type record struct {
-	Replicas []registry.ReplicaEntry `msgpack:"l"`
-	Peers    *registry.Peers         `msgpack:"p"`
-}
-
-type storedState struct {
-	replicas map[string]registry.ReplicaEntry
-	peers    *registry.Peers
-}
-
-// apply ignores a record that cannot be decoded.
-func (s *storedState) apply(encoded []byte) {
-	var r record
-	if message.Unmarshal(encoded, &r.Replicas) != nil && message.Unmarshal(encoded, &r) != nil {
-		return
-	}
-	for _, entry := range r.Replicas {
-		s.replicas[entry.Replica.ID] = entry
-	}
-	if r.Peers != nil {
-		s.peers = r.Peers
-	}
-}
-
-// open opens the data directory and sets a damaged one aside. If none can be used, the registry
-// runs without one.
-func open(path string, log logr.Logger) (*disk.Store, []registry.ReplicaEntry, *registry.Peers) {
-	dataDir, found, err := disk.Open(path)
-	if errors.Is(err, disk.ErrDamaged) {
-		if err = disk.SetAside(path); err == nil {
-			dataDir, found, err = disk.Open(path)
-		}
-	}
-	if err == nil && found.Empty {
-		err = dataDir.Replace(message.Marshal(record{}))
-	}
-	if err != nil {
-		log.Info("data directory cannot be used; replicas and peers are not stored", "reason", err.Error())
-		return nil, nil, nil
-	}
-	state := storedState{replicas: map[string]registry.ReplicaEntry{}}
-	for _, encoded := range append([][]byte{found.State}, found.Records...) {
-		if encoded != nil {
-			state.apply(encoded)
-		}
-	}
-	var replicas []registry.ReplicaEntry
-	for _, id := range ordered.Keys(state.replicas) {
-		replicas = append(replicas, state.replicas[id])
-	}
-	return dataDir, replicas, state.peers
-}
-
 const (
-	// maxLogBytes is the size of the log at which a new slot replaces it.
-	maxLogBytes       = 256 << 10
 	maxMessageBytes   = 64 << 20
 	incarnationBytes  = 6
 	readHeaderTimeout = 5 * time.Second
@@ -127,24 +70,6 @@
 	ticksPerPull = 3
 )
 
-// store appends changes to the data directory. Changes that find the disk full are dropped,
-// because a registry also works without them; after any other error nothing more is stored.
-func (s *process) store(changes []registry.ReplicaEntry, peers *registry.Peers) {
-	if s.dataDir == nil || len(changes) == 0 && peers == nil {
-		return
-	}
-	err := s.dataDir.Append(message.Marshal(record{Replicas: changes, Peers: peers}))
-	if err == nil && s.dataDir.Size() > maxLogBytes {
-		allPeers := s.machine.Peers()
-		err = s.dataDir.Replace(message.Marshal(record{Replicas: s.machine.List(), Peers: &allPeers}))
-	}
-	if err != nil && !errors.Is(err, disk.ErrFull) {
-		s.log.Info("data directory failed; replicas and peers are no longer stored", "reason", err.Error())
-		s.dataDir.Close()
-		s.dataDir = nil
-	}
-}
-
 // callTimeout bounds reading a request, and answering it, which includes waiting for the cores.
 const callTimeout = time.Minute
 
@@ -166,15 +91,15 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	s := &process{params: p, updates: updates, log: log, streams: streams, start: clock.Now(), ctx: runCtx,
 		calls: make(chan func(time.Duration) registry.Output, 64), answers: map[uint64]chan any{}, refusals: newRefusalLog(), operator: newOperatorCalls()}
-	var replicas []registry.ReplicaEntry
-	var peers *registry.Peers
+	var stored storedState
 	if p.DataDir != "" {
-		s.dataDir, replicas, peers = open(p.DataDir, log)
+		s.dataDir, stored = open(p.DataDir, log)
 	}
+	duty := s.resumeFounding(stored.founding, p.Bootstrap)
 	s.machine = registry.New(registry.Options{Params: p.Registry(), ID: p.ID, Incarnation: hex.EncodeToString(raw),
-		Address: p.PeerAdvertise, Seeds: p.Seeds, FoundsFleet: p.Bootstrap, KnownReplicas: replicas, KnownPeers: peers,
+		Address: p.PeerAdvertise, Seeds: p.Seeds, FoundingDuty: duty, KnownReplicas: stored.replicaList(), KnownPeers: stored.peers,
 		Now: s.now(), Random: rand.Float64})
-	log.Info("registry started", "id", p.ID, "founds", p.Bootstrap)
+	log.Info("registry started", "id", p.ID, "founds", duty.MayFound)
 	var group run.Group
 	group.Add(func() error { return s.run() }, func(error) { cancel() })
 	group.Add(streams.Run, func(error) { streams.Close() })
@@ -249,6 +174,10 @@
 func (s *process) apply(o registry.Output) {
 	s.unreadable.Record(o.UnreadableTable, s.log)
 	s.store(o.ChangedReplicas, o.Peers)
+	if o.FoundingDuty != nil && !s.storeFounding(*o.FoundingDuty) {
+		s.machine.AbandonFounding()
+		return
+	}
 	for _, send := range o.Sends {
 		s.traffic.sent++
 		if !s.streams.Send(send.To, send.Body) {
--- a/saffronfall/registryprocess/process_test.go
+++ b/saffronfall/registryprocess/process_test.go
@@ -21,7 +21,8 @@
 // TestReplicasAreStored also checks that a damaged data directory is set aside.
 func TestReplicasAreStored(t *testing.T) {
 	path := t.TempDir()
-	dataDir, replicas, _ := open(path, logr.Discard())
+	dataDir, state := open(path, logr.Discard())
+	replicas := state.replicaList()
 	if dataDir == nil || len(replicas) != 0 {
 		t.Fatalf("%v, %+v", dataDir, replicas)
 	}
@@ -30,7 +31,8 @@
 	s.store([]registry.ReplicaEntry{entry("b", true)}, nil)
 	s.store(nil, nil)
 	dataDir.Close()
-	dataDir, replicas, _ = open(path, logr.Discard())
+	dataDir, state = open(path, logr.Discard())
+	replicas = state.replicaList()
 	if len(replicas) != 2 || replicas[0].Replica.Leaving || !replicas[1].Replica.Leaving {
 		t.Fatalf("%+v", replicas)
 	}
@@ -40,7 +42,8 @@
 	s.dataDir = dataDir
 	s.store([]registry.ReplicaEntry{entry("c", false)}, nil)
 	dataDir.Close()
-	dataDir, replicas, _ = open(path, logr.Discard())
+	dataDir, state = open(path, logr.Discard())
+	replicas = state.replicaList()
 	if len(replicas) != 3 {
 		t.Fatalf("%+v", replicas)
 	}
@@ -56,7 +59,8 @@
 			t.Fatal(err)
 		}
 	}
-	dataDir, replicas, _ = open(path, logr.Discard())
+	dataDir, state = open(path, logr.Discard())
+	replicas = state.replicaList()
 	if dataDir == nil || len(replicas) != 0 {
 		t.Fatalf("after damage: %v, %+v", dataDir, replicas)
 	}
@@ -67,7 +71,7 @@
 }
 
 func TestFailingDirectoryIsAbandoned(t *testing.T) {
-	dataDir, _, _ := open(t.TempDir(), logr.Discard())
+	dataDir, _ := open(t.TempDir(), logr.Discard())
 	s := &process{dataDir: dataDir, log: logr.Discard()}
 	dataDir.Close()
 	s.store([]registry.ReplicaEntry{entry("a", false)}, nil)
@@ -80,9 +84,9 @@
 // TestPeersAreStored also reads a record of a former version, the list of replicas alone.
 func TestPeersAreStored(t *testing.T) {
 	path := t.TempDir()
-	dataDir, _, peers := open(path, logr.Discard())
-	if peers != nil {
-		t.Fatalf("a new data directory holds peers: %+v", peers)
+	dataDir, state := open(path, logr.Discard())
+	if state.peers != nil {
+		t.Fatalf("a new data directory holds peers: %+v", state.peers)
 	}
 	if err := dataDir.Append(message.Marshal([]registry.ReplicaEntry{entry("a", false)})); err != nil {
 		t.Fatal(err)
@@ -91,7 +95,8 @@
 	s.store(nil, &registry.Peers{Fleet: "f", Registries: []string{"d1:1"}})
 	s.store([]registry.ReplicaEntry{entry("b", false)}, &registry.Peers{Fleet: "f", Registries: []string{"d1:1", "d2:1"}, Cores: map[string]core.Core{"c": {ID: "c", Peer: "c:1"}}})
 	dataDir.Close()
-	dataDir, replicas, peers := open(path, logr.Discard())
+	dataDir, state = open(path, logr.Discard())
+	replicas, peers := state.replicaList(), state.peers
 	if len(replicas) != 2 || peers == nil || len(peers.Registries) != 2 || peers.Cores["c"].Peer != "c:1" {
 		t.Fatalf("%+v %+v", replicas, peers)
 	}
