Status, log and metrics show cores that are silent, and the seats that they hold

Now: 'silent cores' in a core's log whenever that changes, the metric seats_of_silent_cores, silent_cores in the status with 'lost' once a core is not expected back, and a line for each in 'saffronfall status'. New outer names; old ones stay.

TestSilencesShowLostCores: nothing while all are heard, a core after three seconds, lost after twelve.

--- a/peer/core/retirement.go
+++ b/peer/core/retirement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"saffronfall/rule/ordered"
 	"saffronfall/rule/partition"
 )
 
@@ -35,6 +36,33 @@
 	return p
 }
 
+// Silence is a core that is not heard, although members or retirements may depend on it.
+type Silence struct {
+	Core string `json:"core"`
+	// Lost is set if the core is not expected back.
+	Lost bool `json:"lost"`
+	// Seats is the number of groups that have the core as a member.
+	Seats int `json:"seats"`
+}
+
+// Silences returns the silent cores that are not retired or still have seats, by ID.
+func (m *Machine) Silences(now time.Duration) []Silence {
+	seats := map[string]int{}
+	for _, group := range m.groups {
+		for _, member := range group.All() {
+			seats[CoreID(member)]++
+		}
+	}
+	presence := m.presence(now)
+	var silences []Silence
+	for _, id := range ordered.Keys(presence.Silent) {
+		if !m.cores[id].Retired || seats[id] > 0 {
+			silences = append(silences, Silence{Core: id, Lost: presence.Lost[id], Seats: seats[id]})
+		}
+	}
+	return silences
+}
+
 // observedRetirement is a RetireCore with the presence of the cores as its leader knows it. It is not
 // sent.
 type observedRetirement struct {
--- a/peer/core/retirement_test.go
+++ b/peer/core/retirement_test.go
@@ -166,3 +166,21 @@
 		testFleet.checkClaims()
 	}
 }
+
+// Guards against a seat that nobody takes, or a lost core, that the operator does not see.
+func TestSilencesShowLostCores(t *testing.T) {
+	testFleet := newFleet(t, 3, 3)
+	observer := testFleet.cores[0]
+	if silences := observer.m.Silences(testFleet.now); len(silences) != 0 {
+		t.Errorf("while all are heard: %+v", silences)
+	}
+	testFleet.losePermanently(testFleet.cores[1])
+	testFleet.advance(3 * time.Second)
+	if s := observer.m.Silences(testFleet.now); len(s) != 1 || s[0].Core != "c2" || s[0].Lost || s[0].Seats != testPartitions {
+		t.Errorf("after three seconds: %+v", s)
+	}
+	testFleet.advance(lostTime)
+	if s := observer.m.Silences(testFleet.now); len(s) != 1 || !s[0].Lost {
+		t.Errorf("after nine seconds more: %+v", s)
+	}
+}
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -67,6 +67,7 @@
 	ConfigurationVersion uint64            `json:"configuration_version"`
 	Breaker              string            `json:"breaker"`
 	MissingPartitions    []int             `json:"parts_without_answer"`
+	SilentCores          []core.Silence    `json:"silent_cores"`
 }
 
 // ConfigurationRequest asks to apply a configuration in place of version BasedOn, or only to plan
@@ -323,7 +324,10 @@
 // missing.
 func GatherStatus(ctx context.Context, p Process) (Status, error) {
 	var s Status
-	answer, err := p.Inspect(ctx, func(m *core.Machine, now time.Duration) any { return m.Topology() })
+	answer, err := p.Inspect(ctx, func(m *core.Machine, now time.Duration) any {
+		s.SilentCores = m.Silences(now)
+		return m.Topology()
+	})
 	if err != nil {
 		return s, err
 	}
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,9 +80,10 @@
 
 // loggedState is what was last logged. stalled is also what the machine was told of the disk.
 type loggedState struct {
-	leading int
-	stalled bool
-	report  telemetry.StartReport
+	leading  int
+	silences []core.Silence
+	stalled  bool
+	report   telemetry.StartReport
 }
 
 type messageCounts struct{ sent, dropped, received, badStreams int64 }
@@ -284,7 +286,8 @@
 	return s.now() + s.params.Grace()
 }
 
-// monitor tells the machine whether the disk stalls, and logs changes of that and of leadership.
+// monitor tells the machine whether the disk stalls, and logs changes of that, of leadership and of
+// the cores that are silent.
 func (s *process) monitor() {
 	stalled := s.writing && s.now()-s.writeStart > s.params.Core().Partition.LeaseDuration
 	if stalled != s.stalled {
@@ -296,6 +299,10 @@
 		s.leading = leading
 		s.log.Info("ownership", "parts", leading)
 	}
+	if silences := s.machine.Silences(s.now()); !slices.Equal(silences, s.silences) {
+		s.silences = silences
+		s.log.Info("silent cores", "cores", silences)
+	}
 	s.report.Record(s.now(), s.streams.Queued, s.log)
 }
 
@@ -410,6 +417,10 @@
 func (s *process) Counters(ctx context.Context) (map[string]int64, error) {
 	body, err := s.Inspect(ctx, func(m *core.Machine, now time.Duration) any {
 		p := m.PartitionCounters()
+		silentSeats := 0
+		for _, silence := range m.Silences(now) {
+			silentSeats += silence.Seats
+		}
 		return map[string]int64{
 			"messages":                  m.Counters.Messages,
 			"commands":                  m.Counters.Commands,
@@ -419,6 +430,7 @@
 			"refused_while_stalled":     m.Counters.RefusedWhileStalled,
 			"returns_with_empty_folder": m.Counters.Rejoins,
 			"bad_messages":              m.Counters.BadMessages,
+			"seats_of_silent_cores":     int64(silentSeats),
 			"retirements_refused":       m.Counters.RetirementsRefused,
 			"retirements_undecided":     m.Counters.RetirementsUndecided,
 			"stands":                    p.Elections,
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -312,6 +312,13 @@
 		}
 		fmt.Printf("core    %-12s %-10s %s %s\n", c.ID, c.Zone, c.Peer, note)
 	}
+	for _, silence := range fleet.SilentCores {
+		expected := "may come back"
+		if silence.Lost {
+			expected = "not expected back"
+		}
+		fmt.Printf("silent  %-12s %s, votes in %d partitions\n", silence.Core, expected, silence.Seats)
+	}
 	for _, p := range fleet.Partitions {
 		fmt.Printf("part    %-3d owner %s term %d epoch %d seats %s\n", p.Partition, p.Leader, p.Term, p.Epoch, strings.Join(p.Members, " "))
 	}
