Sums of declared tokens can't overflow and pass a program's budget

Read in the review: a.Charged+a.Outstanding()+maxTokens overflows with a declared output near 2^63, and the reservation is accepted. Sound clients don't send it; 402 is the answer now, as for any turn that the budget does not hold.

A first form, sums that saturate alone, failed for a budget of 2^63-1.

--- a/rule/account/account.go
+++ b/rule/account/account.go
@@ -5,6 +5,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 )
 
@@ -32,7 +33,20 @@
 func (a *Account) Outstanding() int64 {
 	var sum int64
 	for _, reserved := range a.Running {
-		sum += reserved
+		sum = saturatingSum(sum, reserved)
+	}
+	return sum
+}
+
+// saturatingSum returns the sum of numbers that are not negative, or the greatest int64 if it is
+// larger: clients declare any number.
+func saturatingSum(numbers ...int64) int64 {
+	var sum int64
+	for _, n := range numbers {
+		if n > math.MaxInt64-sum {
+			return math.MaxInt64
+		}
+		sum += n
 	}
 	return sum
 }
@@ -49,7 +63,8 @@
 			return true
 		}
 	}
-	if a.Charged+a.Outstanding()+maxTokens > budget {
+	used := saturatingSum(a.Charged, a.Outstanding())
+	if maxTokens < 0 || used > budget || maxTokens > budget-used {
 		return false
 	}
 	if a.Running == nil {
@@ -69,7 +84,7 @@
 	}
 	if _, ok := a.Running[attempt]; ok {
 		delete(a.Running, attempt)
-		a.Charged += tokens
+		a.Charged = saturatingSum(a.Charged, tokens)
 	}
 	a.Ended = append(a.Ended, attemptHash(attempt))
 	if n := len(a.Ended); n > maxEnded {
