--- a/rehearsalkit/days/command.go
+++ b/rehearsalkit/days/command.go
@@ -12,7 +12,7 @@
 type Command struct {
 	Seed    uint64   `help:"First seed; each day has the next one." default:"1"`
 	Count   int      `help:"How many days." default:"1"`
-	Theme   string   `help:"Weak point to target: cut, orders, repair, changes, answers, any; or turn, which rotates through them." default:"turn"`
+	Theme   string   `help:"Weak point to target: cut, orders, repair, changes, answers, stores, any; or turn, which rotates through them." default:"turn"`
 	Length  float64  `help:"Seconds of traffic in a day." default:"40"`
 	Pause   float64  `help:"Mean seconds between two fault sequences." default:"3"`
 	Losses  int      `help:"Machines of a group that may be lost at once; 0: the value of the site file, or 1."`
--- a/rehearsalkit/days/theme.go
+++ b/rehearsalkit/days/theme.go
@@ -187,6 +187,34 @@
 			{Kind: "config_change", Variants: []string{"timeout", "weights"}},
 		},
 	},
+	{
+		Name: "stores",
+		// Machines of the storage role are replaced and emptied until no spare one is left.
+		Sequences: [][]Step{
+			{
+				{Kind: "replace_core", Group: Store, Variants: []string{"planned"}},
+				{Kind: "retire", Variants: []string{""}, AfterS: between("", 16, 24)},
+			},
+			{
+				{Kind: "replace_core", Group: Store, Variants: []string{""}},
+				{Kind: "retire", Variants: []string{""}, AfterRepair: true},
+				{Kind: "replace_core", Group: Store, Variants: []string{""}, AfterRepair: true},
+			},
+			{
+				{Kind: "add_nodes", Group: Store},
+				{Kind: "retire", Variants: []string{""}, AfterS: between("", 4, 8)},
+				{Kind: "after_ack_kill", Group: Store, AfterRepair: true},
+				{Kind: "retire", Variants: []string{""}, AfterS: between("", 0.5, 4)},
+			},
+			{
+				{Kind: "replace_core", Group: Store, Variants: []string{"planned"}},
+				{Kind: "after_ack_wipe", Group: Store, AfterRepair: true},
+				{Kind: "retire", Variants: []string{""}, AfterRepair: true},
+			},
+		},
+		Planned:  []Step{{Kind: "config_change"}, {Kind: "config_race"}, {Kind: "roll_term"}},
+		ChangesS: between("", 2, 5),
+	},
 	{Name: anyTheme},
 }
 
