soak: a disturbed founding, and a core replaced for good before all processes are killed

With real processes: a founding core or registry is killed or stopped at a random time before or while the fleet is founded, from then on with settings that are no cold start; every third seed ends with a core lost for good and replaced at another address, an order to empty another one that must be refused, and the end of all processes.

--- a/rehearsalkit/soak/fleet.go
+++ b/rehearsalkit/soak/fleet.go
@@ -34,6 +34,9 @@
 	routeTimeout      = 3 * time.Second
 )
 
+// storesFaultSeeds is the distance of the seeds that end with storesFault.
+const storesFaultSeeds = 3
+
 // Options configures a run.
 type Options struct {
 	Binary, Folder string
@@ -194,6 +197,9 @@
 			return err
 		}
 	}
+	if err := f.disturbFounding(ctx); err != nil {
+		return err
+	}
 	f.replicas.fill(ctx)
 	const startTimeout = 20 * time.Second
 	if !f.waitUntil(ctx, startTimeout, func() bool { return f.operator.apply(ctx, f.withRole(roleRegistry)[0], 0, 1) == http.StatusOK }) {
@@ -204,16 +210,6 @@
 			return errors.Newf("%s is not ready within %v", p.name, startTimeout)
 		}
 	}
-	for _, p := range f.processes {
-		// Only the first start may found the fleet.
-		p.settings["cold_start"], p.settings["founds"] = false, false
-		if p.role != roleRegistry {
-			delete(p.settings, "founds")
-		}
-		if err := p.writeSettings(nil); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
@@ -280,6 +276,9 @@
 	stopRequesters, ended := f.startRequesters(ctx)
 	pause(ctx, options.Calm)
 	f.injectFaults(ctx)
+	if options.Seed%storesFaultSeeds == 1 {
+		f.injectFault(ctx, storesFault, rand.New(rand.NewPCG(options.Seed, 45)))
+	}
 	f.settle(ctx)
 	f.readFinalTables(ctx)
 	stopRequesters()
