--- a/rehearsalkit/relaysim/founding.go
+++ b/rehearsalkit/relaysim/founding.go
@@ -211,20 +211,9 @@
 
 // loseDisk loses one disk while all other machines lose power, and requires a whole fleet again.
 func (r *foundingRun) loseDisk() {
-	w := r.world
-	w.Advance(catchUpTime)
-	w.injectClosingFault()
-	w.Advance(maxRestart)
-	restored := w.now
-	problem := r.health.problem()
-	for problem != "" && w.now < restored+recoveryTime {
-		w.Advance(100 * time.Millisecond)
-		problem = r.health.problem()
-	}
-	if problem != "" {
-		r.findings.breach(RuleRecovery, "%v after a lost disk: %s", w.now-restored, problem)
-	}
-	w.finishScenario(r.history)
+	r.world.Advance(catchUpTime)
+	r.health.judgeClosingFault(r.findings)
+	r.world.finishScenario(r.history)
 }
 
 func (r *foundingRun) collect(sum *Findings) {
--- a/rehearsalkit/relaysim/health.go
+++ b/rehearsalkit/relaysim/health.go
@@ -201,3 +201,21 @@
 	}
 	w.after(50*time.Millisecond, func() { h.awaitHealthy(from, done) })
 }
+
+// judgeClosingFault injects the closing fault and requires a healthy fleet within the recovery time.
+func (h *health) judgeClosingFault(findings *Findings) {
+	w := h.world
+	w.injectClosingFault()
+	w.Advance(maxRestart)
+	restored := w.now
+	problem := h.problem()
+	for problem != "" && w.now < restored+recoveryTime {
+		w.Advance(100 * time.Millisecond)
+		problem = h.problem()
+	}
+	if problem != "" {
+		findings.breach(RuleRecovery, "%v after all machines were back: %s", w.now-restored, problem)
+		return
+	}
+	findings.recordDuration("whole after the closing fault, "+w.Params.Closing, w.now-restored)
+}
--- a/rehearsalkit/relaysim/storechanges.go
+++ b/rehearsalkit/relaysim/storechanges.go
@@ -1,7 +1,6 @@
 package relaysim
 
 import (
-	"fmt"
 	"time"
 
 	"saffronfall/peer/registry"
@@ -260,20 +259,7 @@
 // close injects the closing fault, and requires that the fleet is whole and serves all it
 // acknowledged within the recovery time.
 func (c *storeChanges) close() {
-	w := c.world
-	w.injectClosingFault()
-	w.Advance(maxRestart)
-	restored := w.now
-	problem := c.health.problem()
-	for problem != "" && w.now < restored+recoveryTime {
-		w.Advance(100 * time.Millisecond)
-		problem = c.health.problem()
-	}
-	if problem != "" {
-		c.findings.breach(RuleRecovery, "%v after all machines were back: %s", w.now-restored, problem)
-	} else {
-		c.findings.recordDuration(fmt.Sprintf("whole after the closing fault, %s", w.Params.Closing), w.now-restored)
-	}
+	c.health.judgeClosingFault(c.findings)
 	c.turnLog.readAll(answerTimeout)
-	w.finishScenario(c.history)
+	c.world.finishScenario(c.history)
 }
