--- a/peer/core/machine.go
+++ b/peer/core/machine.go
@@ -62,32 +62,27 @@
 type Machine struct {
 	Counters Counters
 
-	params   Params
-	self     Core
-	mayFound bool // as stored, see Stored
-	// foundedCores are the addresses of a fleet's cores whose FoundFleet this core has missed.
-	foundedCores []string
-	founding     Founding
-	partitions   map[int]*partition.Machine
-	cores        map[string]Core
-	terms        []partition.Term
-	groups       []partition.Group
-	caller       *Caller
-	tickets      slab.Slab[commandOrigin]
+	params     Params
+	self       Core
+	founding   Founding
+	partitions map[int]*partition.Machine
+	cores      map[string]Core
+	terms      []partition.Term
+	groups     []partition.Group
+	caller     *Caller
+	tickets    slab.Slab[commandOrigin]
 	outputs
-	random     func() float64
-	sweepAt    time.Duration
-	draining   bool
-	stalled    bool
-	timers     Timers
-	seeds      []string
-	announceAt time.Duration
-	// registering is set while a registration of this core is pending; unregistered is set while
-	// the fleet may have a different entry of this core.
-	registering  bool
-	unregistered bool
-	sampleRound  uint64
-	samples      map[string][]replay.Sample
+	unfoundedState
+	registrationState
+	random      func() float64
+	sweepAt     time.Duration
+	draining    bool
+	stalled     bool
+	timers      Timers
+	seeds       []string
+	announceAt  time.Duration
+	sampleRound uint64
+	samples     map[string][]replay.Sample
 	// Silence of other cores counts from observedSince on. activeAt is when this core last ran.
 	observedSince time.Duration
 	activeAt      time.Duration
@@ -97,13 +92,28 @@
 	placementSilent map[string]bool
 	contacts        map[string]contact
 	gossipState
+	// nextChangeAt is a partition's earliest next group change after a failed one.
+	nextChangeAt map[int]time.Duration
+	rebalanceAt  time.Duration
+}
+
+// unfoundedState is what a core needs until it belongs to a fleet.
+type unfoundedState struct {
+	mayFound bool // as stored, see Stored
+	// foundedCores are the addresses of a fleet's cores whose FoundFleet this core has missed.
+	foundedCores []string
+}
+
+// registrationState is the state of this core's own entry in the fleet.
+type registrationState struct {
+	// registering is set while a registration of this core is pending; unregistered is set while
+	// the fleet may have a different entry of this core.
+	registering  bool
+	unregistered bool
 	// superseded is set when the fleet knows a later incarnation of this core. claimIncrement
 	// raises the version of the next claim to its entry, because earlier claims lost a race.
 	superseded     bool
 	claimIncrement uint64
-	// nextChangeAt is a partition's earliest next group change after a failed one.
-	nextChangeAt map[int]time.Duration
-	rebalanceAt  time.Duration
 }
 
 type outputs struct {
@@ -114,13 +124,13 @@
 // New returns a machine in the state stored on disk.
 func New(options Options) *Machine {
 	machine := &Machine{
-		params:     options.Params,
-		mayFound:   options.Stored.MayFound,
-		random:     options.Random,
-		outputs:    outputs{violated: options.Violated},
-		seeds:      options.Seeds,
-		partitions: map[int]*partition.Machine{},
-		cores:      map[string]Core{},
+		params:         options.Params,
+		random:         options.Random,
+		unfoundedState: unfoundedState{mayFound: options.Stored.MayFound},
+		outputs:        outputs{violated: options.Violated},
+		seeds:          options.Seeds,
+		partitions:     map[int]*partition.Machine{},
+		cores:          map[string]Core{},
 		self: Core{
 			ID:          options.ID,
 			Incarnation: options.Stored.Incarnation,
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -282,6 +282,27 @@
 	JSON bool `help:"Print JSON."`
 }
 
+func printCore(c core.Core, votes int) {
+	note := fmt.Sprintf("votes in %d partitions", votes)
+	switch {
+	case c.Retired:
+		note = "retired"
+	case votes == 0:
+		note = "has no vote"
+	}
+	fmt.Printf("core    %-12s %-10s %s %s\n", c.ID, c.Zone, c.Peer, note)
+}
+
+func printSilences(silences []core.Silence) {
+	for _, silence := range silences {
+		expected := "may come back"
+		if silence.Lost {
+			expected = "not expected back"
+		}
+		fmt.Printf("silent  %-12s %s, votes in %d partitions\n", silence.Core, expected, silence.Seats)
+	}
+}
+
 func (c *statusCommand) Run() error {
 	var fleet operator.Status
 	status, raw, err := c.do("GET", "/v1/status", nil, &fleet)
@@ -303,22 +324,9 @@
 		}
 	}
 	for _, c := range fleet.Cores {
-		note := fmt.Sprintf("votes in %d partitions", memberships[c.MemberID()])
-		switch {
-		case c.Retired:
-			note = "retired"
-		case memberships[c.MemberID()] == 0:
-			note = "has no vote"
-		}
-		fmt.Printf("core    %-12s %-10s %s %s\n", c.ID, c.Zone, c.Peer, note)
-	}
-	for _, silence := range fleet.SilentCores {
-		expected := "may come back"
-		if silence.Lost {
-			expected = "not expected back"
-		}
-		fmt.Printf("silent  %-12s %s, votes in %d partitions\n", silence.Core, expected, silence.Seats)
+		printCore(c, memberships[c.MemberID()])
 	}
+	printSilences(fleet.SilentCores)
 	for _, p := range fleet.Partitions {
 		fmt.Printf("part    %-3d owner %s term %d epoch %d seats %s\n", p.Partition, p.Leader, p.Term, p.Epoch, strings.Join(p.Members, " "))
 	}
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -21,7 +21,6 @@
 
 	"saffronfall/peer/clock"
 	"saffronfall/peer/core"
-	"saffronfall/peer/disk"
 	"saffronfall/peer/registry"
 	"saffronfall/peer/stream"
 	"saffronfall/saffronfall/params"
@@ -44,10 +43,7 @@
 	refusals   *refusalLog
 	operator   *operatorCalls
 	loggedState
-	// dataDir is nil if nothing is stored.
-	dataDir *disk.Store
-	// storedFounding is what the data directory has of the founding; nil if nothing.
-	storedFounding *foundingRecord
+	storage
 }
 
 // loggedState is what was last logged.
--- a/saffronfall/registryprocess/process_test.go
+++ b/saffronfall/registryprocess/process_test.go
@@ -26,7 +26,7 @@
 	if dataDir == nil || len(replicas) != 0 {
 		t.Fatalf("%v, %+v", dataDir, replicas)
 	}
-	s := &process{dataDir: dataDir, log: logr.Discard()}
+	s := &process{storage: storage{dataDir: dataDir}, log: logr.Discard()}
 	s.store([]registry.ReplicaEntry{entry("a", false), entry("b", false)}, nil)
 	s.store([]registry.ReplicaEntry{entry("b", true)}, nil)
 	s.store(nil, nil)
@@ -72,7 +72,7 @@
 
 func TestFailingDirectoryIsAbandoned(t *testing.T) {
 	dataDir, _ := open(t.TempDir(), logr.Discard())
-	s := &process{dataDir: dataDir, log: logr.Discard()}
+	s := &process{storage: storage{dataDir: dataDir}, log: logr.Discard()}
 	dataDir.Close()
 	s.store([]registry.ReplicaEntry{entry("a", false)}, nil)
 	if s.dataDir != nil {
@@ -91,7 +91,7 @@
 	if err := dataDir.Append(message.Marshal([]registry.ReplicaEntry{entry("a", false)})); err != nil {
 		t.Fatal(err)
 	}
-	s := &process{dataDir: dataDir, log: logr.Discard()}
+	s := &process{storage: storage{dataDir: dataDir}, log: logr.Discard()}
 	s.store(nil, &registry.Peers{Fleet: "f", Registries: []string{"d1:1"}})
 	s.store([]registry.ReplicaEntry{entry("b", false)}, &registry.Peers{Fleet: "f", Registries: []string{"d1:1", "d2:1"}, Cores: map[string]core.Core{"c": {ID: "c", Peer: "c:1"}}})
 	dataDir.Close()
--- a/saffronfall/registryprocess/storage.go
+++ b/saffronfall/registryprocess/storage.go
@@ -11,6 +11,14 @@
 	"saffronfall/rule/ordered"
 )
 
+// storage is the data directory of a registry.
+type storage struct {
+	// dataDir is nil if nothing is stored.
+	dataDir *disk.Store
+	// storedFounding is what the data directory has of the founding; nil if nothing.
+	storedFounding *foundingRecord
+}
+
 // record is a stored state of a registry, or the changes to one. Records of a former version are a
 // bare list of replicas.
 type record struct {
--- a/saffronfall/registryprocess/storage_test.go
+++ b/saffronfall/registryprocess/storage_test.go
@@ -14,14 +14,14 @@
 	path := t.TempDir()
 	reopen := func() *process {
 		dataDir, state := open(path, logr.Discard())
-		s := &process{dataDir: dataDir, log: logr.Discard(), machine: registry.New(registry.Options{ID: "d1"})}
+		s := &process{storage: storage{dataDir: dataDir}, log: logr.Discard(), machine: registry.New(registry.Options{ID: "d1"})}
 		if duty := s.resumeFounding(state.founding, false); !duty.MayFound {
 			t.Fatalf("after a restart: %+v", duty)
 		}
 		return s
 	}
 	dataDir, state := open(path, logr.Discard())
-	first := &process{dataDir: dataDir, log: logr.Discard()}
+	first := &process{storage: storage{dataDir: dataDir}, log: logr.Discard()}
 	if duty := first.resumeFounding(state.founding, true); !duty.MayFound || duty.Plan != nil {
 		t.Fatalf("at the first start: %+v", duty)
 	}
@@ -51,7 +51,7 @@
 // Guards against a founding by a registry that was not told to found one.
 func TestOnlyABootstrapRegistryFounds(t *testing.T) {
 	dataDir, state := open(t.TempDir(), logr.Discard())
-	s := &process{dataDir: dataDir, log: logr.Discard()}
+	s := &process{storage: storage{dataDir: dataDir}, log: logr.Discard()}
 	if duty := s.resumeFounding(state.founding, false); duty.MayFound || duty.Plan != nil {
 		t.Errorf("%+v", duty)
 	}
