--- a/rehearsalkit/sizes/larger_test.go
+++ b/rehearsalkit/sizes/larger_test.go
@@ -18,7 +18,6 @@
 	"function rehearsalkit/simulator/requester.go World.submit":                72,
 	"function rehearsalkit/simulator/memberlease.go MeasureMemberLease":        61,
 	"function rule/replay/replay.go state.check":                               75,
-	"function saffronfall/main.go statusCommand.Run":                           61,
 	"function saffronfall/nodeprocess/process.go process.run":                  63,
 	"struct peer/core/machine.go Machine":                                      34,
 	"struct peer/node/machine.go Machine":                                      58,
