--- a/peer/core/founding.go
+++ b/peer/core/founding.go
@@ -20,12 +20,12 @@
 }
 
 // PlanFleet returns the founding of a new fleet with its partitions placed on the given cores.
-func PlanFleet(fleet string, partitions, size int, cores []Core) Founding {
+func (d FailureDomains) PlanFleet(fleet string, partitions, size int, cores []Core) Founding {
 	founding := Founding{Fleet: fleet, Partitions: partitions, Cores: map[string]Core{}, GroupSize: size}
 	for _, c := range cores {
 		founding.Cores[c.ID] = c
 	}
-	for _, members := range Place(partitions, size, cores, nil) {
+	for _, members := range d.Place(partitions, size, cores, nil) {
 		founding.Groups = append(founding.Groups, partition.Group{Epoch: 1, Members: members})
 	}
 	return founding
--- a/peer/core/membership.go
+++ b/peer/core/membership.go
@@ -121,7 +121,7 @@
 // PlanChange returns the moves that a change to the fleet's cores needs, or the reason why it is
 // impossible. Lost cores don't count as remaining. Silent cores are assigned replicas only where too
 // few others remain.
-func PlanChange(cores map[string]Core, presence Presence, groups []partition.Group, size int, kind, id, substituteID string) ChangeResult {
+func (d FailureDomains) PlanChange(cores map[string]Core, presence Presence, groups []partition.Group, size int, kind, id, substituteID string) ChangeResult {
 	changed, ok := cores[id]
 	if !ok {
 		return ChangeResult{Code: "unknown_core", Reason: "no core of this fleet is called " + id}
@@ -143,7 +143,7 @@
 		return ChangeResult{Code: "no_room", Reason: tooFewCores(id)}
 	}
 	var moves []Move
-	for n, wanted := range Place(len(groups), size, after, presence.Silent) {
+	for n, wanted := range d.Place(len(groups), size, after, presence.Silent) {
 		moves = append(moves, membershipMoves(n, groups[n].Members, wanted)...)
 	}
 	return ChangeResult{Moves: moves}
@@ -181,7 +181,7 @@
 	m.out = &Output{}
 	m.refreshTopology()
 	until := now + within
-	plan := PlanChange(m.cores, m.presence(now), m.groups, m.groupSize(), kind, id, substituteID)
+	plan := m.params.Domains.PlanChange(m.cores, m.presence(now), m.groups, m.groupSize(), kind, id, substituteID)
 	if plan.Code != "" {
 		m.answerOperator(ticket, plan)
 		return *m.out
--- a/peer/core/membership_test.go
+++ b/peer/core/membership_test.go
@@ -71,7 +71,7 @@
 		founders = append(founders, added.m.Self())
 	}
 	first := testFleet.cores[0]
-	testFleet.handle(first, first.m.Receive(testFleet.now, "desk", FoundFleet{Founding: PlanFleet("f", testPartitions, size, founders)}))
+	testFleet.handle(first, first.m.Receive(testFleet.now, "desk", FoundFleet{Founding: FailureDomains{}.PlanFleet("f", testPartitions, size, founders)}))
 	testFleet.advance(2 * time.Second)
 	for i := 0; i < 150; i++ {
 		testFleet.claim(i)
@@ -355,7 +355,7 @@
 	if len(active) < f.size {
 		return ""
 	}
-	for n, wanted := range Place(testPartitions, f.size, active, nil) {
+	for n, wanted := range f.params.Domains.Place(testPartitions, f.size, active, nil) {
 		if _, g, ok := f.leader(n); ok && len(membershipMoves(n, g.Members, wanted)) > 0 {
 			return fmt.Sprintf("partition %d: the group is %v and should be %v", n, g.Members, wanted)
 		}
@@ -915,7 +915,7 @@
 	if testFleet.sentByType["core.AnnounceCore"] < 20 {
 		t.Errorf("cores without a fleet sent %d announcements in a second", testFleet.sentByType["core.AnnounceCore"])
 	}
-	plan := PlanFleet("f", testPartitions, 3, founders[:3])
+	plan := FailureDomains{}.PlanFleet("f", testPartitions, 3, founders[:3])
 	for _, core := range []*testCore{testFleet.cores[3], testFleet.cores[0]} {
 		other := plan
 		other.Cores = map[string]Core{"c1": {ID: "c1", Incarnation: "of old"}, "c4": founders[3]}
--- a/peer/core/placement.go
+++ b/peer/core/placement.go
@@ -14,23 +14,32 @@
 // Place returns the members that each partition's group should have, spread evenly over zones and
 // cores, as are homes (first members). The result depends only on the set of cores, and changes
 // little when one is added or removed (rendezvous hashing, then balancing). Retired cores get no
-// replicas, and silent ones only if there are too few others.
-func Place(partitions, size int, cores []Core, silent map[string]bool) [][]string {
-	var present, absent []Core
-	for _, c := range cores {
+// replicas, and silent ones only if there are too few others, or too few in other failure domains: a
+// group that lacks members of a lost zone for a while survives the next loss, while one that fills up
+// within the remaining zones may not. Where no placement survives the tolerated losses, as with two
+// zones, the groups are spread as evenly as can be.
+func (d FailureDomains) Place(partitions, size int, cores []Core, silent map[string]bool) [][]string {
+	a := newAssignment(d, partitions, size, cores)
+	var present, absent []int
+	for i, c := range a.cores {
 		switch {
 		case c.Retired:
 		case silent[c.ID]:
-			absent = append(absent, c)
+			absent = append(absent, i)
 		default:
-			present = append(present, c)
+			present = append(present, i)
 		}
 	}
-	groups := assignMembers(partitions, min(size, len(present)), present, nil)
-	if len(present) < size {
-		groups = assignMembers(partitions, min(size-len(present), len(absent)), absent, groups)
-	}
-	return assignHomes(groups)
+	a.fill(present, true)
+	a.fill(absent, true)
+	a.fill(present, false)
+	a.fill(absent, false)
+	return assignHomes(a.members())
+}
+
+// Place is FailureDomains.Place where single machines are lost.
+func Place(partitions, size int, cores []Core, silent map[string]bool) [][]string {
+	return FailureDomains{}.Place(partitions, size, cores, silent)
 }
 
 // weight is a core's rendezvous weight for partition n.
@@ -44,88 +53,6 @@
 	return x ^ x>>31
 }
 
-// assignMembers adds members by zone and weight, then moves them to less loaded cores while that
-// keeps the zones as balanced.
-func assignMembers(partitions, count int, cores []Core, groupsBefore [][]string) [][]string {
-	groups := make([][]string, partitions)
-	zoneCounts := make([]map[string]int, partitions)
-	chosen := make([]map[int]bool, partitions)
-	weights := make([][]uint64, partitions)
-	loads := make([]int, len(cores))
-	cores = slices.Clone(cores)
-	slices.SortFunc(cores, func(a, b Core) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	for n := range groups {
-		zoneCounts[n], chosen[n] = map[string]int{}, map[int]bool{}
-		for _, c := range cores {
-			weights[n] = append(weights[n], weight("seat", n, c.ID))
-		}
-		for len(chosen[n]) < count {
-			best := -1
-			for i, c := range cores {
-				if chosen[n][i] {
-					continue
-				}
-				if best < 0 || zoneCounts[n][c.Zone] < zoneCounts[n][cores[best].Zone] ||
-					(zoneCounts[n][c.Zone] == zoneCounts[n][cores[best].Zone] && weights[n][i] > weights[n][best]) {
-					best = i
-				}
-			}
-			chosen[n][best] = true
-			zoneCounts[n][cores[best].Zone]++
-			loads[best]++
-		}
-	}
-	for {
-		group, out, in := -1, 0, 0
-		for n := range groups {
-			for i := range cores {
-				if !chosen[n][i] {
-					continue
-				}
-				for j, c := range cores {
-					gap := loads[i] - loads[j]
-					if chosen[n][j] || gap < 2 || (c.Zone != cores[i].Zone && zoneCounts[n][c.Zone]+1 > zoneCounts[n][cores[i].Zone]) {
-						continue
-					}
-					if best := loads[out] - loads[in]; group < 0 || gap > best || (gap == best && weights[n][j] > weights[group][in]) {
-						group, out, in = n, i, j
-					}
-				}
-			}
-		}
-		if group < 0 {
-			break
-		}
-		delete(chosen[group], out)
-		chosen[group][in] = true
-		loads[out]--
-		loads[in]++
-		zoneCounts[group][cores[out].Zone]--
-		zoneCounts[group][cores[in].Zone]++
-	}
-	for n := range groups {
-		if groupsBefore != nil {
-			groups[n] = groupsBefore[n]
-		}
-		members := ordered.Keys(chosen[n])
-		slices.SortFunc(members, func(a, b int) int {
-			if weights[n][a] > weights[n][b] {
-				return -1
-			}
-			return 1
-		})
-		for _, i := range members {
-			groups[n] = append(groups[n], cores[i].MemberID())
-		}
-	}
-	return groups
-}
-
 // assignHomes puts each partition's home, the member that should lead it, first in its group.
 func assignHomes(groups [][]string) [][]string {
 	homeCounts := map[string]int{}
@@ -278,7 +205,7 @@
 		cores = append(cores, m.cores[id])
 	}
 	if m.placement == nil || !slices.Equal(cores, m.placementCores) || !maps.Equal(silent, m.placementSilent) {
-		m.placement, m.placementCores, m.placementSilent = Place(m.founding.Partitions, m.groupSize(), cores, silent), cores, silent
+		m.placement, m.placementCores, m.placementSilent = m.params.Domains.Place(m.founding.Partitions, m.groupSize(), cores, silent), cores, silent
 	}
 	return m.placement
 }
@@ -330,11 +257,7 @@
 		}
 		healthy = healthy && m.hasRecentContact(now, s)
 	}
-	for _, s := range wanted {
-		if !slices.Contains(group, s) && m.hasRecentContact(now, s) && (add == "" || CoreID(s) == CoreID(remove)) {
-			add = s
-		}
-	}
+	add = m.memberToAdd(now, group, wanted, remove)
 	switch size := m.groupSize(); {
 	case len(group) > size && reason < memberStays:
 		return "", remove
@@ -344,12 +267,45 @@
 		return add, ""
 	case reason == memberStays:
 		return "", ""
-	case reason == memberUnplaced && !healthy, reason == memberRetired && !m.spareRemains(now, group):
+	case reason == memberUnplaced && !(healthy && m.survivable(group, add, remove)):
+		return "", ""
+	case reason == memberRetired && !m.spareRemains(now, group):
 		return "", ""
 	}
 	return add, remove
 }
 
+// memberToAdd returns the wanted member to add when another one is removed: the same core with another
+// disk, else one with which the group survives the tolerated losses, else any; "" if none is heard.
+func (m *Machine) memberToAdd(now time.Duration, group, wanted []string, remove string) string {
+	add := ""
+	for _, member := range wanted {
+		if slices.Contains(group, member) || !m.hasRecentContact(now, member) {
+			continue
+		}
+		if CoreID(member) == CoreID(remove) {
+			return member
+		}
+		if add == "" || !m.survivable(group, add, remove) && m.survivable(group, member, remove) {
+			add = member
+		}
+	}
+	return add
+}
+
+// survivable reports whether the tolerated losses leave a majority of a group after a change, or could
+// take one before it already.
+func (m *Machine) survivable(group []string, add, remove string) bool {
+	spread := m.params.Domains.occupancy(m.groupSize())
+	for _, member := range group {
+		spread.add(m.cores[CoreID(member)].Zone, 1)
+	}
+	before := spread.overloaded()
+	spread.add(m.cores[CoreID(remove)].Zone, -1)
+	spread.add(m.cores[CoreID(add)].Zone, 1)
+	return before || !spread.overloaded()
+}
+
 // spareRemains reports whether a core outside the group is left for each member that is not heard,
 // after one has replaced a retired member. Otherwise that one must first replace a member that is lost.
 func (m *Machine) spareRemains(now time.Duration, group []string) bool {
--- a/peer/core/retired_test.go
+++ b/peer/core/retired_test.go
@@ -13,7 +13,7 @@
 func TestRetiredCoreTakesNoReplica(t *testing.T) {
 	self, leader := Core{ID: "a", Incarnation: "1", Zone: "z", Peer: "a:1"}, Core{ID: "b", Incarnation: "1", Zone: "y", Peer: "b:1"}
 	machine := New(Options{Params: newSingleCore(t).m.params, ID: self.ID, Zone: self.Zone, Address: self.Peer, Stored: Stored{Incarnation: self.Incarnation}, Random: func() float64 { return 0.5 }})
-	founding := PlanFleet("f", 2, 1, []Core{self, leader})
+	founding := FailureDomains{}.PlanFleet("f", 2, 1, []Core{self, leader})
 	founding.Groups = []partition.Group{{Epoch: 1, Members: []string{self.MemberID(), leader.MemberID()}}, {Epoch: 1, Members: []string{leader.MemberID()}}}
 	if _, ok := machine.AcceptFounding(0, founding); !ok {
 		t.Fatal("not founded")
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -33,6 +33,11 @@
 	// MaxKeyBytes bounds the memory for the operation keys of a partition; zero means
 	// defaultMaxKeyBytes.
 	MaxKeyBytes int
+	// MinGroupSize is the number of members that groups grow to, also in a fleet that was founded with
+	// smaller ones; zero means that they keep the size of the founding.
+	MinGroupSize int
+	// Domains are the zones and regions that may be lost as a whole.
+	Domains FailureDomains
 }
 
 // rules runs the commands of one partition on its leader. Fields other than params, fleet and
--- a/peer/core/rules_test.go
+++ b/peer/core/rules_test.go
@@ -28,7 +28,7 @@
 	}
 	single := &singleCore{t: t, results: map[uint64]CommandResult{}}
 	single.m = New(Options{Params: p, ID: "c", Address: "c", Stored: Stored{Incarnation: "1"}, Random: func() float64 { return 0.5 }})
-	out, ok := single.m.AcceptFounding(0, PlanFleet("f", 4, 1, []Core{single.m.Self()}))
+	out, ok := single.m.AcceptFounding(0, FailureDomains{}.PlanFleet("f", 4, 1, []Core{single.m.Self()}))
 	if !ok {
 		t.Fatal("fleet not founded")
 	}
@@ -235,7 +235,7 @@
 	for i := 0; i < 8; i++ {
 		cores = append(cores, Core{ID: fmt.Sprint("c", i), Incarnation: "1", Zone: fmt.Sprint("z", i%4)})
 	}
-	founding := PlanFleet("f", 16, 3, cores)
+	founding := FailureDomains{}.PlanFleet("f", 16, 3, cores)
 	firsts, places := map[string]int{}, map[string]int{}
 	for n, g := range founding.Groups {
 		if zoneCount(founding.Cores, g.Members) != 3 {
@@ -257,7 +257,7 @@
 	fresh := Core{ID: "new", Incarnation: "1", Zone: "z0"}
 	founding.Cores["new"] = fresh
 	added := 0
-	for _, m := range PlanChange(founding.Cores, Presence{}, founding.Groups, 3, KindAdd, "new", "").Moves {
+	for _, m := range (FailureDomains{}).PlanChange(founding.Cores, Presence{}, founding.Groups, 3, KindAdd, "new", "").Moves {
 		if CoreID(m.Add) == "new" {
 			added++
 		}
--- a/peer/core/stall_test.go
+++ b/peer/core/stall_test.go
@@ -15,7 +15,7 @@
 	third := Core{ID: "c", Incarnation: "1", Zone: "x", Peer: "c:1"}
 	p := newSingleCore(t).m.params
 	machine := New(Options{Params: p, ID: self.ID, Zone: self.Zone, Address: self.Peer, Stored: Stored{Incarnation: self.Incarnation}, Random: func() float64 { return 0.5 }})
-	if _, ok := machine.AcceptFounding(0, PlanFleet("f", 1, 3, []Core{self, other, third})); !ok {
+	if _, ok := machine.AcceptFounding(0, FailureDomains{}.PlanFleet("f", 1, 3, []Core{self, other, third})); !ok {
 		t.Fatal("not founded")
 	}
 	group := machine.Partition(0).Group()
--- a/peer/core/topology.go
+++ b/peer/core/topology.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// groupSize is the size of the largest group if none is configured.
+// groupSize is the size of the largest group if none is configured. A fleet that was founded with
+// smaller groups than the settings ask for grows them; one with larger groups keeps them.
 func (m *Machine) groupSize() int {
-	size := m.founding.GroupSize
+	size := max(m.founding.GroupSize, m.params.MinGroupSize)
 	if size == 0 {
 		for _, g := range m.groups {
 			size = max(size, len(g.Members))
--- a/peer/node/fuzz_test.go
+++ b/peer/node/fuzz_test.go
@@ -69,7 +69,7 @@
 			Random:      random,
 		})
 		self := core.Core{ID: "c", Incarnation: "i", Peer: "10.0.0.1:1"}
-		plan := core.PlanFleet("f", 3, 1, []core.Core{self})
+		plan := core.FailureDomains{}.PlanFleet("f", 3, 1, []core.Core{self})
 		stored := core.Stored{Incarnation: "i"}
 		stored.Apply(core.Change{Founding: &plan})
 		c := core.New(core.Options{Params: params, ID: "c", Address: self.Peer, Stored: stored, Random: random})
--- a/peer/operator/client.go
+++ b/peer/operator/client.go
@@ -106,7 +106,7 @@
 			existing = &founding
 		}
 	}
-	founding := core.PlanFleet(fleet, partitions, groupSize, cores)
+	founding := core.FailureDomains{}.PlanFleet(fleet, partitions, groupSize, cores)
 	if existing != nil {
 		for _, candidate := range cores {
 			if existingCore, ok := existing.Cores[candidate.ID]; !ok ||
@@ -195,7 +195,7 @@
 		}
 		change.ID, topology.Cores[identity.Core.ID] = identity.Core.ID, identity.Core
 	}
-	plan := core.PlanChange(topology.Cores, core.Presence{}, topology.Groups, topology.GroupSize, change.Kind, change.ID, change.By)
+	plan := core.FailureDomains{}.PlanChange(topology.Cores, core.Presence{}, topology.Groups, topology.GroupSize, change.Kind, change.ID, change.By)
 	if plan.Code != "" {
 		return plan, &ResponseError{Code: plan.Code, Reason: plan.Reason}
 	}
--- a/peer/operator/handler.go
+++ b/peer/operator/handler.go
@@ -68,6 +68,8 @@
 	Breaker              string            `json:"breaker"`
 	MissingPartitions    []int             `json:"parts_without_answer"`
 	SilentCores          []core.Silence    `json:"silent_cores"`
+	// ExposedPartitions might not survive the losses that the settings name as tolerated.
+	ExposedPartitions []int `json:"exposed_parts"`
 }
 
 // ConfigurationRequest asks to apply a configuration in place of version BasedOn, or only to plan
@@ -325,7 +327,7 @@
 func GatherStatus(ctx context.Context, p Process) (Status, error) {
 	var s Status
 	answer, err := p.Inspect(ctx, func(m *core.Machine, now time.Duration) any {
-		s.SilentCores = m.Silences(now)
+		s.SilentCores, s.ExposedPartitions = m.Silences(now), m.ExposedPartitions()
 		return m.Topology()
 	})
 	if err != nil {
--- a/peer/registry/departure.go
+++ b/peer/registry/departure.go
@@ -1,10 +1,6 @@
 package registry
 
-import (
-	"time"
-
-	"saffronfall/rule/ordered"
-)
+import "time"
 
 // Acknowledgment answers a replica's heartbeat or Leave call. A report that is not Accepted may
 // be lost with this registry, and the replica should send it to another one.
@@ -61,28 +57,43 @@
 }
 
 // isReplicated reports whether a version of the list survives the loss of this registry. As many
-// other registries must have it as may be lost at once; if none is active, all active nodes.
+// other registries must have it as may be lost at once, and registries of as many other zones and
+// regions; if none is active, all active nodes.
 func (m *Machine) isReplicated(now time.Duration, version uint64) bool {
-	registries, confirmed, nodeMissing := 0, 0, false
-	for _, address := range ordered.Keys(m.subscribers) {
-		s := m.subscribers[address]
-		if !s.isActive(now, m.params.HeartbeatInterval) {
-			continue
-		}
-		hasVersion := s.confirmedVersion >= version
+	active, confirmed := map[string]string{}, map[string]string{}
+	nodeMissing := false
+	for address, s := range m.subscribers {
 		switch {
-		case s.isRegistry && hasVersion:
-			registries, confirmed = registries+1, confirmed+1
+		case !s.isActive(now, m.params.HeartbeatInterval):
 		case s.isRegistry:
-			registries++
+			active[address] = s.zone
+			if s.confirmedVersion >= version {
+				confirmed[address] = s.zone
+			}
 		default:
-			nodeMissing = nodeMissing || !hasVersion
+			nodeMissing = nodeMissing || s.confirmedVersion < version
 		}
 	}
-	if registries == 0 {
+	if len(active) == 0 {
 		return !nodeMissing
 	}
-	return confirmed >= min(registries, m.toleratedLosses())
+	domains := m.params.Core.Domains
+	zoneOf := func(zone string) string { return zone }
+	return len(confirmed) >= min(len(active), m.toleratedLosses()) &&
+		m.otherDomains(confirmed, zoneOf) >= min(m.otherDomains(active, zoneOf), domains.Zones) &&
+		m.otherDomains(confirmed, domains.Region) >= min(m.otherDomains(active, domains.Region), domains.Regions)
+}
+
+// otherDomains counts the zones or regions, other than this registry's, of registries. A zone that is
+// not known, as with a registry of a former release, counts as this registry's.
+func (m *Machine) otherDomains(zones map[string]string, domainOf func(zone string) string) int {
+	others := map[string]bool{}
+	for _, zone := range zones {
+		if domain := domainOf(zone); zone != "" && domain != domainOf(m.zone) {
+			others[domain] = true
+		}
+	}
+	return len(others)
 }
 
 // toleratedLosses returns how many machines f may be lost at once: groups have 2f+1 members.
--- a/peer/registry/departure_test.go
+++ b/peer/registry/departure_test.go
@@ -130,3 +130,39 @@
 		}
 	}
 }
+
+// TestDepartureSurvivesTheLossOfAZone guards against departures that only registries of one zone know
+// when they are acknowledged.
+func TestDepartureSurvivesTheLossOfAZone(t *testing.T) {
+	const ticket = 7
+	registry := func(zone string, version uint64) Subscribe {
+		return Subscribe{Node: "d2", Zone: zone, Incarnation: "l1", Version: version, IsRegistry: true}
+	}
+	for _, c := range []struct {
+		name         string
+		active, then map[string]Subscribe
+		accepted     bool
+	}{
+		{"the registry of its own zone has it", map[string]Subscribe{"d2:1": registry("z0", 1), "d3:1": registry("z1", 1)}, map[string]Subscribe{"d2:1": registry("z0", 2)}, false},
+		{"one of another zone has it", map[string]Subscribe{"d2:1": registry("z0", 1), "d3:1": registry("z1", 1)}, map[string]Subscribe{"d3:1": registry("z1", 2)}, true},
+		{"a former release's has it", map[string]Subscribe{"d2:1": registry("", 1), "d3:1": registry("z1", 1)}, map[string]Subscribe{"d2:1": registry("", 2)}, false},
+		{"no other zone has one", map[string]Subscribe{"d2:1": registry("z0", 1)}, map[string]Subscribe{"d2:1": registry("z0", 2)}, true},
+	} {
+		m := connectedRegistry(t, 0)
+		m.zone, m.params.GroupSize, m.params.Core.Domains.Zones = "z0", 3, 1
+		m.Heartbeat(0, 0, replica(1, false))
+		for from, subscription := range c.active {
+			m.Receive(0, from, subscription)
+		}
+		m.Heartbeat(time.Millisecond, ticket, replica(2, true))
+		accepted := false
+		for from, subscription := range c.then {
+			for _, got := range acknowledgments(m.Receive(2*time.Millisecond, from, subscription), ticket) {
+				accepted = accepted || got.Accepted
+			}
+		}
+		if accepted != c.accepted {
+			t.Errorf("%s: accepted %v", c.name, accepted)
+		}
+	}
+}
--- a/peer/registry/founding.go
+++ b/peer/registry/founding.go
@@ -89,7 +89,7 @@
 	if len(m.founding.unfounded) < m.params.GroupSize || len(founders) < m.params.GroupSize/2+1 {
 		return false
 	}
-	plan := core.PlanFleet(
+	plan := m.params.Core.Domains.PlanFleet(
 		fmt.Sprintf("%s-%s", m.registryID, m.incarnation),
 		1+m.params.PartitionsPerCore*len(m.founding.unfounded),
 		m.params.GroupSize,
--- a/peer/registry/machine.go
+++ b/peer/registry/machine.go
@@ -13,6 +13,7 @@
 type Options struct {
 	Params      Params
 	ID          string
+	Zone        string
 	Incarnation string
 	Address     string
 	Seeds       []string
@@ -33,6 +34,7 @@
 
 	params                  Params
 	registryID, incarnation string
+	zone                    string
 	address                 string
 	seeds                   []string
 	random                  func() float64
@@ -76,6 +78,7 @@
 		params:          o.Params,
 		registryID:      o.ID,
 		incarnation:     o.Incarnation,
+		zone:            o.Zone,
 		address:         o.Address,
 		seeds:           o.Seeds,
 		random:          o.Random,
--- a/peer/registry/subscribers.go
+++ b/peer/registry/subscribers.go
@@ -16,6 +16,7 @@
 	topology           subscribedTopology
 	lastSeen           time.Duration
 	isRegistry         bool
+	zone               string
 	// confirmedVersion is the version of this incarnation's list that it confirmed.
 	confirmedVersion uint64
 	// announcedTable is the newest table whose number it was sent.
@@ -161,7 +162,7 @@
 		sub = &subscriber{}
 		m.subscribers[from] = sub
 	}
-	sub.lastSeen, sub.isRegistry = now, request.IsRegistry
+	sub.lastSeen, sub.isRegistry, sub.zone = now, request.IsRegistry, request.Zone
 	sub.incarnation, sub.version, sub.table, sub.acceptsDifferences =
 		request.Incarnation, request.Version, request.Table, request.AcceptsDifferences
 	sub.confirmedVersion = request.Version
@@ -241,6 +242,7 @@
 		Table:              m.table.number(),
 		AcceptsDifferences: true,
 		IsRegistry:         true,
+		Zone:               m.zone,
 		Incarnation:        cursor.incarnation,
 		Version:            cursor.version,
 
--- a/peer/registry/types.go
+++ b/peer/registry/types.go
@@ -75,6 +75,8 @@
 		// registry at a time, by Whole.
 		WholeOnRequest bool `msgpack:"w,omitempty"`
 		Whole          bool `msgpack:"q,omitempty"`
+		// Zone is the subscriber's; empty for one of a former release.
+		Zone string `msgpack:"o,omitempty"`
 	}
 	// Update carries the changes after version Since to a subscriber.
 	Update struct {
--- a/peer/relay/operation_test.go
+++ b/peer/relay/operation_test.go
@@ -28,7 +28,7 @@
 		MemberLease: 2 * time.Second, AttemptTimeout: 150 * time.Millisecond, PullInterval: 150 * time.Millisecond}
 	k := &keyCore{t: t, results: map[uint64]core.CommandResult{}}
 	k.machine = core.New(core.Options{Params: params, ID: "c", Address: "c", Stored: core.Stored{Incarnation: "1"}, Random: func() float64 { return 0.5 }})
-	out, ok := k.machine.AcceptFounding(0, core.PlanFleet("f", keyPartitions, 1, []core.Core{k.machine.Self()}))
+	out, ok := k.machine.AcceptFounding(0, core.FailureDomains{}.PlanFleet("f", keyPartitions, 1, []core.Core{k.machine.Self()}))
 	if !ok {
 		t.Fatal("fleet not founded")
 	}
--- a/rehearsalkit/simulator/world.go
+++ b/rehearsalkit/simulator/world.go
@@ -294,7 +294,7 @@
 		p.boot()
 		list = append(list, p.coreMachine.Self())
 	}
-	f := core.PlanFleet("simulated", w.Params.Partitions, 3, list)
+	f := core.FailureDomains{}.PlanFleet("simulated", w.Params.Partitions, 3, list)
 	for _, p := range w.cores {
 		out, ok := p.coreMachine.AcceptFounding(p.now(), f)
 		if !ok {
--- a/rehearsalkit/sizes/larger_test.go
+++ b/rehearsalkit/sizes/larger_test.go
@@ -2,7 +2,6 @@
 
 // exceptions are the items above the bounds, with their allowed sizes. They may only shrink.
 var exceptions = map[string]int{
-	"function peer/core/placement.go assignMembers":                            79,
 	"function peer/core/rules.go rules.Apply":                                  103,
 	"function peer/operator/handler.go Handler":                                73,
 	"function peer/relay/rate.go Machine.drawRates":                            78,
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -82,8 +82,11 @@
 type loggedState struct {
 	leading  int
 	silences []core.Silence
-	stalled  bool
-	report   telemetry.StartReport
+	exposed  []int
+	// redundancyCheckAt is when silences and exposed are next checked.
+	redundancyCheckAt time.Duration
+	stalled           bool
+	report            telemetry.StartReport
 }
 
 type messageCounts struct {
@@ -287,11 +290,26 @@
 		s.leading = leading
 		s.log.Info("ownership", "parts", leading)
 	}
+	if s.now() >= s.redundancyCheckAt {
+		s.redundancyCheckAt = s.now() + redundancyCheckInterval
+		s.logRedundancy()
+	}
+	s.report.Record(s.now(), s.streams.Queued, s.log)
+}
+
+// redundancyCheckInterval is the time between checks for changes to log.
+const redundancyCheckInterval = 250 * time.Millisecond
+
+// logRedundancy logs changes of the silent cores and of the groups that could lose their majority.
+func (s *process) logRedundancy() {
 	if silences := s.machine.Silences(s.now()); !slices.Equal(silences, s.silences) {
 		s.silences = silences
 		s.log.Info("silent cores", "cores", silences)
 	}
-	s.report.Record(s.now(), s.streams.Queued, s.log)
+	if exposed := s.machine.ExposedPartitions(); !slices.Equal(exposed, s.exposed) {
+		s.exposed = exposed
+		s.log.Info("partitions that the tolerated losses could take", "parts", exposed)
+	}
 }
 
 // apply carries out the machine's output. A message that depends on changes is sent only once they
@@ -418,6 +436,7 @@
 			"refused_while_stalled":     m.Counters.RefusedWhileStalled,
 			"returns_with_empty_folder": m.Counters.Rejoins,
 			"bad_messages":              m.Counters.BadMessages,
+			"exposed_groups":            int64(len(m.ExposedPartitions())),
 			"seats_of_silent_cores":     int64(silentSeats),
 			"retirements_refused":       m.Counters.RetirementsRefused,
 			"retirements_undecided":     m.Counters.RetirementsUndecided,
--- a/saffronfall/main.go
+++ b/saffronfall/main.go
@@ -327,6 +327,9 @@
 		printCore(c, memberships[c.MemberID()])
 	}
 	printSilences(fleet.SilentCores)
+	if len(fleet.ExposedPartitions) > 0 {
+		fmt.Printf("exposed parts %v: the tolerated losses could take a majority of their seats\n", fleet.ExposedPartitions)
+	}
 	for _, p := range fleet.Partitions {
 		fmt.Printf("part    %-3d owner %s term %d epoch %d seats %s\n", p.Partition, p.Leader, p.Term, p.Epoch, strings.Join(p.Members, " "))
 	}
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -47,7 +47,7 @@
 	Verbosity         int64   `json:"log_verbosity"`
 	ColdStart         bool    `json:"cold_start"`
 	CoreLossTimeoutMS int64   `json:"core_gone_ms"`
-	GroupSize         int64   `json:"group_seats"`
+	FailureDomains
 
 	Relay
 }
@@ -126,6 +126,10 @@
 	{Path: "core_gone_ms", Type: "int", Default: 0, Min: 0, Max: 3600000, Help: "silence after which a core's group memberships move to other cores; 0: three leases of a node"},
 	{Path: "order_keep_hours", Type: "int", Default: 24, Min: 1, Max: 8760, Help: "how long a repeated operator command is recognised and acknowledged"},
 	{Path: "group_seats", Type: "int", Default: 3, Min: 1, Max: maxGroupSize, Help: "number of cores that hold each partition of a newly founded fleet; 3 tolerate the loss of one, 5 of two"},
+	{Path: "least_group_seats", Type: "int", Default: 0, Min: 0, Max: maxGroupSize, Help: "groups with fewer members grow to this number while there are cores, also in a fleet that was founded with smaller groups; 0: they keep the size of the founding"},
+	{Path: "tolerated_zones", Type: "int", Default: 0, Min: 0, Max: (maxGroupSize - 1) / 2, Help: "number of zones that may be lost at once with all their disks; no more members of a group are placed in a zone than leave a majority then. It needs groups of twice as many members and one"},
+	{Path: "tolerated_regions", Type: "int", Default: 0, Min: 0, Max: (maxGroupSize - 1) / 2, Help: "the same for regions"},
+	{Path: "zone_regions", Type: "texts", Default: []any{}, Check: checkZoneRegions, Help: "region of each zone, as zone=region; a zone that is not listed is a region of its own"},
 	{Path: "log_verbosity", Type: "int", Default: 0, Min: 0, Max: 4, Help: "log level; 0 logs state changes only"},
 }
 
@@ -217,6 +221,8 @@
 		SilenceTimeout: ms(p.CoreLossTimeoutMS),
 		OrderRetention: time.Duration(p.CommandRetentionHours) * time.Hour,
 		MaxKeyBytes:    int(p.KeyMemoryBytes),
+		MinGroupSize:   int(p.MinGroupSize),
+		Domains:        p.FailureDomains.domains(),
 	}
 }
 
--- a/saffronfall/registryprocess/process.go
+++ b/saffronfall/registryprocess/process.go
@@ -97,7 +97,7 @@
 		s.dataDir, stored = open(p.DataDir, log)
 	}
 	duty := s.resumeFounding(stored.founding, p.Bootstrap)
-	s.machine = registry.New(registry.Options{Params: p.Registry(), ID: p.ID, Incarnation: hex.EncodeToString(raw),
+	s.machine = registry.New(registry.Options{Params: p.Registry(), ID: p.ID, Zone: p.Zone, Incarnation: hex.EncodeToString(raw),
 		Address: p.PeerAdvertise, Seeds: p.Seeds, FoundingDuty: duty, KnownReplicas: stored.replicaList(), KnownPeers: stored.peers,
 		Now: s.now(), Random: rand.Float64})
 	log.Info("registry started", "id", p.ID, "founds", duty.MayFound)
