--- a/peer/core/expiry.go
+++ b/peer/core/expiry.go
@@ -38,7 +38,7 @@
 
 func (r *rules) loadExpiries(tx *partition.Tx) {
 	r.expiries, r.ledgers, r.expired = expiryQueue{}, map[string]*rate.Ledger{}, newRecentKeys()
-	r.keys = loadKeyUsage(tx)
+	r.keys, r.turns = loadKeyUsage(tx), loadTurnUsage(tx)
 	for _, key := range tx.Keys(operationKeyPrefix) {
 		if k, ok := read[storedKey](tx, key); ok {
 			r.expiries.add(key, k.Until)
@@ -69,6 +69,9 @@
 			until = b.Until
 		} else if t, ok := readWithPrefix[storedTurn](tx, planned.key, turnPrefix); ok {
 			until = t.Until
+			if clock >= until {
+				r.turns.add(t.Tenant, -t.size(planned.key))
+			}
 		} else if o, ok := readWithPrefix[acceptedOrder](tx, planned.key, acceptedPrefix); ok {
 			until = o.Until
 		} else if k, ok := readWithPrefix[storedKey](tx, planned.key, operationKeyPrefix); ok {
--- a/peer/core/messages.go
+++ b/peer/core/messages.go
@@ -256,6 +256,8 @@
 	// Done answers commands that have no other result.
 	Done struct {
 		OK bool `msgpack:"OK"`
+		// Crowded, in the answer to StoreTurn, asks the tenant's next turns to claim room.
+		Crowded bool `msgpack:"w,omitempty"`
 	}
 )
 
--- a/peer/core/messages_relay.go
+++ b/peer/core/messages_relay.go
@@ -42,6 +42,20 @@
 		Output    []byte        `msgpack:"o"`
 		Retention time.Duration `msgpack:"k"`
 	}
+	// ClaimTurnRoom claims memory for a turn before it runs, at the partition that will store it. The
+	// claim ends when the turn is stored, and after Working. A core of a former release doesn't answer.
+	ClaimTurnRoom struct {
+		Tenant  string        `msgpack:"t"`
+		Attempt string        `msgpack:"a"`
+		Bytes   int64         `msgpack:"b"`
+		Working time.Duration `msgpack:"w"`
+	}
+	// TurnRoom answers ClaimTurnRoom. Without OK there is no room, and the turn must not run. Crowded
+	// asks the tenant's next turns to claim theirs.
+	TurnRoom struct {
+		OK      bool `msgpack:"o"`
+		Crowded bool `msgpack:"c"`
+	}
 	// ReadTurn reads a stored turn.
 	ReadTurn struct {
 		Tenant  string `msgpack:"t"`
@@ -152,6 +166,11 @@
 // RatePartition returns the partition that holds the ledger of a tenant's rate.
 func RatePartition(partitions int, tenant string) int { return PartitionOf(partitions, "rate", tenant) }
 
+// TurnPartition returns the partition that stores a turn.
+func TurnPartition(partitions int, attempt string) int {
+	return PartitionOf(partitions, "kept", attempt)
+}
+
 func relayTargetPartition(partitions int, command any) (int, bool) {
 	switch c := command.(type) {
 	case ReserveTurn:
@@ -159,11 +178,13 @@
 	case SettleTurn:
 		return PartitionOf(partitions, "book", c.Tenant, c.Program), true
 	case StoreTurn:
-		return PartitionOf(partitions, "kept", c.Attempt), true
+		return TurnPartition(partitions, c.Attempt), true
+	case ClaimTurnRoom:
+		return TurnPartition(partitions, c.Attempt), true
 	case ReadTurn:
-		return PartitionOf(partitions, "kept", c.Attempt), true
+		return TurnPartition(partitions, c.Attempt), true
 	case ExtendTurn:
-		return PartitionOf(partitions, "kept", c.Attempt), true
+		return TurnPartition(partitions, c.Attempt), true
 	case DrawRates:
 		return c.Partition, true
 	}
--- a/peer/core/rules.go
+++ b/peer/core/rules.go
@@ -33,6 +33,9 @@
 	// MaxKeyBytes bounds the memory for the operation keys of a partition; zero means
 	// defaultMaxKeyBytes.
 	MaxKeyBytes int
+	// MaxTurnBytes bounds the memory for the stored turns of a partition; zero means
+	// defaultMaxTurnBytes.
+	MaxTurnBytes int
 	// MinGroupSize is the number of members that groups grow to, also in a fleet that was founded with
 	// smaller ones; zero means that they keep the size of the founding.
 	MinGroupSize int
@@ -58,6 +61,7 @@
 	// expired has the keys that this leader deleted on expiry.
 	expired *recentKeys
 	keys    keyUsage
+	turns   turnUsage
 }
 
 // Elected resets the volatile state. All leases count from now, because an earlier leader may have
--- a/peer/core/rules_relay.go
+++ b/peer/core/rules_relay.go
@@ -30,6 +30,8 @@
 		return Done{OK: true}
 	case StoreTurn:
 		return r.storeTurn(tx, c)
+	case ClaimTurnRoom:
+		return r.claimTurnRoom(tx, c)
 	case ReadTurn:
 		return r.readTurn(tx, c)
 	case ExtendTurn:
--- a/peer/core/turns.go
+++ b/peer/core/turns.go
@@ -77,13 +77,15 @@
 }
 
 // storeTurn acknowledges a repeated command, but not a different turn under an ID that its tenant
-// has used.
+// has used. It stores a turn without room too: its requester has been served already.
 func (r *rules) storeTurn(tx *partition.Tx, command StoreTurn) any {
 	key, turn, ok := findTurn(tx, command.Tenant, command.Attempt)
 	if ok {
 		return Done{OK: slices.Equal(turn.Previous, command.Previous) &&
-			bytes.Equal(turn.Input, command.Input) && bytes.Equal(turn.Output, command.Output)}
+			bytes.Equal(turn.Input, command.Input) && bytes.Equal(turn.Output, command.Output),
+			Crowded: r.turnsCrowded(command.Tenant)}
 	}
+	r.turns.release(key)
 	turn = storedTurn{
 		Tenant:   command.Tenant,
 		Previous: command.Previous,
@@ -93,7 +95,8 @@
 	}
 	write(tx, key, turn)
 	r.expiries.add(key, turn.Until)
-	return Done{OK: true}
+	r.turns.add(turn.Tenant, turn.size(key))
+	return Done{OK: true, Crowded: r.turnsCrowded(command.Tenant)}
 }
 
 func (r *rules) readTurn(tx *partition.Tx, c ReadTurn) ReadTurnResult {
--- a/peer/relay/completion.go
+++ b/peer/relay/completion.go
@@ -37,6 +37,7 @@
 	CauseKeyUncertain          Cause = "key_uncertain"
 	CauseKeyUnavailable        Cause = "key_unsure"
 	CauseKeysFull              Cause = "keys_full"
+	CauseTurnsFull             Cause = "turns_full"
 	CauseCoresUnreachable      Cause = "cut_off"
 	CauseAdmissionTimeout      Cause = "waited_too_long"
 	CauseAttemptsExhausted     Cause = "tries_spent"
@@ -87,6 +88,7 @@
 	CauseKeyUncertain:          {status: 502, check: "operation key", reason: "an earlier attempt with this key may have run; its outcome is unknown"},
 	CauseKeyUnavailable:        {status: 503, check: "cores", reason: "the operation's key could not be claimed in time", retryFactor: 2},
 	CauseKeysFull:              {status: 503, check: "operation key", reason: "as many operation keys as can be are stored", retryFactor: 8},
+	CauseTurnsFull:             {status: 503, check: "history", reason: "as many turns as can be are stored", retryFactor: 8},
 	CauseCoresUnreachable:      {status: 503, check: "cores", reason: "this node reaches no core; try another", retryFactor: 0.5},
 	CauseAdmissionTimeout:      {status: 503, check: "patience", reason: "what this request needs did not come in time", retryFactor: 2},
 	CauseAttemptsExhausted:     {status: 503, check: "replicas", reason: "as many replicas were asked as the route allows", retryFactor: 1},
--- a/peer/relay/cores.go
+++ b/peer/relay/cores.go
@@ -29,7 +29,7 @@
 }
 
 func (req *activeRequest) needsCores() bool {
-	return req.reservingBudget || req.fetchingHistory || req.claiming
+	return req.reservingBudget || req.historyState.pending() || req.claiming
 }
 
 // checkCores refuses requests that wait for unreachable cores, so that requesters can try another
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -53,10 +53,9 @@
 	selection
 	loadSharing
 	rateState
-	cache       *turnCache
-	recentTurns recentTurns
-	active      map[uint64]*activeRequest
-	draining    bool
+	turnStore
+	active   map[uint64]*activeRequest
+	draining bool
 	// awaitingTable waits for the first routing table, awaitingReplicas for the first replica of
 	// the requests' service.
 	awaitingTable, awaitingReplicas []*activeRequest
@@ -104,7 +103,7 @@
 			},
 		},
 		rateState: rateState{rates: map[string]*tenantRate{}},
-		cache:     newTurnCache(o.Params.CacheBytes),
+		turnStore: turnStore{cache: newTurnCache(o.Params.CacheBytes), crowded: map[crowdedPartition]time.Duration{}},
 		active:    map[uint64]*activeRequest{},
 	}
 	m.caller = &core.Caller{Retry: o.Params.Core.AttemptTimeout, Random: o.Random,
@@ -275,6 +274,7 @@
 	if now >= m.nextUpdateRequest {
 		m.nextUpdateRequest = now + m.params.UpdateInterval
 		m.dropSilentRegistries(now)
+		m.forgetCrowded(now)
 		targets := append([]string(nil), m.registryAddresses...)
 		for _, seed := range m.seeds {
 			if !slices.Contains(targets, seed) {
--- a/peer/relay/machine_test.go
+++ b/peer/relay/machine_test.go
@@ -22,12 +22,16 @@
 // harness runs one node with one registry and cores, which answer at once unless coresSilent is
 // set.
 type harness struct {
-	t              *testing.T
-	now            time.Duration
-	node           *Machine
-	steps          map[uint64][]Step
-	accounts       map[string]*account.Account
-	storedTurns    map[string]core.StoreTurn
+	t           *testing.T
+	now         time.Duration
+	node        *Machine
+	steps       map[uint64][]Step
+	accounts    map[string]*account.Account
+	storedTurns map[string]core.StoreTurn
+	// turnRoom answers claims of room, which roomClaims counts; crowded is in the answers to StoreTurn.
+	turnRoom       core.TurnRoom
+	roomClaims     int
+	crowded        bool
 	ledgers        map[string]*rate.Ledger
 	coresSilent    bool
 	delayedResults []func()
@@ -112,7 +116,10 @@
 		return core.Done{OK: true}
 	case core.StoreTurn:
 		h.storedTurns[c.Attempt] = c
-		return core.Done{OK: true}
+		return core.Done{OK: true, Crowded: h.crowded}
+	case core.ClaimTurnRoom:
+		h.roomClaims++
+		return h.turnRoom
 	case core.ClaimKey, core.EndKey:
 		return h.keys.run(command)
 	case core.ExtendTurn:
--- a/peer/relay/request.go
+++ b/peer/relay/request.go
@@ -46,8 +46,7 @@
 
 	budgetState
 	keyState
-	fetchingHistory bool
-	previous        *turn
+	historyState
 	overdueReported bool
 }
 
@@ -150,7 +149,10 @@
 		if req.spec.Program != "" && req.spec.TokenBudget > 0 {
 			m.reserveBudget(now, req)
 		}
-		if req.route.KeepHistory && req.spec.Previous != "" {
+		if req.keepsTurn() && !req.completed {
+			m.claimTurnRoom(now, req)
+		}
+		if req.route.KeepHistory && req.spec.Previous != "" && !req.completed {
 			m.fetchHistory(now, req)
 		}
 	}
@@ -173,7 +175,7 @@
 }
 
 func (m *Machine) sendWhenReady(now time.Duration, req *activeRequest) {
-	if req.completed || req.state != stateAdmitting || req.reservingBudget || req.fetchingHistory || req.claiming || req.budgetRefused {
+	if req.completed || req.state != stateAdmitting || req.needsCores() || req.budgetRefused {
 		return
 	}
 	m.dispatch(now, req)
@@ -355,6 +357,9 @@
 	}
 	done := func(at time.Duration, o core.Outcome) {
 		d, ok := o.Answer.(core.Done)
+		if ok && d.Crowded {
+			m.noteCrowded(at, m.placeOfTurn(req), true)
+		}
 		failed = failed || !ok || !d.OK
 		if waiting--; waiting > 0 {
 			return
--- a/rule/partition/machine.go
+++ b/rule/partition/machine.go
@@ -305,3 +305,6 @@
 	}
 	return *m.out
 }
+
+// Rules returns the rules that the partition was made with.
+func (m *Machine) Rules() Rules { return m.rules }
--- a/saffronfall/params/params.go
+++ b/saffronfall/params/params.go
@@ -221,6 +221,7 @@
 		SilenceTimeout: ms(p.CoreLossTimeoutMS),
 		OrderRetention: time.Duration(p.CommandRetentionHours) * time.Hour,
 		MaxKeyBytes:    int(p.KeyMemoryBytes),
+		MaxTurnBytes:   int(p.TurnMemoryBytes),
 		MinGroupSize:   int(p.MinGroupSize),
 		Domains:        p.FailureDomains.domains(),
 	}
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -28,11 +28,12 @@
 	Telemetry
 }
 
-// OperationKeys holds the settings of operation keys.
+// OperationKeys holds the settings of operation keys, and of the memory for these and for stored turns.
 type OperationKeys struct {
 	KeyWindowMS      int64 `json:"key_window_ms"`
 	KeyResponseBytes int64 `json:"key_response_bytes"`
 	KeyMemoryBytes   int64 `json:"key_memory_bytes"`
+	TurnMemoryBytes  int64 `json:"turn_memory_bytes"`
 }
 
 // Placement holds the settings by which a node chooses replicas.
@@ -97,6 +98,7 @@
 		configuration.Setting{Path: "key_window_ms", Type: "int", Default: 60000, Min: 1000, Max: 86400000, Help: "how long after an operation was sent a repeat with its key is not run"},
 		configuration.Setting{Path: "key_response_bytes", Type: "int", Default: 64 << 10, Min: 0, Max: 1 << 24, Help: "largest response that is stored for repeats with its operation's key"},
 		configuration.Setting{Path: "key_memory_bytes", Type: "int", Default: 32 << 20, Min: 1 << 16, Max: 1 << 36, Help: "memory of a core for the operation keys of each partition; beyond it operations with new keys are refused"},
+		configuration.Setting{Path: "turn_memory_bytes", Type: "int", Default: 64 << 20, Min: 1 << 16, Max: 1 << 36, Help: "memory of a core for the stored turns of each partition, half of it for one tenant; beyond it turns are refused before they run"},
 		configuration.Setting{Path: "dial_ms", Type: "int", Default: 300, Min: 10, Max: 60000, Help: "timeout of connecting to a replica"},
 		configuration.Setting{Path: "connections", Type: "int", Default: 16384, Min: 1, Max: 1e6, Help: "maximum number of open requester connections; beyond it the one that has gone longest without a whole request is closed, and further ones wait where all are served; keep it below the process's limit of file descriptors"},
 		configuration.Setting{Path: "body_ms", Type: "int", Default: 30000, Min: 10, Max: 3600000, Help: "timeout for receiving a request body, besides the request's own deadline"},
