--- a/peer/disk/checksum.go
+++ b/peer/disk/checksum.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"hash"
 
 	"github.com/cockroachdb/errors"
 	"github.com/dchest/siphash"
@@ -35,11 +36,17 @@
 
 // checksum includes the header's length, so that kinds of headers cannot be confused.
 func (k checksumKey) checksum(header, body []byte) uint64 {
+	hash := k.hash(header)
+	hash.Write(body)
+	return hash.Sum64()
+}
+
+// hash returns the checksum's hash before the body is written to it.
+func (k checksumKey) hash(header []byte) hash.Hash64 {
 	hash := siphash.New(k.appendTo(make([]byte, 0, checksumKeySize)))
 	hash.Write([]byte{byte(len(header))})
 	hash.Write(header)
-	hash.Write(body)
-	return hash.Sum64()
+	return hash
 }
 
 // checksumShort does not allocate.
--- a/peer/disk/checksum_test.go
+++ b/peer/disk/checksum_test.go
@@ -77,7 +77,7 @@
 	for at := 0; at+block <= len(state); at += block {
 		copy(state[at:], neutralBlock(t, block))
 	}
-	log, err := systemFiles{}.ReadFile(filepath.Join(path, "log-1"))
+	log, err := os.ReadFile(filepath.Join(path, "log-1"))
 	must(t, err)
 	must(t, s.Replace(state))
 	must(t, s.Close())
@@ -119,7 +119,7 @@
 	must(t, s.Replace([]byte("second")))
 	must(t, s.Append([]byte("three")))
 	must(t, s.Close())
-	raw, err := systemFiles{}.ReadFile(filepath.Join(path, "slot-0"))
+	raw, err := os.ReadFile(filepath.Join(path, "slot-0"))
 	must(t, err)
 	if string(raw[:len(slotMagic)]) != slotMagic {
 		t.Errorf("written as %q", raw[:len(slotMagic)])
--- a/peer/disk/disk.go
+++ b/peer/disk/disk.go
@@ -3,10 +3,11 @@
 //
 // A write is acknowledged only after it has been synced, so a power failure can lose or
 // tear only unacknowledged writes. Any other damage is reported as ErrDamaged. Start
-// reading at OpenIn, Store.Append and Store.Replace.
+// reading at Visit, Store.Append and Store.Replace.
 package disk
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -37,17 +38,45 @@
 	log        File
 	format     recordFormat
 	size       int64 // of the current log, in bytes
+	slotSize   int64
 	// Syncs counts the file syncs made.
 	Syncs int64
 }
 
+// Opened says what a directory was like when it was opened.
+type Opened struct {
+	Empty bool
+	// TruncatedBytes is the length of the incomplete write removed from the log's end.
+	TruncatedBytes int64
+}
+
 // Contents is what a directory contained when it was opened.
 type Contents struct {
-	Empty   bool
+	Opened
 	State   []byte
 	Records [][]byte
-	// TruncatedBytes is the length of the incomplete write removed from the log's end.
-	TruncatedBytes int64
+}
+
+// Visitor receives what a directory contains, so that it need not all be in memory at once. An error
+// ends the opening.
+type Visitor interface {
+	// VisitState reads the encoded state. It is called first, and not for an empty directory.
+	VisitState(state io.Reader) error
+	// VisitRecord is called for each record since. It must not keep the slice.
+	VisitRecord(record []byte) error
+}
+
+// collector is the Visitor that collects the Contents.
+type collector struct{ contents *Contents }
+
+func (c collector) VisitState(state io.Reader) (err error) {
+	c.contents.State, err = io.ReadAll(state)
+	return err
+}
+
+func (c collector) VisitRecord(record []byte) error {
+	c.contents.Records = append(c.contents.Records, bytes.Clone(record))
+	return nil
 }
 
 // Open opens a directory, creating it if needed, and reads what it holds.
@@ -55,63 +84,99 @@
 
 // OpenIn is like Open but uses the given file system.
 func OpenIn(files FileSystem, path string) (*Store, Contents, error) {
+	var contents Contents
+	s, opened, err := Visit(files, path, collector{contents: &contents})
+	if err != nil {
+		return nil, Contents{}, err
+	}
+	contents.Opened = opened
+	return s, contents, nil
+}
+
+// Visit is like OpenIn, and passes the contents to a visitor. After an error, what the visitor got must
+// not be used.
+func Visit(files FileSystem, path string, visitor Visitor) (*Store, Opened, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
-		return nil, Contents{}, errors.Wrap(err, "creating the state directory")
+		return nil, Opened{}, errors.Wrap(err, "creating the state directory")
 	}
 	s := &Store{files: files, path: path}
 	slots, err := s.readSlots()
 	if err != nil {
-		return nil, Contents{}, err
+		return nil, Opened{}, err
 	}
 	logs, err := s.readLogs(slots.recognized())
 	if err != nil {
-		return nil, Contents{}, err
+		return nil, Opened{}, err
 	}
 	newest := slots.newest()
 	s.generation = slots[newest].generation
 	switch {
-	case slots[newest].body == nil && !logs.present():
-		return s, Contents{Empty: true}, nil
-	case slots[newest].body == nil, logs.generation() > s.generation:
-		return nil, Contents{}, errors.Wrapf(ErrDamaged, "the slot of generation %d is missing or damaged", logs.generation())
+	case s.generation == 0 && !logs.present():
+		return s, Opened{Empty: true}, nil
+	case s.generation == 0, logs.generation() > s.generation:
+		return nil, Opened{}, errors.Wrapf(ErrDamaged, "the slot of generation %d is missing or damaged", logs.generation())
+	}
+	if err := s.visitSlot(newest, slots[newest], visitor); err != nil {
+		return nil, Opened{}, err
 	}
-	contents := Contents{State: slots[newest].body}
 	if logs[newest].generation < s.generation {
 		// A crash came between writing the slot and installing its log.
-		return s, contents, s.startLog(newest)
+		return s, Opened{}, s.startLog(newest)
 	}
-	err = s.replayLog(newest, logs[newest], &contents)
-	return s, contents, err
+	truncated, err := s.replayLog(newest, logs[newest], visitor)
+	return s, Opened{TruncatedBytes: truncated}, err
 }
 
-// replayLog reads a log, truncates an incomplete write at its end and opens it to append.
-func (s *Store) replayLog(i int, stored logFile, contents *Contents) error {
+// replayLog visits a log, truncates an incomplete write at its end and opens it to append. It returns
+// the length of the incomplete write.
+func (s *Store) replayLog(i int, stored logFile, visitor Visitor) (int64, error) {
 	s.format, s.size = stored.format, int64(stored.headerSize)
-	rest := stored.raw[stored.headerSize:]
-	for len(rest) > 0 {
-		record, n := s.format.read(rest, s.size)
-		if n == 0 {
-			if s.format.containsRecord(rest[1:], s.size+1) {
-				return errors.Wrap(ErrDamaged, "the log is damaged before its last record")
-			}
-			break
-		}
-		contents.Records = append(contents.Records, bytes.Clone(record))
-		rest, s.size = rest[n:], s.size+int64(n)
+	truncated, err := s.visitRecords(i, visitor)
+	if err != nil {
+		return 0, err
 	}
-	contents.TruncatedBytes = int64(len(rest))
 	log, err := s.files.OpenFile(s.name("log", i), os.O_RDWR, 0o600)
 	if err != nil {
-		return errors.Wrap(err, "opening the log")
+		return 0, errors.Wrap(err, "opening the log")
 	}
 	s.log = log
 	if err := log.Truncate(s.size); err != nil {
-		return errors.Wrap(err, "truncating the log")
+		return 0, errors.Wrap(err, "truncating the log")
 	}
 	if _, err := log.Seek(s.size, io.SeekStart); err != nil {
-		return errors.Wrap(err, "seeking to the end of the log")
+		return 0, errors.Wrap(err, "seeking to the end of the log")
+	}
+	return truncated, errors.Wrap(log.Sync(), "syncing the log")
+}
+
+// visitRecords passes the records to the visitor, and returns the length of what follows the last one.
+func (s *Store) visitRecords(i int, visitor Visitor) (int64, error) {
+	file, err := s.files.Open(s.name("log", i))
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the log")
+	}
+	defer file.Close()
+	in := bufio.NewReaderSize(file, bufferSize)
+	if _, err := in.Discard(int(s.size)); err != nil {
+		return 0, errors.Wrap(err, "reading the log")
+	}
+	records := recordReader{in: in, format: s.format, offset: s.size}
+	for {
+		record, rest, err := records.next()
+		switch {
+		case err != nil:
+			return 0, errors.Wrap(err, "reading the log")
+		case record != nil:
+			s.size = records.offset
+			if err := visitor.VisitRecord(record); err != nil {
+				return 0, err
+			}
+		case len(rest) > 0 && s.format.containsRecord(rest[1:], s.size+1):
+			return 0, errors.Wrap(ErrDamaged, "the log is damaged before its last record")
+		default:
+			return int64(len(rest)), nil
+		}
 	}
-	return errors.Wrap(log.Sync(), "syncing the log")
 }
 
 func (s *Store) name(kind string, i int) string {
@@ -151,43 +216,70 @@
 // Size returns the length of the log in bytes.
 func (s *Store) Size() int64 { return s.size }
 
+// SlotSize returns the length of the state that was last written, in bytes; zero if none was.
+func (s *Store) SlotSize() int64 { return s.slotSize }
+
 // Replace writes the whole state to the older slot and starts a new log. After ErrFull
 // the store keeps using its current slot and log; after any other error it must not be
 // used again.
 func (s *Store) Replace(state []byte) error {
+	return s.ReplaceWith(func(out io.Writer) error {
+		_, err := out.Write(state)
+		return err
+	})
+}
+
+// ReplaceWith is like Replace with a state that encode writes, which is called twice and must write as
+// many bytes each time.
+func (s *Store) ReplaceWith(encode func(io.Writer) error) error {
 	s.generation++
-	err := s.replace(state)
+	err := s.replace(encode)
 	if errors.Is(err, ErrFull) {
 		s.generation--
 	}
 	return err
 }
 
-func (s *Store) replace(state []byte) error {
+// byteCounter counts what is written to it.
+type byteCounter int64
+
+func (c *byteCounter) Write(p []byte) (int, error) {
+	*c += byteCounter(len(p))
+	return len(p), nil
+}
+
+func (s *Store) replace(encode func(io.Writer) error) error {
 	i := int(s.generation % 2)
 	key, err := newChecksumKey()
 	if err != nil {
 		return err
 	}
+	var length byteCounter
+	counted := bufio.NewWriterSize(&length, bufferSize)
+	if err := errors.CombineErrors(encode(counted), counted.Flush()); err != nil {
+		return err
+	}
 	format, err := s.prepareLog(i)
 	if err != nil {
 		return err
 	}
 	// Once written, the new slot is current, so later steps must not need disk space:
 	// the new log is prepared first.
-	if err := s.writeSynced(s.name("slot", i), appendSlot(key, s.generation, state)); err != nil {
+	err = s.writeSynced(s.name("slot", i), func(file File) error { return s.writeSlot(file, key, int64(length), encode) })
+	if err != nil {
 		return err
 	}
+	s.slotSize = int64(length)
 	return s.installLog(i, format)
 }
 
-func (s *Store) writeSynced(name string, raw []byte) error {
+func (s *Store) writeSynced(name string, write func(File) error) error {
 	file, err := s.files.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return s.removePartial(name, err)
 	}
 	defer file.Close()
-	if _, err := file.Write(raw); err != nil {
+	if err := write(file); err != nil {
 		return s.removePartial(name, err)
 	}
 	s.Syncs++
@@ -223,7 +315,11 @@
 	if err != nil {
 		return recordFormat{}, err
 	}
-	return recordFormat{key: &key}, s.writeSynced(s.name("fresh", i), logHeader(key, s.generation))
+	err = s.writeSynced(s.name("fresh", i), func(file File) error {
+		_, err := file.Write(logHeader(key, s.generation))
+		return err
+	})
+	return recordFormat{key: &key}, err
 }
 
 // installLog renames a prepared log to its final name. A log appears complete, so an
--- a/peer/disk/filesystem.go
+++ b/peer/disk/filesystem.go
@@ -19,7 +19,8 @@
 // FileSystem is the file system that a store uses. Tests substitute one that fails.
 type FileSystem interface {
 	OpenFile(name string, flag int, mode os.FileMode) (File, error)
-	ReadFile(name string) ([]byte, error)
+	// Open opens a file to read it from its start.
+	Open(name string) (io.ReadCloser, error)
 	Rename(from, to string) error
 	Remove(name string) error
 	// SyncDir makes the creations, renames and removals in a directory durable.
@@ -35,7 +36,7 @@
 	return os.OpenFile(name, flag, mode)
 }
 
-func (systemFiles) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+func (systemFiles) Open(name string) (io.ReadCloser, error) { return os.Open(name) }
 
 func (systemFiles) Rename(from, to string) error { return os.Rename(from, to) }
 
--- a/peer/disk/format1.go
+++ b/peer/disk/format1.go
@@ -1,8 +1,10 @@
 package disk
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/crc32"
+	"io"
 )
 
 // castagnoli is for the unkeyed checksums (CRC-32C) of the first format, which is still
@@ -16,20 +18,23 @@
 	recordHeaderSizeV1 = 12
 )
 
-func readSlotV1(raw []byte) slotFile {
-	slot := slotFile{raw: raw}
-	if len(raw) < slotHeaderSizeV1 {
-		return slot
+// readSlotV1 reads a slot of which a part is read already: slot.header, and the rest from in.
+func readSlotV1(slot slotFile, in io.Reader) (slotFile, error) {
+	if len(slot.header) < slotHeaderSizeV1 {
+		return slot, nil
 	}
 	checksumOffset := slotHeaderSizeV1 - 4
-	body := raw[slotHeaderSizeV1:]
-	length := binary.LittleEndian.Uint32(raw[checksumOffset-4:])
-	sum := crc32.Update(crc32.Checksum(raw[:checksumOffset], castagnoli), castagnoli, body)
-	if uint64(len(body)) != uint64(length) || sum != binary.LittleEndian.Uint32(raw[checksumOffset:]) {
-		return slot
+	hash := crc32.New(castagnoli)
+	hash.Write(slot.header[:checksumOffset])
+	size, err := io.Copy(hash, io.MultiReader(bytes.NewReader(slot.header[slotHeaderSizeV1:]), in))
+	if err != nil {
+		return slot, err
 	}
-	slot.generation, slot.body = binary.LittleEndian.Uint64(raw[len(slotMagicV1):]), body
-	return slot
+	length := binary.LittleEndian.Uint32(slot.header[checksumOffset-4:])
+	if uint64(size) == uint64(length) && hash.Sum32() == binary.LittleEndian.Uint32(slot.header[checksumOffset:]) {
+		slot.generation, slot.headerSize = binary.LittleEndian.Uint64(slot.header[len(slotMagicV1):]), int64(slotHeaderSizeV1)
+	}
+	return slot, nil
 }
 
 func appendRecordV1(raw, body []byte) []byte {
@@ -39,6 +44,12 @@
 	return append(append(raw, header...), body...)
 }
 
+// recordLengthV1 returns the length of the record whose header raw is, if its header is valid.
+func recordLengthV1(raw []byte) (int64, bool) {
+	valid := crc32.Checksum(raw[:4], castagnoli) == binary.LittleEndian.Uint32(raw[4:])
+	return recordHeaderSizeV1 + int64(binary.LittleEndian.Uint32(raw)), valid
+}
+
 func readRecordV1(raw []byte) ([]byte, int) {
 	if len(raw) < recordHeaderSizeV1 {
 		return nil, 0
--- a/peer/disk/log.go
+++ b/peer/disk/log.go
@@ -1,7 +1,10 @@
 package disk
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/binary"
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +24,9 @@
 	return binary.LittleEndian.AppendUint64(raw, key.checksum(raw, nil))
 }
 
+// logFile is the header of a log on disk; present is set if there is one.
 type logFile struct {
-	raw        []byte
+	present    bool
 	generation uint64
 	headerSize int
 	format     recordFormat
@@ -30,14 +34,14 @@
 
 type logFiles [2]logFile
 
-func (l logFiles) present() bool { return l[0].raw != nil || l[1].raw != nil }
+func (l logFiles) present() bool { return l[0].present || l[1].present }
 
 func (l logFiles) generation() uint64 { return max(l[0].generation, l[1].generation) }
 
-// readLogs reads both logs. A damaged header is an error: a log is installed complete.
+// readLogs reads the headers of both logs. A damaged header is an error: a log is installed complete.
 func (s *Store) readLogs(recognized bool) (logs logFiles, err error) {
 	for i := range logs {
-		raw, err := s.files.ReadFile(s.name("log", i))
+		raw, err := s.readPrefix(s.name("log", i), logHeaderSize)
 		if os.IsNotExist(err) {
 			continue
 		}
@@ -55,8 +59,18 @@
 	return logs, nil
 }
 
+// readPrefix returns the start of a file, or all of a shorter one.
+func (s *Store) readPrefix(name string, size int) ([]byte, error) {
+	file, err := s.files.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return io.ReadAll(io.LimitReader(file, int64(size)))
+}
+
 func readLogHeader(raw []byte) (logFile, bool) {
-	log := logFile{raw: raw}
+	log := logFile{present: true}
 	switch {
 	case len(raw) >= logHeaderSize && string(raw[:len(logMagic)]) == logMagic:
 		key := decodeChecksumKey(raw[len(logMagic)+8:])
@@ -92,6 +106,63 @@
 	return append(append(raw, header...), body...)
 }
 
+// headerSize is the size of a record's header, in bytes.
+func (f recordFormat) headerSize() int {
+	if f.key == nil {
+		return recordHeaderSizeV1
+	}
+	return recordHeaderSize
+}
+
+// recordLength returns the encoded length of the record with a header at an offset of the log, if the
+// header's own checksum matches.
+func (f recordFormat) recordLength(header []byte, offset int64) (int64, bool) {
+	if f.key == nil {
+		return recordLengthV1(header)
+	}
+	valid := f.lengthChecksum(offset, header[:4]) == binary.LittleEndian.Uint32(header[4:])
+	return recordHeaderSize + int64(binary.LittleEndian.Uint32(header)), valid
+}
+
+// recordReader reads a log record by record.
+type recordReader struct {
+	in     *bufio.Reader
+	format recordFormat
+	// offset is that of the next record in the log.
+	offset int64
+	buffer bytes.Buffer
+}
+
+// next returns the body of the next record, which is valid until the next call. If there is no valid
+// one, the body is nil, and rest is all that remains of the log.
+func (r *recordReader) next() (body, rest []byte, err error) {
+	r.buffer.Reset()
+	headerSize := int64(r.format.headerSize())
+	if ok, err := r.fill(headerSize); !ok {
+		return nil, r.buffer.Bytes(), err
+	}
+	if length, valid := r.format.recordLength(r.buffer.Bytes(), r.offset); valid {
+		if ok, err := r.fill(length - headerSize); !ok {
+			return nil, r.buffer.Bytes(), err
+		}
+		if body, n := r.format.read(r.buffer.Bytes(), r.offset); n > 0 {
+			r.offset += int64(n)
+			return body, nil, nil
+		}
+	}
+	_, err = r.buffer.ReadFrom(r.in)
+	return nil, r.buffer.Bytes(), err
+}
+
+// fill reads more bytes into the buffer and reports whether the log has as many.
+func (r *recordReader) fill(size int64) (bool, error) {
+	_, err := io.CopyN(&r.buffer, r.in, size)
+	if errors.Is(err, io.EOF) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // read returns the body and the encoded length of the record that raw, at an offset of the
 // log, begins with. The length is zero if there is no valid record.
 func (f recordFormat) read(raw []byte, offset int64) ([]byte, int) {
--- a/peer/disk/open_test.go
+++ b/peer/disk/open_test.go
@@ -1,17 +1,25 @@
 package disk
 
 import (
+	"encoding/binary"
 	"errors"
 	"os"
 	"path/filepath"
 	"testing"
 )
 
+// encodedSlot returns the file of a slot.
+func encodedSlot(key checksumKey, generation uint64, state string) []byte {
+	header := slotHeader(key, generation, uint64(len(state)))
+	checksum := key.checksum(header, []byte(state))
+	return append(binary.LittleEndian.AppendUint64(header, checksum), state...)
+}
+
 // FuzzOpen opens arbitrary file contents. A rejected slot must be left unchanged.
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte(slotMagic+"\x01\x00\x00\x00\x00\x00\x00\x00"), []byte(logMagic+"\x01\x00\x00\x00\x00\x00\x00\x00"))
 	f.Add([]byte(slotMagicV1+"\x01\x00\x00\x00\x00\x00\x00\x00"), []byte(logMagicV1+"\x01\x00\x00\x00\x00\x00\x00\x00"))
-	f.Add(appendSlot(checksumKey{1, 2}, 1, []byte("state")), logHeader(checksumKey{3, 4}, 1))
+	f.Add(encodedSlot(checksumKey{1, 2}, 1, "state"), logHeader(checksumKey{3, 4}, 1))
 	f.Add([]byte("SFSLOT99 of a newer version"), []byte{})
 	f.Add([]byte{}, []byte("#!/bin/sh\necho somebody else's"))
 	f.Fuzz(func(t *testing.T, slot, log []byte) {
--- a/rehearsalkit/faultdisk/disk.go
+++ b/rehearsalkit/faultdisk/disk.go
@@ -193,12 +193,12 @@
 	})
 }
 
-// ReadFile reads a whole file.
-func (d *Disk) ReadFile(name string) ([]byte, error) {
+// Open opens a file to read it.
+func (d *Disk) Open(name string) (io.ReadCloser, error) {
 	if err := d.awaitReady(); err != nil {
 		return nil, err
 	}
-	return os.ReadFile(name)
+	return os.Open(name)
 }
 
 // Rename renames a file. A sync of the folder makes it durable.
--- a/rule/message/message.go
+++ b/rule/message/message.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"maps"
 	"reflect"
 
@@ -97,5 +98,15 @@
 	return raw
 }
 
+// Encode writes a value without a type name, as Marshal encodes it.
+func Encode(w io.Writer, value any) error {
+	return errors.Wrap(msgpack.NewEncoder(w).Encode(value), "encoding a value")
+}
+
+// Decode decodes what Encode or Marshal wrote into the target, which must be a pointer.
+func Decode(r io.Reader, target any) error {
+	return errors.Wrap(msgpack.NewDecoder(r).Decode(target), "decoding a value")
+}
+
 // Unmarshal decodes what Marshal encoded into the target, which must be a pointer.
 func Unmarshal(raw []byte, target any) error { return msgpack.Unmarshal(raw, target) }
--- a/saffronfall/coreprocess/process.go
+++ b/saffronfall/coreprocess/process.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	crypto "crypto/rand"
-	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 	"runtime"
@@ -27,7 +25,6 @@
 	"saffronfall/peer/operator"
 	"saffronfall/peer/stream"
 	"saffronfall/rule/invariant"
-	"saffronfall/rule/message"
 	"saffronfall/saffronfall/params"
 	"saffronfall/saffronfall/telemetry"
 )
@@ -168,50 +165,6 @@
 	ticksPerLease = 20
 )
 
-// load opens the data directory and gives an empty one a new incarnation. In a cold start, one that
-// belongs to no fleet may found one, which is stored. If it is damaged, it is set aside, and the core
-// starts without a vote, because it has lost what it promised.
-func load(files disk.FileSystem, path string, coldStart bool, log logr.Logger) (*disk.Store, core.Stored, error) {
-	store, found, err := disk.OpenIn(files, path)
-	if errors.Is(err, disk.ErrDamaged) {
-		coldStart = false // what is lost may be that of a fleet's core
-		log.Info("stored state is damaged and was set aside; the core starts as a new one without a vote", "cause", err.Error())
-		if err := disk.SetAside(path); err != nil {
-			return nil, core.Stored{}, err
-		}
-		store, found, err = disk.OpenIn(files, path)
-	}
-	if err != nil {
-		return nil, core.Stored{}, err
-	}
-	var stored core.Stored
-	if found.Empty {
-		raw := make([]byte, incarnationBytes)
-		if _, err := crypto.Read(raw); err != nil {
-			return nil, core.Stored{}, err
-		}
-		stored.Incarnation, stored.MayFound = hex.EncodeToString(raw), coldStart
-		return store, stored, store.Replace(message.Marshal(stored))
-	}
-	if err := message.Unmarshal(found.State, &stored); err != nil {
-		return nil, core.Stored{}, errors.Wrap(err, "decoding the slot of the data directory")
-	}
-	for _, record := range found.Records {
-		var changes []core.Change
-		if err := message.Unmarshal(record, &changes); err != nil {
-			return nil, core.Stored{}, errors.Wrap(err, "decoding the log of the data directory")
-		}
-		for _, c := range changes {
-			stored.Apply(c)
-		}
-	}
-	if coldStart && !stored.MayFound && stored.Founding.Partitions == 0 {
-		stored.MayFound = true
-		return store, stored, store.Replace(message.Marshal(stored))
-	}
-	return store, stored, nil
-}
-
 func (s *process) now() time.Duration { return clock.Now() - s.start }
 
 // run is the event loop. When ctx ends or an operator drains the core, run hands its partitions
@@ -447,6 +400,7 @@
 			"copies_mended":             p.SnapshotsSent,
 			"sweeps":                    p.Sweeps,
 			"marks_dropped":             p.TombstonesPurged,
+			"most_turn_bytes_of_a_part": int64(m.LargestTurnUsage(now)),
 			"parts_owned":               int64(len(m.LeadingPartitions(now))),
 			"sent":                      s.sent,
 			"dropped":                   s.dropped,
--- a/saffronfall/coreprocess/writer.go
+++ b/saffronfall/coreprocess/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,14 +25,22 @@
 }
 
 const (
-	minSlotSize = int64(1 << 20)
+	minSlotSize = int64(1 << 20) // bytes
 	// maxLogRatio is the size of the log, in sizes of the last slot, at which a new slot replaces it.
 	maxLogRatio = 4
+	// largeLogSize in bytes is the size from which a log is no longer than the last slot, since two
+	// slots and two logs share the disk.
+	largeLogSize = int64(64 << 20)
 )
 
+// maxLogSize returns the size in bytes at which a new slot replaces the log.
+func maxLogSize(slotSize int64) int64 {
+	slotSize = max(slotSize, minSlotSize)
+	return min(maxLogRatio*slotSize, max(slotSize, largeLogSize))
+}
+
 func (w *writer) run(ctx context.Context) error {
 	defer w.store.Close()
-	slotSize := minSlotSize
 	for {
 		select {
 		case b := <-w.batches:
@@ -40,10 +49,9 @@
 			for _, c := range b.changes {
 				w.image.Apply(c)
 			}
-			if err == nil && w.store.Size() > maxLogRatio*slotSize {
-				state := message.Marshal(w.image)
-				slotSize = max(minSlotSize, int64(len(state)))
-				if err = w.store.Replace(state); errors.Is(err, disk.ErrFull) {
+			if err == nil && w.store.Size() > maxLogSize(w.store.SlotSize()) {
+				encode := func(out io.Writer) error { return message.Encode(out, w.image) }
+				if err = w.store.ReplaceWith(encode); errors.Is(err, disk.ErrFull) {
 					// The log keeps growing until there is space for a new slot.
 					err = nil
 				}
