--- a/peer/relay/completion.go
+++ b/peer/relay/completion.go
@@ -33,6 +33,7 @@
 	CauseHistoryExpired        Cause = "history_expired"
 	CauseHistoryMissing        Cause = "history_missing"
 	CauseHistoryUnavailable    Cause = "history_unsure"
+	CauseHistoryRoom           Cause = "history_room"
 	CauseKeyInProgress         Cause = "key_in_progress"
 	CauseKeyUncertain          Cause = "key_uncertain"
 	CauseKeyUnavailable        Cause = "key_unsure"
@@ -84,6 +85,7 @@
 	CauseHistoryExpired:        {status: 404, check: "history", reason: "no such turn is kept for this tenant"},
 	CauseHistoryMissing:        {status: 503, check: "history", reason: "a turn that was kept is not found", retryFactor: 2},
 	CauseHistoryUnavailable:    {status: 503, check: "cores", reason: "the kept turns did not answer in time", retryFactor: 2},
+	CauseHistoryRoom:           {status: 503, check: "history", reason: "the histories of requests under way fill this node's memory", retryFactor: 1},
 	CauseKeyInProgress:         {status: 409, check: "operation key", reason: "an earlier attempt with this key is in progress", retryFactor: 1},
 	CauseKeyUncertain:          {status: 502, check: "operation key", reason: "an earlier attempt with this key may have run; its outcome is unknown"},
 	CauseKeyUnavailable:        {status: 503, check: "cores", reason: "the operation's key could not be claimed in time", retryFactor: 2},
--- a/peer/relay/finish.go
+++ b/peer/relay/finish.go
@@ -54,6 +54,7 @@
 			req.spec.Attempt, cause, req.mayHaveRun, req.outstanding)
 	}
 	delete(m.active, req.ticket)
+	m.releaseHistory(req)
 	if !req.mayHaveRun {
 		m.refund(req)
 	}
--- a/peer/relay/history_test.go
+++ b/peer/relay/history_test.go
@@ -40,7 +40,7 @@
 			h.outcome(first, Outcome{Kind: OutcomeComplete, Events: 1, Started: true, Output: []byte("o\n")})
 			h.expect(first, StepDeliver, 0)
 		}
-		h.node.cache = newTurnCache(1 << 20)
+		h.node.cache = newTurnCache(1<<20, 0)
 		delete(h.storedTurns, "first")
 		h.absence = c.absence
 		h.advance(c.after)
--- a/peer/relay/identity_test.go
+++ b/peer/relay/identity_test.go
@@ -39,7 +39,7 @@
 		t.Tenants = append(t.Tenants, route.Tenant{Name: "t2", Keys: []string{configuration.KeyDigest("second key")}})
 	}))
 	h.storedTurns["same"] = core.StoreTurn{Tenant: "t2", Attempt: "same", Input: []byte("in of t2"), Output: []byte("out of t2")}
-	h.node.cache.put(&turn{attempt: "same", tenant: "t1", input: []byte("in of t1"), output: []byte("out of t1"), storedUntil: h.now + 1<<40})
+	h.node.cache.put(&turn{turnName: turnName{tenant: "t1", attempt: "same"}, input: []byte("in of t1"), output: []byte("out of t1"), storedUntil: h.now + 1<<40})
 	ticket := h.request(newRequest("/chat/x", func(r *Request) { r.Key, r.Previous = "second key", "same" }))
 	h.expect(ticket, StepSend, 0)
 	if history := h.lastStep(ticket).History; len(history) != 2 || string(history[0]) != "in of t2" {
--- a/peer/relay/machine.go
+++ b/peer/relay/machine.go
@@ -103,8 +103,12 @@
 			},
 		},
 		rateState: rateState{rates: map[string]*tenantRate{}},
-		turnStore: turnStore{cache: newTurnCache(o.Params.CacheBytes), crowded: map[crowdedPartition]time.Duration{}},
-		active:    map[uint64]*activeRequest{},
+		turnStore: turnStore{
+			cache:   newTurnCache(o.Params.CacheBytes, o.Params.HistoryBytes),
+			reads:   map[turnName]*turnRead{},
+			crowded: map[crowdedPartition]time.Duration{},
+		},
+		active: map[uint64]*activeRequest{},
 	}
 	m.caller = &core.Caller{Retry: o.Params.Core.AttemptTimeout, Random: o.Random,
 		Send:       func(to string, body any) { m.send(to, body) },
@@ -338,6 +342,8 @@
 		"table":             int64(m.TableNumber()),
 		"tenants_held":      int64(len(m.rates)),
 		"cache_bytes":       m.cache.bytes,
+		"history_bytes":     m.cache.usedBytes,
+		"turn_reads":        m.turnReads,
 		"commands_waiting":  int64(m.caller.Pending()),
 		"command_tries":     m.caller.Attempts,
 	}
--- a/peer/relay/request.go
+++ b/peer/relay/request.go
@@ -238,9 +238,7 @@
 		KeyedStep:    KeyedStep{RunToEnd: req.usesKey()},
 		Timeout:      req.deadline - now,
 	}
-	if req.previous != nil {
-		step.History = req.previous.history()
-	}
+	step.History = req.history.contents()
 	m.emit(req, step)
 }
 
@@ -348,9 +346,8 @@
 	retention := storedRetentions * m.turnRetention(req)
 	waiting, failed := 1, false
 	stored := &turn{
-		attempt:     req.spec.Attempt,
-		tenant:      m.tenantName(req),
-		previous:    req.previous,
+		turnName:    turnName{tenant: m.tenantName(req), attempt: req.spec.Attempt},
+		previous:    req.history.attemptIDs(),
 		input:       req.spec.Input,
 		output:      output,
 		storedUntil: now + retention,
@@ -369,17 +366,21 @@
 			return
 		}
 		m.cache.put(stored)
-		m.recentTurns.add(stored.name(), now+m.turnRetention(req))
+		m.recentTurns.add(stored.turnName, now+m.turnRetention(req))
 		m.finish(at, req, CauseServed, Step{Kind: StepDeliver})
 	}
-	command := core.StoreTurn{Tenant: stored.tenant, Attempt: stored.attempt, Input: stored.input, Output: stored.output, Retention: retention}
-	if req.previous != nil {
-		command.Previous = req.previous.attemptIDs()
+	command := core.StoreTurn{
+		Tenant:    stored.tenant,
+		Attempt:   stored.attempt,
+		Previous:  stored.previous,
+		Input:     stored.input,
+		Output:    stored.output,
+		Retention: retention,
 	}
 	// Earlier turns must be stored as long as this one, so those that would expire before it
 	// get a longer retention.
 	var old []*turn
-	for t := req.previous; t != nil; t = t.previous {
+	for _, t := range req.history {
 		if t.storedUntil < now+retention*extendBelowEighths/8 {
 			old = append(old, t)
 		}
--- a/peer/relay/turnroom.go
+++ b/peer/relay/turnroom.go
@@ -28,7 +28,7 @@
 type historyState struct {
 	fetchingHistory bool
 	claimingRoom    bool
-	previous        *turn
+	history         history
 }
 
 func (h historyState) pending() bool { return h.fetchingHistory || h.claimingRoom }
@@ -37,6 +37,9 @@
 type turnStore struct {
 	cache       *turnCache
 	recentTurns recentTurns
+	// reads are the reads of turns under way.
+	reads     map[turnName]*turnRead
+	turnReads int64
 	// crowded has the time until which partitions count as crowded.
 	crowded map[crowdedPartition]time.Duration
 }
--- a/peer/relay/types.go
+++ b/peer/relay/types.go
@@ -199,6 +199,9 @@
 	MaxRequests int
 	// CacheBytes limits the cache of stored turns.
 	CacheBytes int64
+	// HistoryBytes limits the stored turns that requests under way continue; zero means
+	// defaultHistoryBytes.
+	HistoryBytes int64
 	// BudgetRetention is how long a program's budget is stored after its last turn.
 	BudgetRetention time.Duration
 	KeyParams
--- a/saffronfall/params/relay.go
+++ b/saffronfall/params/relay.go
@@ -18,8 +18,8 @@
 	RateOvershoot float64 `json:"rate_overshoot"`
 	RateSlack     int64   `json:"rate_slack"`
 	Placement
-	MaxRequests       int64 `json:"requests"`
-	CacheBytes        int64 `json:"cache_bytes"`
+	MaxRequests int64 `json:"requests"`
+	Histories
 	LedgerRetentionMS int64 `json:"book_keep_ms"`
 	OperationKeys
 	Bootstrap         bool  `json:"founds"`
@@ -36,6 +36,12 @@
 	TurnMemoryBytes  int64 `json:"turn_memory_bytes"`
 }
 
+// Histories holds the settings of a node's memory for stored turns.
+type Histories struct {
+	CacheBytes   int64 `json:"cache_bytes"`
+	HistoryBytes int64 `json:"history_bytes"`
+}
+
 // Placement holds the settings by which a node chooses replicas.
 type Placement struct {
 	PromptTokensPerMS float64 `json:"prompt_tokens_per_ms"`
@@ -94,6 +100,7 @@
 		configuration.Setting{Path: "shed_overload", Type: "bool", Default: true, Help: "refuse turns of late and of new programs while replicas are overloaded; needs share_load_ms"},
 		configuration.Setting{Path: "requests", Type: "int", Default: 2000, Min: 1, Max: 1e6, Help: "maximum number of requests in flight at a node; further ones are refused at once"},
 		configuration.Setting{Path: "cache_bytes", Type: "int", Default: 32 << 20, Min: 0, Max: 1 << 36, Help: "memory for a node's cache of stored turns"},
+		configuration.Setting{Path: "history_bytes", Type: "int", Default: 64 << 20, Min: 1 << 16, Max: 1 << 36, Help: "memory of a node for the stored turns that requests in flight continue, besides the cache; beyond it requests that need more are refused before they run"},
 		configuration.Setting{Path: "book_keep_ms", Type: "int", Default: 600000, Min: 1000, Max: 86400000, Help: "how long a program's ledger is kept after its last turn began"},
 		configuration.Setting{Path: "key_window_ms", Type: "int", Default: 60000, Min: 1000, Max: 86400000, Help: "how long after an operation was sent a repeat with its key is not run"},
 		configuration.Setting{Path: "key_response_bytes", Type: "int", Default: 64 << 10, Min: 0, Max: 1 << 24, Help: "largest response that is stored for repeats with its operation's key"},
@@ -155,6 +162,7 @@
 		ShedOverload:       p.ShedOverload,
 		MaxRequests:        int(p.MaxRequests),
 		CacheBytes:         p.CacheBytes,
+		HistoryBytes:       p.HistoryBytes,
 		BudgetRetention:    ms(p.LedgerRetentionMS),
 		KeyParams: relay.KeyParams{
 			KeyWindow:      ms(p.KeyWindowMS),
