--- a/peer/httpserver/connection.go
+++ b/peer/httpserver/connection.go
@@ -48,9 +48,9 @@
 	since atomic.Int64
 	// writingSince is when the write that is under way began, 0 if there is none.
 	writingSince atomic.Int64
-	// early is set by a read of a single byte. net/http waits for the requester's disconnect with one,
-	// on a goroutine of its own.
-	early atomic.Bool
+	// watched is one more than the byte that was read while net/http waited for the requester's
+	// disconnect, on a goroutine of its own: the first one of the next request. It is 0 if there is none.
+	watched atomic.Int32
 
 	// The goroutine that serves the connection uses the rest, also while the handler runs.
 	usage    usage
@@ -82,10 +82,10 @@
 		return n, err
 	}
 	if len(p) == 1 {
-		c.early.Store(true)
+		c.watched.Store(int32(p[0]) + 1)
 		return n, err
 	}
-	if c.early.Load() {
+	if c.watched.Load() != 0 {
 		c.position.lost = true
 	}
 	c.noteBuffered(p, n)
@@ -93,16 +93,21 @@
 	if c.inBody {
 		return n, err
 	}
-	if c.current() == phaseIdle {
-		c.since.Store(int64(clock.Now()))
-		c.enter(phaseReceiving)
-	}
+	c.beginReceiving()
 	if !c.take(usageOf(head)) {
 		return 0, errEvicted
 	}
 	return n, err
 }
 
+// beginReceiving ends the wait for a request.
+func (c *connection) beginReceiving() {
+	if c.current() == phaseIdle {
+		c.since.Store(int64(clock.Now()))
+		c.enter(phaseReceiving)
+	}
+}
+
 // Write notes since when it has been under way.
 func (c *connection) Write(p []byte) (int, error) {
 	c.writingSince.Store(int64(clock.Now()))
@@ -162,12 +167,15 @@
 	c.inBody = false
 	c.since.Store(int64(clock.Now()))
 	c.enter(phaseIdle)
-	if c.early.Swap(false) {
-		c.position.lost = true
-	}
 	if c.position.endRequest() {
 		c.buffered = usage{}
 	}
+	if watched := c.watched.Swap(0); watched != 0 {
+		c.beginReceiving()
+		first := []byte{byte(watched - 1)}
+		c.position.advance(first)
+		c.buffered.add(usageOf(first))
+	}
 	c.take(c.buffered)
 }
 
--- a/peer/httpserver/position_test.go
+++ b/peer/httpserver/position_test.go
@@ -85,6 +85,38 @@
 	return !(ok && timeout.Timeout())
 }
 
+// TestNextRequestBegunByTheWatchForADisconnect guards against sound clients' connections that are closed
+// because net/http's watch for a disconnect has read the first byte of their next request.
+func TestNextRequestBegunByTheWatchForADisconnect(t *testing.T) {
+	const head, body = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", "\n\n\n\n\n"
+	client, accepted := net.Pipe()
+	defer client.Close()
+	slots := make(chan struct{}, 1)
+	slots <- struct{}{}
+	c := newConnection(accepted, slots, newMemory(0))
+	receive := func(sent string, buffer []byte) {
+		t.Helper()
+		go io.WriteString(client, sent)
+		if n, err := c.Read(buffer); n != len(sent) || err != nil {
+			t.Fatalf("%d bytes of %q are read, %v", n, sent, err)
+		}
+	}
+	first := head
+	for range 3 {
+		receive(first, make([]byte, serverBufferBytes))
+		c.inBody, c.position.body = true, int64(len(body))
+		receive(body, make([]byte, serverBufferBytes))
+		c.enter(phaseServing)
+		receive(head[:1], make([]byte, 1))
+		c.freeMemory()
+		c.awaitRequest()
+		if c.position.lost || c.position.head != 1 || c.usage.text != 1 || c.current() != phaseReceiving {
+			t.Fatalf("after a response: %+v, %+v, phase %v", c.position, c.usage, c.current())
+		}
+		first = head[1:]
+	}
+}
+
 // Clients that wait for each response take nothing beyond a request, whatever its body holds.
 func TestOrdinaryRequestsAreCountedExactly(t *testing.T) {
 	s := serve(t, Limits{Connections: 64, RequestBytes: reservationBytes})
