--- a/rule/route/table.go
+++ b/rule/route/table.go
@@ -162,7 +162,7 @@
 	},
 	{Path: "routes.[].targets.[].service", Type: "text", Required: true, Help: "service that requests are sent to"},
 	{Path: "routes.[].targets.[].weight", Type: "number", Default: 1.0, Min: 0, Max: maxNumber, Help: "weight among the route's services"},
-	{Path: "services.[].name", Type: "text", Required: true, Help: "name of the service"},
+	{Path: "services.[].name", Type: "text", Required: true, Check: checkNotEmpty, Help: "name of the service"},
 	{
 		Path:    "services.[].connections",
 		Type:    "int",
@@ -210,6 +210,13 @@
 	return ""
 }
 
+func checkNotEmpty(value any) string {
+	if value == "" {
+		return "a text that is not empty"
+	}
+	return ""
+}
+
 func checkHeaderValue(value any) string {
 	if text, _ := value.(string); !configuration.ValidHeaderValue(text) {
 		return "a text without control characters, and without space at its ends"
