--- a/peer/relay/turncache_test.go
+++ b/peer/relay/turncache_test.go
@@ -149,7 +149,7 @@
 	h.start()
 	last := h.storeChain("main", 2, 100)
 	h.coresSilent = true
-	short := h.request(newRequest("/chat/x", func(r *Request) { r.Previous, r.Remaining = last, 400 * time.Millisecond }))
+	short := h.request(newRequest("/chat/x", func(r *Request) { r.Previous, r.Remaining = last, 400*time.Millisecond }))
 	long := h.continueTurn(last)
 	h.delayedResults = nil // the answers are lost
 	h.advance(250 * time.Millisecond)
