--- a/peer/relay/request.go
+++ b/peer/relay/request.go
@@ -175,7 +175,8 @@
 }
 
 func (m *Machine) sendWhenReady(now time.Duration, req *activeRequest) {
-	if req.completed || req.state != stateAdmitting || req.needsCores() || req.budgetRefused {
+	if req.completed || req.state != stateAdmitting || req.reservingBudget || req.claimingRoom ||
+		req.fetchingHistory || req.claiming || req.budgetRefused {
 		return
 	}
 	m.dispatch(now, req)
