--- a/rule/partition/election.go
+++ b/rule/partition/election.go
@@ -39,7 +39,7 @@
 		released:        released,
 		preVote:         released == Term{},
 		digestKey:       m.newDigestKey(),
-		phaseStartedAt:  now,
+		candidacy:       candidacy{phaseStartedAt: now},
 		group:           m.state.Group,
 		promises:        map[string]Promise{},
 		rejected:        map[string]bool{},
@@ -145,7 +145,6 @@
 		if m.state.Promised != msg.Term {
 			m.record(Record{Promised: msg.Term})
 		}
-		m.extendLease(now, msg.Term)
 		m.setDigestKey(msg.DigestKey)
 		promise := Promise{
 			Term:       msg.Term,
@@ -159,6 +158,7 @@
 		if !msg.DigestOnly {
 			promise.Entries = m.sortedEntries()
 		}
+		m.extendLeaseFor(now, msg.Term, m.promiseLease(promise.Entries))
 		m.send(from, promise, true)
 	}
 }
@@ -224,7 +224,9 @@
 	if !needEntries {
 		lead.preVote, lead.rejected = false, map[string]bool{}
 	}
-	lead.needEntries = lead.needEntries || needEntries
+	if needEntries && !lead.needEntries {
+		lead.needEntries, lead.transferTime = true, m.transferTime(m.sortedEntries())
+	}
 	lead.promises, lead.phaseStartedAt = map[string]Promise{}, now
 	m.sendPrepare(now)
 }
--- a/rule/partition/lease.go
+++ b/rule/partition/lease.go
@@ -48,10 +48,25 @@
 }
 
 func (m *Machine) extendLease(now time.Duration, term Term) {
-	m.leaseTerm, m.leaseUntil = term, now+m.followerLease()
+	m.extendLeaseFor(now, term, m.followerLease())
+}
+
+func (m *Machine) extendLeaseFor(now time.Duration, term Term, duration time.Duration) {
+	m.leaseTerm, m.leaseUntil = term, now+duration
 	m.electionAt = m.leaseUntil + m.electionTimeout()
 }
 
+// extendLeaseByWrite keeps what is left of a promise's longer lease while the leader's first write, which
+// may be large, is on its way to the other members. Later messages shorten it again: the leader serves,
+// and counts a lease from the sending of what was acknowledged.
+func (m *Machine) extendLeaseByWrite(now time.Duration, msg Write) {
+	duration := m.followerLease()
+	if msg.Seq == 1 && m.leaseTerm == msg.Term {
+		duration = max(duration, m.leaseUntil-now)
+	}
+	m.extendLeaseFor(now, msg.Term, duration)
+}
+
 // onRenewLease renews the lease of the promised term only. Its answer to a later term has a time one
 // lease duration ago, so that it doesn't count as a renewal.
 func (m *Machine) onRenewLease(now time.Duration, from string, msg RenewLease) {
--- a/rule/partition/machine.go
+++ b/rule/partition/machine.go
@@ -49,15 +49,13 @@
 
 // leadership is the state of a candidate or leader in one term.
 type leadership struct {
-	term            Term
-	released        Term // see Prepare
-	preVote         bool
-	digestKey       DigestKey
-	rejected        map[string]bool
-	promises        map[string]Promise
-	phaseStartedAt  time.Duration
-	prepareSentAt   time.Duration
-	needEntries     bool // set when the digests of a quorum differ
+	term      Term
+	released  Term // see Prepare
+	preVote   bool
+	digestKey DigestKey
+	rejected  map[string]bool
+	promises  map[string]Promise
+	candidacy
 	promisedDigests map[string]uint64
 	serving         bool
 	group           Group
@@ -87,6 +85,16 @@
 	queuedGroup    *Group
 }
 
+// candidacy is the timing of a candidate's phases: the requests for pre-votes, for promises, for
+// entries, and the first write.
+type candidacy struct {
+	phaseStartedAt time.Duration
+	prepareSentAt  time.Duration
+	needEntries    bool // set when the digests of a quorum differ
+	// transferTime is what a transfer of all entries may take.
+	transferTime time.Duration
+}
+
 // Options configure a Machine.
 type Options struct {
 	Params    Params
@@ -198,12 +206,12 @@
 		if m.state.Group.Has(m.member) && now >= m.leaseUntil && now >= m.electionAt {
 			m.startElection(now, Term{})
 		}
-	case !lead.serving && now > lead.phaseStartedAt+m.params.LeaseDuration:
+	case !lead.serving && now > lead.phaseStartedAt+m.phaseDuration():
 		m.stepDown(now)
-	case !lead.serving && lead.table == nil && now > lead.prepareSentAt+m.params.LeaseDuration/prepareRetryDivisor:
+	case !lead.serving && lead.table == nil && now > lead.prepareSentAt+m.retryInterval(prepareRetryDivisor):
 		// The messages may have been lost, or their receivers may have been down.
 		m.sendPrepare(now)
-	case !lead.serving && lead.pending != nil && now > lead.pending.sentAt+m.params.LeaseDuration/writeRetryDivisor:
+	case !lead.serving && lead.pending != nil && now > lead.pending.sentAt+m.retryInterval(writeRetryDivisor):
 		lead.pending.sentAt = now
 		for _, member := range lead.group.All() {
 			if !lead.pending.acked[member] {
--- a/rule/partition/replication.go
+++ b/rule/partition/replication.go
@@ -147,7 +147,7 @@
 			UpTo:     msg.Seq,
 		})
 	}
-	m.extendLease(now, msg.Term)
+	m.extendLeaseByWrite(now, msg)
 	if msg.Snapshot || msg.Rebase || m.completeSeq >= msg.PriorSeq {
 		m.completeSeq = max(m.completeSeq, msg.Seq)
 	}
@@ -185,6 +185,8 @@
 	m.out.Results = append(m.out.Results, pending.results...)
 	if !lead.serving {
 		lead.serving, lead.servingSince = true, now
+		// After a long first write the lease has ended, and a phase begins in which it is renewed.
+		lead.phaseStartedAt = now
 		m.Counters.Elected++
 		lead.nextSweep = now + m.params.LeaseDuration*time.Duration(m.params.LeasesPerSweep)
 		m.rules.Elected(now, &Tx{m: m, now: now})
